--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements and the demonstration."""
--- /dev/null
+++ b/medlarquay/__init__.py
@@ -0,0 +1,1 @@
+"""Configuration distribution and request routing for a service mesh."""
--- /dev/null
+++ b/medlarquay/ids/data_centre_name.py
@@ -0,0 +1,7 @@
+"""Names a data centre."""
+
+import typing
+
+__all__ = ('DataCentreName',)
+
+DataCentreName = typing.NewType('DataCentreName', str)
--- /dev/null
+++ b/medlarquay/ids/rank_value.py
@@ -0,0 +1,7 @@
+"""Position of a node in the distribution order; smaller is nearer the source."""
+
+import typing
+
+__all__ = ('RankValue',)
+
+RankValue = typing.NewType('RankValue', int)
--- /dev/null
+++ b/medlarquay/ids/region_name.py
@@ -0,0 +1,7 @@
+"""Names a region."""
+
+import typing
+
+__all__ = ('RegionName',)
+
+RegionName = typing.NewType('RegionName', str)
--- /dev/null
+++ b/medlarquay/ids/revision.py
@@ -0,0 +1,7 @@
+"""Orders the changes of one source; larger is newer."""
+
+import typing
+
+__all__ = ('Revision',)
+
+Revision = typing.NewType('Revision', int)
--- /dev/null
+++ b/medlarquay/ids/team_name.py
@@ -0,0 +1,7 @@
+"""Names a team, the owner of one subtree of the operators' settings."""
+
+import typing
+
+__all__ = ('TeamName',)
+
+TeamName = typing.NewType('TeamName', str)
--- /dev/null
+++ b/medlarquay/messages/call_answered.py
@@ -0,0 +1,39 @@
+"""The whole answer of a backend server."""
+
+import dataclasses
+
+from medlarquay import ids
+from medlarquay.messages import load_state
+
+__all__ = ('CallAnswered',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallAnswered:
+    """The whole answer of a backend server.
+
+    Attributes
+    ----------
+    call_id : ids.CallId
+        Number of the call.
+    status : int
+        HTTP status.
+    headers : tuple[tuple[bytes, bytes], ...]
+        Header fields in order; names in lower case.
+    body : bytes
+        Whole body.
+    load : load_state.LoadState | None
+        Load of the owner, if known.
+    replayed : bool
+        Whether the answer was recorded by an earlier attempt.
+    retry_allowed : bool
+        False when retries were exhausted further down the call chain.
+    """
+
+    call_id: ids.CallId
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    load: load_state.LoadState | None = None
+    replayed: bool = False
+    retry_allowed: bool = True
--- /dev/null
+++ b/medlarquay/messages/call_request.py
@@ -0,0 +1,50 @@
+"""A request on its way from an ingress to the owner of a backend server."""
+
+import dataclasses
+
+from medlarquay import ids, states
+
+__all__ = ('CallRequest',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallRequest:
+    """A request on its way from an ingress to the owner of a backend server.
+
+    Attributes
+    ----------
+    call_id : ids.CallId
+        Number of the call on the link or at the ingress.
+    team : ids.TeamName
+        Team of the service.
+    service : ids.ServiceName
+        Service that the route points at.
+    method : bytes
+        HTTP method.
+    target : bytes
+        Path and query as sent by the caller.
+    headers : tuple[tuple[bytes, bytes], ...]
+        Header fields in order; names in lower case.
+    body : bytes
+        Whole body.
+    rank : states.Rank
+        Priority class.
+    idempotent : bool
+        Whether the request may run more than once.
+    deadline : float
+        Seconds on the local monotonic clock; the codec sends the remaining time.
+    request_key : ids.RequestKey | None
+        Key of a non-idempotent request, if it has one.
+    """
+
+    call_id: ids.CallId
+    team: ids.TeamName
+    service: ids.ServiceName
+    method: bytes
+    target: bytes
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
+    rank: states.Rank
+    idempotent: bool
+    deadline: float
+    request_key: ids.RequestKey | None = None
--- /dev/null
+++ b/medlarquay/messages/crash_suspected.py
@@ -0,0 +1,29 @@
+"""A request was in flight when a backend server crashed."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('CrashSuspected',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CrashSuspected:
+    """A request was in flight when a backend server crashed.
+
+    Attributes
+    ----------
+    service : ids.ServiceName
+        Service of the backend server.
+    fingerprint : ids.Fingerprint
+        Fingerprint of the request.
+    crash : str
+        Identifies the crash: instance, incarnation and sequence.
+    alone : bool
+        Whether it was the only suspect in flight.
+    """
+
+    service: ids.ServiceName
+    fingerprint: ids.Fingerprint
+    crash: str
+    alone: bool
--- /dev/null
+++ b/medlarquay/messages/fetch_all.py
@@ -0,0 +1,10 @@
+"""A child asks for all records after a digest mismatch."""
+
+import dataclasses
+
+__all__ = ('FetchAll',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FetchAll:
+    """A child asks for all records after a digest mismatch."""
--- /dev/null
+++ b/medlarquay/messages/load_state.py
@@ -0,0 +1,28 @@
+"""What an owner knows of its own load; carried on each answer."""
+
+import dataclasses
+
+
+__all__ = ('LoadState',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LoadState:
+    """What an owner knows of its own load; carried on each answer.
+
+    Attributes
+    ----------
+    slots : int
+        Slots usable now.
+    running : int
+        Requests at the backend server.
+    queued : int
+        Requests waiting for a slot.
+    service_time : float
+        Smoothed time of one request at the backend server, in seconds.
+    """
+
+    slots: int
+    running: int
+    queued: int
+    service_time: float
--- /dev/null
+++ b/medlarquay/messages/suspicion_cleared.py
@@ -0,0 +1,23 @@
+"""A suspected request completed without a crash."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('SuspicionCleared',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SuspicionCleared:
+    """A suspected request completed without a crash.
+
+    Attributes
+    ----------
+    service : ids.ServiceName
+        Service of the backend server.
+    fingerprint : ids.Fingerprint
+        Fingerprint of the request.
+    """
+
+    service: ids.ServiceName
+    fingerprint: ids.Fingerprint
--- /dev/null
+++ b/medlarquay/replica/instance_record.py
@@ -0,0 +1,53 @@
+"""One entry of the instance list."""
+
+import dataclasses
+
+from medlarquay import ids, states
+
+__all__ = ('InstanceRecord',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class InstanceRecord:
+    """One entry of the instance list.
+
+    Attributes
+    ----------
+    instance : ids.InstanceId
+        Instance.
+    revision : ids.Revision
+        Revision of this entry.
+    team : ids.TeamName
+        Team of its service.
+    service : ids.ServiceName
+        Service that its backend server runs.
+    region : ids.RegionName
+        Region.
+    data_centre : ids.DataCentreName
+        Data centre.
+    host : str
+        IP address of the node.
+    caller_port : int
+        TCP port for callers.
+    peer_port : int
+        TCP port for other nodes.
+    slots : int
+        Requests that the backend server runs at once.
+    state : states.InstanceState
+        Live or leaving.
+    deleted : bool
+        Whether the entry is a tombstone.
+    """
+
+    instance: ids.InstanceId
+    revision: ids.Revision
+    team: ids.TeamName
+    service: ids.ServiceName
+    region: ids.RegionName
+    data_centre: ids.DataCentreName
+    host: str
+    caller_port: int
+    peer_port: int
+    slots: int
+    state: states.InstanceState
+    deleted: bool = False
--- /dev/null
+++ b/medlarquay/settings/__init__.py
@@ -0,0 +1,11 @@
+"""The operators' documents: schema and validation."""
+
+from medlarquay.settings.service_settings import ServiceSettings
+from medlarquay.settings.route_settings import RouteSettings
+from medlarquay.settings.team_document import TeamDocument
+
+__all__ = (
+    'RouteSettings',
+    'ServiceSettings',
+    'TeamDocument',
+)
