Serve a request end to end through two nodes

A caller's request goes over HTTP to any node, over a WebSocket link with CBOR messages to the node beside the chosen backend server, and over HTTP to that server. Nodes read the settings tree and the instance list from the configuration service. Decisions are still round robin without admission.

--- a/Makefile
+++ b/Makefile
@@ -21,5 +21,6 @@
 
 check: $(VENV)/.installed
 	$(BIN)/ruff format --check medlarquay bench
+	$(BIN)/ruff check --select I medlarquay bench
 	$(BIN)/flake8 medlarquay bench
 	$(BIN)/mypy
--- /dev/null
+++ b/medlarquay/codec/__init__.py
@@ -0,0 +1,7 @@
+"""Encoding of messages between nodes as CBOR; holds no decisions."""
+
+from medlarquay.codec.decode import MAX_FRAME_BYTES, decode
+from medlarquay.codec.encode import encode
+from medlarquay.codec.message_type import MessageType
+
+__all__ = ('MAX_FRAME_BYTES', 'MessageType', 'decode', 'encode')
--- /dev/null
+++ b/medlarquay/codec/decode.py
@@ -0,0 +1,66 @@
+"""Decoding of messages between nodes."""
+
+import cbor2
+
+from medlarquay import errors
+from medlarquay.codec import call_decoders, checked
+
+__all__ = ('MAX_FRAME_BYTES', 'decode')
+
+# Values of the source are at most 1 MB, and so is the body of a call.
+MAX_FRAME_BYTES = 1 << 21
+
+_STEP = 'decode message'
+
+
+def decode(frame: bytes, *, now: float, peer: str) -> object:
+    """Decode one frame into a message.
+
+    Parameters
+    ----------
+    frame : bytes
+        One CBOR array.
+    now : float
+        Seconds on the monotonic clock, from which deadlines are computed.
+    peer : str
+        Peer that sent the frame, for errors.
+
+    Returns
+    -------
+    object
+        A message of ``medlarquay.messages``.
+
+    Raises
+    ------
+    DecodeError
+        If the frame is truncated, malformed or of an unknown type.
+    FrameTooLargeError
+        If the frame is longer than ``MAX_FRAME_BYTES``.
+    """
+    if len(frame) > MAX_FRAME_BYTES:
+        raise errors.FrameTooLargeError(
+            f'frame of {len(frame)} bytes; at most {MAX_FRAME_BYTES}',
+            step=_STEP,
+            peer=peer,
+        )
+    reader = checked.Checked(fields=_load_array(frame, peer), peer=peer)
+    decoder = call_decoders.DECODERS.get(reader.take(int))
+    if decoder is None:
+        raise reader.error('is an unknown message type')
+    message = decoder(reader, now)
+    reader.finish()
+    return message
+
+
+def _load_array(frame: bytes, peer: str) -> list[object]:
+    try:
+        fields = cbor2.loads(frame)
+    except (cbor2.CBORError, ValueError, RecursionError) as cause:
+        raise errors.DecodeError(
+            f'frame is not CBOR: {cause}',
+            step=_STEP,
+            peer=peer,
+        ) from cause
+    if isinstance(fields, list):
+        return fields
+    raise errors.DecodeError('frame is no array', step=_STEP, peer=peer)
--- /dev/null
+++ b/medlarquay/codec/message_type.py
@@ -0,0 +1,19 @@
+"""Numbers of the message types on links between nodes."""
+
+import enum
+
+__all__ = ('MessageType',)
+
+
+class MessageType(enum.IntEnum):
+    """Numbers of the message types on links between nodes."""
+
+    HELLO = 1
+    CALL_REQUEST = 2
+    CALL_CANCEL = 3
+    CALL_ANSWERED = 4
+    CALL_REFUSED = 5
+    CALL_UNKNOWN = 6
+    DRAINING = 7
+    CRASH_SUSPECTED = 8
+    SUSPICION_CLEARED = 9
--- /dev/null
+++ b/medlarquay/codec/tests/test_round_trip.py
@@ -0,0 +1,40 @@
+"""Round trips of messages through the codec."""
+
+import pytest
+
+from medlarquay import codec, errors, ids, messages, states
+
+_REQUEST = messages.CallRequest(
+    call_id=ids.CallId(7),
+    team=ids.TeamName('agency'),
+    service=ids.ServiceName('editorial-desk'),
+    method=b'POST',
+    target=b'/approve/1',
+    headers=((b'host', b'editorial-desk.agency'),),
+    body=b'{}',
+    rank=states.Rank.URGENT,
+    idempotent=False,
+    deadline=12.5,
+    request_key=ids.RequestKey('k'),
+)
+
+
+def test_request_keeps_its_fields() -> None:
+    """Guards against a field lost or swapped between two nodes."""
+    frame = codec.encode(_REQUEST, now=10)
+    assert codec.decode(frame, now=10, peer='test') == _REQUEST
+
+
+def test_deadline_moves_to_the_receivers_clock() -> None:
+    """Guards against comparing the monotonic clocks of two machines."""
+    frame = codec.encode(_REQUEST, now=10)
+    received = codec.decode(frame, now=110, peer='test')
+    assert received.deadline == pytest.approx(112.5)
+
+
+def test_every_truncation_is_a_typed_error() -> None:
+    """Guards against a crash on a message cut short by a lost peer."""
+    frame = codec.encode(_REQUEST, now=10)
+    for end in range(len(frame)):
+        with pytest.raises(errors.DecodeError):
+            codec.decode(frame[:end], now=10, peer='test')
--- /dev/null
+++ b/medlarquay/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon: settings, composition and lifecycle of a node."""
--- /dev/null
+++ b/medlarquay/daemon/main.py
@@ -0,0 +1,38 @@
+"""Entry point of ``medlarquayd``."""
+
+import sys
+
+import logbook
+
+from medlarquay.daemon import parse_arguments
+
+__all__ = ('run',)
+
+
+def run() -> None:
+    """Run a node until it is stopped."""
+    # Links are plain TCP. Importing pyOpenSSL would cost 13 MB of the 64 MB
+    # that a node may use, and twisted does without it.
+    sys.modules.setdefault('OpenSSL', None)  # type: ignore[arg-type]
+    settings = parse_arguments.parse_arguments()
+    handler = logbook.StreamHandler(
+        sys.stderr,
+        level=logbook.INFO,
+        format_string=(
+            '{record.time:%H:%M:%S.%f} {record.level_name} '
+            '{record.channel}: {record.message}'
+        ),
+    )
+    handler.push_application()
+    # The reactor is imported after the settings were checked, so that a bad
+    # flag is reported without the cost of starting one.
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    from medlarquay.daemon import node  # noqa: PLC0415
+
+    node.start_node(reactor=reactor, settings=settings)
+    reactor.run()
+
+
+if __name__ == '__main__':
+    run()
--- a/medlarquay/errors/__init__.py
+++ b/medlarquay/errors/__init__.py
@@ -1,15 +1,15 @@
 """The exception tree; every error carries its step and peer."""
 
-from medlarquay.errors.medlarquay_error import MedlarquayError
+from medlarquay.errors.backend_error import BackendError
 from medlarquay.errors.decode_error import DecodeError
+from medlarquay.errors.document_error import DocumentError
 from medlarquay.errors.frame_too_large_error import FrameTooLargeError
+from medlarquay.errors.link_error import LinkError
+from medlarquay.errors.medlarquay_error import MedlarquayError
 from medlarquay.errors.request_error import RequestError
-from medlarquay.errors.document_error import DocumentError
 from medlarquay.errors.revision_conflict_error import RevisionConflictError
 from medlarquay.errors.setting_error import SettingError
 from medlarquay.errors.source_error import SourceError
-from medlarquay.errors.link_error import LinkError
-from medlarquay.errors.backend_error import BackendError
 
 __all__ = (
     'BackendError',
--- /dev/null
+++ b/medlarquay/events/__init__.py
@@ -0,0 +1,49 @@
+"""Messages between the tasks of one node."""
+
+from medlarquay.events.abort_request import AbortRequest
+from medlarquay.events.answer_ready import AnswerReady
+from medlarquay.events.backend_answered import BackendAnswered
+from medlarquay.events.backend_failed import BackendFailed
+from medlarquay.events.broadcast_reply import BroadcastReply
+from medlarquay.events.caller_gone import CallerGone
+from medlarquay.events.cancel_call import CancelCall
+from medlarquay.events.documents_read import DocumentsRead
+from medlarquay.events.drain_requested import DrainRequested
+from medlarquay.events.freshness_confirmed import FreshnessConfirmed
+from medlarquay.events.link_closed import LinkClosed
+from medlarquay.events.request_received import RequestReceived
+from medlarquay.events.request_rejected import RequestRejected
+from medlarquay.events.run_call import RunCall
+from medlarquay.events.send_call import SendCall
+from medlarquay.events.send_cancel import SendCancel
+from medlarquay.events.send_notice import SendNotice
+from medlarquay.events.send_reply import SendReply
+from medlarquay.events.snapshot_replaced import SnapshotReplaced
+from medlarquay.events.source_entry import SourceEntry
+from medlarquay.events.start_request import StartRequest
+from medlarquay.events.tick import Tick
+
+__all__ = (
+    'FreshnessConfirmed',
+    'BroadcastReply',
+    'SendNotice',
+    'AbortRequest',
+    'AnswerReady',
+    'BackendAnswered',
+    'BackendFailed',
+    'CallerGone',
+    'CancelCall',
+    'DocumentsRead',
+    'DrainRequested',
+    'LinkClosed',
+    'RequestReceived',
+    'RequestRejected',
+    'RunCall',
+    'SendCall',
+    'SendCancel',
+    'SendReply',
+    'SnapshotReplaced',
+    'SourceEntry',
+    'StartRequest',
+    'Tick',
+)
--- /dev/null
+++ b/medlarquay/events/backend_answered.py
@@ -0,0 +1,29 @@
+"""The local backend server sent a whole answer."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('BackendAnswered',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendAnswered:
+    """The local backend server sent a whole answer.
+
+    Attributes
+    ----------
+    exchange : ids.ExchangeId
+        Exchange.
+    status : int
+        HTTP status.
+    headers : tuple[tuple[bytes, bytes], ...]
+        Header fields in order; names in lower case.
+    body : bytes
+        Whole body.
+    """
+
+    exchange: ids.ExchangeId
+    status: int
+    headers: tuple[tuple[bytes, bytes], ...]
+    body: bytes
--- /dev/null
+++ b/medlarquay/events/backend_failed.py
@@ -0,0 +1,26 @@
+"""An exchange with the local backend server broke."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('BackendFailed',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendFailed:
+    """An exchange with the local backend server broke.
+
+    Attributes
+    ----------
+    exchange : ids.ExchangeId
+        Exchange.
+    sent : bool
+        Whether any byte of the request may have reached it.
+    refused : bool
+        Whether a new connection was refused.
+    """
+
+    exchange: ids.ExchangeId
+    sent: bool
+    refused: bool
--- /dev/null
+++ b/medlarquay/events/caller_gone.py
@@ -0,0 +1,20 @@
+"""A caller closed its connection before its answer."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('CallerGone',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallerGone:
+    """A caller closed its connection before its answer.
+
+    Attributes
+    ----------
+    caller : ids.CallerId
+        Connection of the caller.
+    """
+
+    caller: ids.CallerId
--- /dev/null
+++ b/medlarquay/events/request_rejected.py
@@ -0,0 +1,23 @@
+"""A caller sent a request that breaks a limit or the protocol."""
+
+import dataclasses
+
+from medlarquay import ids, states
+
+__all__ = ('RequestRejected',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RequestRejected:
+    """A caller sent a request that breaks a limit or the protocol.
+
+    Attributes
+    ----------
+    caller : ids.CallerId
+        Connection of the caller.
+    reason : states.RefusalReason
+        Which limit or rule.
+    """
+
+    caller: ids.CallerId
+    reason: states.RefusalReason
--- /dev/null
+++ b/medlarquay/events/run_call.py
@@ -0,0 +1,23 @@
+"""Run a request on the local backend server."""
+
+import dataclasses
+
+from medlarquay import ids, messages
+
+__all__ = ('RunCall',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunCall:
+    """Run a request on the local backend server.
+
+    Attributes
+    ----------
+    link : ids.LinkId
+        Link to answer on; 0 for the ingress of this node.
+    request : messages.CallRequest
+        Request.
+    """
+
+    link: ids.LinkId
+    request: messages.CallRequest
--- /dev/null
+++ b/medlarquay/events/send_call.py
@@ -0,0 +1,29 @@
+"""Send a request to the owner on another node."""
+
+import dataclasses
+
+from medlarquay import ids, messages
+
+__all__ = ('SendCall',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SendCall:
+    """Send a request to the owner on another node.
+
+    Attributes
+    ----------
+    instance : ids.InstanceId
+        Owner.
+    host : str
+        IP address of its node.
+    port : int
+        Peer port of its node.
+    request : messages.CallRequest
+        Request; its call id is unique at this ingress.
+    """
+
+    instance: ids.InstanceId
+    host: str
+    port: int
+    request: messages.CallRequest
--- /dev/null
+++ b/medlarquay/events/send_reply.py
@@ -0,0 +1,23 @@
+"""Send the result of a call back on the link it came from."""
+
+import dataclasses
+
+from medlarquay import ids, messages
+
+__all__ = ('SendReply',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SendReply:
+    """Send the result of a call back on the link it came from.
+
+    Attributes
+    ----------
+    link : ids.LinkId
+        Link of the call.
+    message : messages.CallAnswered | messages.CallRefused | messages.CallUnknown
+        Result.
+    """
+
+    link: ids.LinkId
+    message: messages.CallAnswered | messages.CallRefused | messages.CallUnknown
--- a/medlarquay/ids/__init__.py
+++ b/medlarquay/ids/__init__.py
@@ -1,19 +1,25 @@
 """Identifiers used across the system."""
 
-from medlarquay.ids.instance_id import InstanceId
-from medlarquay.ids.incarnation import Incarnation
-from medlarquay.ids.service_name import ServiceName
-from medlarquay.ids.team_name import TeamName
-from medlarquay.ids.region_name import RegionName
+from medlarquay.ids.call_id import CallId
+from medlarquay.ids.caller_id import CallerId
 from medlarquay.ids.data_centre_name import DataCentreName
-from medlarquay.ids.revision import Revision
 from medlarquay.ids.digest import Digest
-from medlarquay.ids.call_id import CallId
-from medlarquay.ids.request_key import RequestKey
+from medlarquay.ids.exchange_id import ExchangeId
 from medlarquay.ids.fingerprint import Fingerprint
+from medlarquay.ids.incarnation import Incarnation
+from medlarquay.ids.instance_id import InstanceId
+from medlarquay.ids.link_id import LinkId
 from medlarquay.ids.rank_value import RankValue
+from medlarquay.ids.region_name import RegionName
+from medlarquay.ids.request_key import RequestKey
+from medlarquay.ids.revision import Revision
+from medlarquay.ids.service_name import ServiceName
+from medlarquay.ids.team_name import TeamName
 
 __all__ = (
+    'ExchangeId',
+    'LinkId',
+    'CallerId',
     'CallId',
     'DataCentreName',
     'Digest',
--- /dev/null
+++ b/medlarquay/ids/link_id.py
@@ -0,0 +1,7 @@
+"""Numbers the incoming links of one node; 0 stands for its own ingress."""
+
+import typing
+
+__all__ = ('LinkId',)
+
+LinkId = typing.NewType('LinkId', int)
--- /dev/null
+++ b/medlarquay/keys/parse.py
@@ -0,0 +1,73 @@
+"""Parsing and issuing of request keys."""
+
+import secrets
+import uuid
+
+from medlarquay import errors, ids
+from medlarquay.keys import bound_key, plain_key
+
+__all__ = ('MAX_KEY_CHARACTERS', 'issue_key', 'parse_key')
+
+MAX_KEY_CHARACTERS = 128
+
+_PREFIX = 'mq1'
+_SEPARATOR = '.'
+_RANDOM_BYTES = 12
+_TIME_VERSION = 7
+_TIME_SHIFT_BITS = 80
+_MS_PER_SECOND = 1000
+
+
+def parse_key(text: str) -> bound_key.BoundKey | plain_key.PlainKey:
+    """Parse the value of an ``Idempotency-Key`` header.
+
+    Raises
+    ------
+    RequestError
+        If the key is empty, too long or a malformed bound key.
+
+    Examples
+    --------
+    >>> parse_key('order-17').created_at is None
+    True
+    """
+    if not 0 < len(text) <= MAX_KEY_CHARACTERS:
+        raise errors.RequestError(
+            f'idempotency key of {len(text)} characters; '
+            f'must have 1 to {MAX_KEY_CHARACTERS}',
+            step='parse key',
+        )
+    key = ids.RequestKey(text)
+    parts = text.split(_SEPARATOR)
+    if parts[0] != _PREFIX:
+        return plain_key.PlainKey(text=key, created_at=_creation_time(text))
+    # An instance id may hold separators; the incarnation never does.
+    if len(parts) < 4:
+        raise errors.RequestError('malformed bound key', step='parse key')
+    return bound_key.BoundKey(
+        text=key,
+        instance=ids.InstanceId(_SEPARATOR.join(parts[1:-2])),
+        incarnation=ids.Incarnation(parts[-2]),
+    )
+
+
+def issue_key(
+    *,
+    instance: ids.InstanceId,
+    incarnation: ids.Incarnation,
+) -> ids.RequestKey:
+    """Return a new key that one run of one node remembers."""
+    random = secrets.token_hex(_RANDOM_BYTES)
+    return ids.RequestKey(
+        _SEPARATOR.join((_PREFIX, instance, incarnation, random)),
+    )
+
+
+def _creation_time(text: str) -> float | None:
+    try:
+        found = uuid.UUID(text)
+    except ValueError:
+        return None
+    if found.version != _TIME_VERSION:
+        return None
+    return (found.int >> _TIME_SHIFT_BITS) / _MS_PER_SECOND
--- a/medlarquay/messages/__init__.py
+++ b/medlarquay/messages/__init__.py
@@ -1,20 +1,20 @@
 """Typed messages between tasks and between nodes."""
 
-from medlarquay.messages.call_request import CallRequest
-from medlarquay.messages.call_cancel import CallCancel
-from medlarquay.messages.load_state import LoadState
 from medlarquay.messages.call_answered import CallAnswered
+from medlarquay.messages.call_cancel import CallCancel
 from medlarquay.messages.call_refused import CallRefused
+from medlarquay.messages.call_request import CallRequest
 from medlarquay.messages.call_unknown import CallUnknown
-from medlarquay.messages.draining import Draining
 from medlarquay.messages.crash_suspected import CrashSuspected
-from medlarquay.messages.suspicion_cleared import SuspicionCleared
-from medlarquay.messages.hello import Hello
-from medlarquay.messages.subscribe import Subscribe
+from medlarquay.messages.draining import Draining
 from medlarquay.messages.fetch_all import FetchAll
-from medlarquay.messages.records import Records
-from medlarquay.messages.probe import Probe
 from medlarquay.messages.heartbeat import Heartbeat
+from medlarquay.messages.hello import Hello
+from medlarquay.messages.load_state import LoadState
+from medlarquay.messages.probe import Probe
+from medlarquay.messages.records import Records
+from medlarquay.messages.subscribe import Subscribe
+from medlarquay.messages.suspicion_cleared import SuspicionCleared
 
 __all__ = (
     'CallAnswered',
--- a/medlarquay/messages/probe.py
+++ b/medlarquay/messages/probe.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-
 __all__ = ('Probe',)
 
 
--- /dev/null
+++ b/medlarquay/replica/documents.py
@@ -0,0 +1,42 @@
+"""Conversion of entries of the source into records."""
+
+import hashlib
+import json
+
+from medlarquay import ids, states
+from medlarquay.replica import instance_record
+
+__all__ = ('digest_of', 'parse_instance')
+
+
+def digest_of(content: bytes) -> ids.Digest:
+    """Return the SHA-256 digest of a document."""
+    return ids.Digest(hashlib.sha256(content).digest())
+
+
+def parse_instance(
+    *,
+    content: bytes,
+    revision: ids.Revision,
+) -> instance_record.InstanceRecord:
+    """Build a record from one entry of the instance list (JSON).
+
+    Raises
+    ------
+    KeyError, ValueError
+        If a field is missing or malformed.
+    """
+    entry = json.loads(content)
+    return instance_record.InstanceRecord(
+        instance=ids.InstanceId(entry['instance']),
+        revision=revision,
+        team=ids.TeamName(entry['team']),
+        service=ids.ServiceName(entry['service']),
+        region=ids.RegionName(entry['region']),
+        data_centre=ids.DataCentreName(entry['data_centre']),
+        host=str(entry['host']),
+        caller_port=int(entry['caller_port']),
+        peer_port=int(entry['peer_port']),
+        slots=int(entry['slots']),
+        state=states.InstanceState(entry['state']),
+    )
--- /dev/null
+++ b/medlarquay/snapshots/route.py
@@ -0,0 +1,30 @@
+"""A route bound to its service."""
+
+import dataclasses
+
+from medlarquay import settings
+from medlarquay.snapshots import service
+
+__all__ = ('Route',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Route:
+    """A route bound to its service.
+
+    Attributes
+    ----------
+    parameters : settings.RouteSettings
+        Operators' settings of the route.
+    prefix : bytes
+        Path prefix in the encoding of requests.
+    idempotent_methods : frozenset[bytes]
+        Methods that may run more than once.
+    service : service.Service
+        Service of the same snapshot.
+    """
+
+    parameters: settings.RouteSettings
+    prefix: bytes
+    idempotent_methods: frozenset[bytes]
+    service: service.Service
--- /dev/null
+++ b/medlarquay/tasks/__init__.py
@@ -0,0 +1,1 @@
+"""The tasks of a node, which own sockets and state and exchange messages."""
--- /dev/null
+++ b/medlarquay/tasks/outgoing_link.py
@@ -0,0 +1,32 @@
+"""State of a call link to the owner on another node."""
+
+import dataclasses
+
+from medlarquay import events, ids, transport
+
+__all__ = ('OutgoingLink',)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class OutgoingLink:
+    """State of a call link to the owner on another node.
+
+    Attributes
+    ----------
+    instance : InstanceId
+        Owner at the other end.
+    link : Link or None
+        The open link; None while connecting.
+    waiting : list of SendCall
+        Calls to send once the link is open.
+    notices : list of object
+        Messages without an answer to send once the link is open.
+    sent : set of CallId
+        Calls sent and not yet answered.
+    """
+
+    instance: ids.InstanceId
+    link: transport.Link | None = None
+    waiting: list[events.SendCall] = dataclasses.field(default_factory=list)
+    notices: list[object] = dataclasses.field(default_factory=list)
+    sent: set[ids.CallId] = dataclasses.field(default_factory=set)
--- /dev/null
+++ b/medlarquay/telemetry/__init__.py
@@ -0,0 +1,5 @@
+"""Counters, their export and logs."""
+
+from medlarquay.telemetry.counters import Counters
+
+__all__ = ('Counters',)
--- /dev/null
+++ b/medlarquay/telemetry/counters.py
@@ -0,0 +1,30 @@
+"""Counters of a node."""
+
+import collections
+import enum
+from collections.abc import Mapping
+
+__all__ = ('Counters',)
+
+
+class Counters:
+    """Counts events by an enumeration member, such as a refusal reason.
+
+    Notes
+    -----
+    Plain integers are counted on the call path and read by OpenTelemetry
+    observable counters when they are collected, because an OpenTelemetry
+    ``add`` costs several microseconds.
+    """
+
+    def __init__(self) -> None:
+        self._counts: collections.Counter[enum.Enum] = collections.Counter()
+
+    @property
+    def counts(self) -> Mapping[enum.Enum, int]:
+        """Counts by member."""
+        return self._counts
+
+    def increment(self, member: enum.Enum, *, amount: int = 1) -> None:
+        """Add to the count of one member."""
+        self._counts[member] += amount
--- /dev/null
+++ b/medlarquay/testing/__init__.py
@@ -0,0 +1,1 @@
+"""Test doubles of the platform: source, backend server and caller."""
--- /dev/null
+++ b/medlarquay/transport/__init__.py
@@ -0,0 +1,15 @@
+"""Protocols over sockets: bytes in, typed messages out; no decisions."""
+
+from medlarquay.transport.backend_connection import BackendConnection
+from medlarquay.transport.caller_connection import CallerConnection
+from medlarquay.transport.factories import BuildingFactory
+from medlarquay.transport.http_text import HOP_BY_HOP
+from medlarquay.transport.link import Link
+
+__all__ = (
+    'HOP_BY_HOP',
+    'BackendConnection',
+    'BuildingFactory',
+    'CallerConnection',
+    'Link',
+)
--- /dev/null
+++ b/medlarquay/transport/backend_connection.py
@@ -0,0 +1,131 @@
+"""HTTP/1.1 connection to the local backend server."""
+
+from collections.abc import Callable
+
+import httptools
+from twisted.internet import protocol
+
+from medlarquay import events, ids
+from medlarquay.transport import http_limits, http_text
+
+__all__ = ('BackendConnection',)
+
+
+class BackendConnection(protocol.Protocol):
+    """Carries one exchange at a time with the backend server.
+
+    Parameters
+    ----------
+    deliver : callable
+        Receives ``BackendAnswered`` and ``BackendFailed``.
+    release : callable
+        Receives this connection when it can carry another exchange.
+    """
+
+    def __init__(
+        self,
+        *,
+        deliver: Callable[
+            [events.BackendAnswered | events.BackendFailed],
+            None,
+        ],
+        release: Callable[['BackendConnection'], None],
+    ) -> None:
+        self._deliver = deliver
+        self._release = release
+        self._exchange: ids.ExchangeId | None = None
+        self._lost = False
+        self._reset()
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection is open and idle."""
+        return self._exchange is None and not self._lost
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Disable Nagle's algorithm: requests are written whole."""
+        self.transport.setTcpNoDelay(True)
+
+    def start(self, message: events.StartRequest) -> None:
+        """Send a request."""
+        self._exchange = message.exchange
+        self._reset()
+        self.transport.write(
+            http_text.format_request(
+                method=message.method,
+                target=message.target,
+                headers=message.headers,
+                body=message.body,
+            ),
+        )
+
+    def abort(self) -> None:
+        """Close the connection, which cancels the exchange."""
+        self._exchange = None
+        self._lost = True
+        self.transport.abortConnection()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Feed received bytes to the parser."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self._fail()
+
+    def connectionLost(self, reason: object = None) -> None:  # noqa: N802
+        """Report a broken exchange."""
+        self._lost = True
+        self._fail()
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header field."""
+        lowered = name.lower()
+        if lowered not in http_text.HOP_BY_HOP:
+            self._headers.append((lowered, value))
+
+    def on_body(self, body: bytes) -> None:
+        """Collect part of the body."""
+        self._body_bytes += len(body)
+        if self._body_bytes > http_limits.MAX_ANSWER_BYTES:
+            self._fail()
+            return
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Deliver the whole answer."""
+        if self._exchange is None:
+            return
+        answered = events.BackendAnswered(
+            exchange=self._exchange,
+            status=self._parser.get_status_code(),
+            headers=tuple(self._headers),
+            body=b''.join(self._body),
+        )
+        self._exchange = None
+        if self._parser.should_keep_alive():
+            self._release(self)
+        else:
+            self._lost = True
+            self.transport.loseConnection()
+        self._deliver(answered)
+
+    def _fail(self) -> None:
+        exchange = self._exchange
+        self._exchange = None
+        if not self._lost:
+            self._lost = True
+            self.transport.abortConnection()
+        if exchange is not None:
+            self._deliver(
+                events.BackendFailed(
+                    exchange=exchange,
+                    sent=True,
+                    refused=False,
+                ),
+            )
+
+    def _reset(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: list[tuple[bytes, bytes]] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
--- /dev/null
+++ b/medlarquay/transport/link.py
@@ -0,0 +1,157 @@
+"""WebSocket link between two nodes."""
+
+from collections.abc import Callable
+
+from twisted.internet import protocol
+from websockets import client as ws_client
+from websockets import exceptions, frames, http11, uri
+from websockets import protocol as ws_protocol
+from websockets import server as ws_server
+
+from medlarquay import codec
+
+__all__ = ('Link',)
+
+
+class Link(protocol.Protocol):
+    """Carries binary frames over the sans-IO ``websockets`` library.
+
+    Parameters
+    ----------
+    engine : ServerProtocol or ClientProtocol
+        State of the WebSocket protocol; built by ``accepting`` or
+        ``connecting``.
+    opened, received, closed : callable
+        Receive this link (and the frame) when the handshake completes, for
+        each frame, and once when the link is lost.
+    """
+
+    def __init__(
+        self,
+        *,
+        engine: ws_server.ServerProtocol | ws_client.ClientProtocol,
+        opened: Callable[['Link'], None],
+        received: Callable[['Link', bytes], None],
+        closed: Callable[['Link'], None],
+    ) -> None:
+        self._engine = engine
+        self._opened = opened
+        self._received = received
+        self._closed = closed
+        self._path = ''
+        self._fragments: list[bytes] = []
+
+    @classmethod
+    def accepting(
+        cls,
+        *,
+        opened: Callable[['Link'], None],
+        received: Callable[['Link', bytes], None],
+        closed: Callable[['Link'], None],
+    ) -> 'Link':
+        """Return the accepting side of a link."""
+        return cls(
+            engine=ws_server.ServerProtocol(max_size=codec.MAX_FRAME_BYTES),
+            opened=opened,
+            received=received,
+            closed=closed,
+        )
+
+    @classmethod
+    def connecting(
+        cls,
+        *,
+        path: str,
+        opened: Callable[['Link'], None],
+        received: Callable[['Link', bytes], None],
+        closed: Callable[['Link'], None],
+    ) -> 'Link':
+        """Return the connecting side of a link."""
+        target = uri.parse_uri(f'ws://node{path}')
+        link = cls(
+            engine=ws_client.ClientProtocol(
+                target,
+                max_size=codec.MAX_FRAME_BYTES,
+            ),
+            opened=opened,
+            received=received,
+            closed=closed,
+        )
+        link._path = path  # noqa: SLF001
+        return link
+
+    @property
+    def path(self) -> str:
+        """Path of the handshake, which tells call links from control links."""
+        return self._path
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Start the handshake on the connecting side."""
+        self.transport.setTcpNoDelay(True)
+        if isinstance(self._engine, ws_client.ClientProtocol):
+            self._engine.send_request(self._engine.connect())
+            self._flush()
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Feed received bytes and deliver the frames they complete."""
+        self._engine.receive_data(data)
+        for event in self._engine.events_received():
+            self._handle(event)
+        self._flush()
+        if self._engine.close_expected():
+            self.transport.loseConnection()
+
+    def connectionLost(self, reason: object = None) -> None:  # noqa: N802
+        """Report the loss of the link."""
+        self._closed(self)
+
+    def send(self, frame: bytes) -> None:
+        """Send one binary frame; dropped when the link is closing."""
+        if self._engine.state is not ws_protocol.OPEN:
+            return
+        self._engine.send_binary(frame)
+        self._flush()
+
+    def abort(self) -> None:
+        """Close the connection without a closing handshake."""
+        self.transport.abortConnection()
+
+    def _handle(self, event: object) -> None:
+        if isinstance(event, http11.Request):
+            self._accept(event)
+        elif isinstance(event, http11.Response):
+            if self._engine.state is ws_protocol.OPEN:
+                self._opened(self)
+        elif isinstance(event, frames.Frame):
+            self._handle_frame(event)
+
+    def _accept(self, request: http11.Request) -> None:
+        if not isinstance(self._engine, ws_server.ServerProtocol):
+            return
+        self._path = request.path
+        self._engine.send_response(self._engine.accept(request))
+        if self._engine.state is ws_protocol.OPEN:
+            self._opened(self)
+
+    def _handle_frame(self, frame: frames.Frame) -> None:
+        if frame.opcode is frames.Opcode.BINARY and frame.fin:
+            self._received(self, bytes(frame.data))
+            return
+        if frame.opcode in {frames.Opcode.BINARY, frames.Opcode.CONT}:
+            self._fragments.append(bytes(frame.data))
+            if frame.fin:
+                whole = b''.join(self._fragments)
+                self._fragments = []
+                self._received(self, whole)
+
+    def _flush(self) -> None:
+        try:
+            chunks = self._engine.data_to_send()
+        except exceptions.WebSocketException:
+            self.transport.abortConnection()
+            return
+        for chunk in chunks:
+            if chunk:
+                self.transport.write(chunk)
+            else:
+                self.transport.loseWriteConnection()
