--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -22,8 +22,10 @@
 from medlarquay.events.source_entry import SourceEntry
 from medlarquay.events.start_request import StartRequest
 from medlarquay.events.tick import Tick
+from medlarquay.events.work_finished import WorkFinished
 
 __all__ = (
+    'WorkFinished',
     'FreshnessConfirmed',
     'BroadcastReply',
     'SendNotice',
--- a/medlarquay/telemetry/__init__.py
+++ b/medlarquay/telemetry/__init__.py
@@ -1,5 +1,7 @@
-"""Counters, their export and logs."""
+"""Counters, their export, call records and logs."""
 
+from medlarquay.telemetry.call_record import CallRecord
 from medlarquay.telemetry.counters import Counters
+from medlarquay.telemetry.record_log import RecordLog
 
-__all__ = ('Counters',)
+__all__ = ('CallRecord', 'Counters', 'RecordLog')
