Check team documents whole against the schema

Cause: parse_document accepted unknown fields, wrong types and values out of range, and raised KeyError or AttributeError for other trees. Change: one file for each type and rule family; each error names the path, the shortened value and the rule; docs/settings-tree.md describes the schema. Team names may not contain dots, so that teams a.b and b cannot claim the same host.

--- /dev/null
+++ b/medlarquay/settings/check_routes.py
@@ -0,0 +1,53 @@
+"""Rules that hold between the routes and services of one document."""
+
+from collections.abc import Container, Iterable
+
+from medlarquay import ids
+from medlarquay.settings import document_value, parse_route, route_settings
+
+__all__ = ('check_routes',)
+
+
+def check_routes(
+    entries: Iterable[document_value.DocumentValue],
+    *,
+    known: Container[ids.ServiceName],
+) -> tuple[route_settings.RouteSettings, ...]:
+    """Check all routes, each by itself and against the others.
+
+    Parameters
+    ----------
+    entries : iterable of DocumentValue
+        Routes in the order of the document.
+    known : container of ServiceName
+        Services of the same document.
+
+    Returns
+    -------
+    tuple of RouteSettings
+        In order of host, longest prefix first within a host.
+
+    Raises
+    ------
+    DocumentError
+        If a rule is broken, a route names an unknown service, or two routes
+        have the same host and prefix.
+    """
+    routes: dict[tuple[str, str], route_settings.RouteSettings] = {}
+    for entry in entries:
+        route = parse_route.parse_route(entry)
+        if route.service not in known:
+            raise document_value.DocumentValue(
+                team=entry.team,
+                path=f'{entry.path}.service',
+                content=route.service,
+            ).error('must name a service of the same team')
+        key = (route.host, route.path_prefix)
+        if key in routes:
+            raise entry.error('must not repeat a host and path_prefix')
+        routes[key] = route
+    return tuple(sorted(routes.values(), key=_order))
+
+
+def _order(route: route_settings.RouteSettings) -> tuple[str, int, str]:
+    return (route.host, -len(route.path_prefix), route.path_prefix)
--- /dev/null
+++ b/medlarquay/settings/document_field.py
@@ -0,0 +1,12 @@
+"""Fields of a team's document."""
+
+import enum
+
+__all__ = ('DocumentField',)
+
+
+class DocumentField(enum.Enum):
+    """Fields of a team's document."""
+
+    SERVICES = 'services'
+    ROUTES = 'routes'
--- /dev/null
+++ b/medlarquay/settings/load_document.py
@@ -0,0 +1,84 @@
+"""Loading of a document's JSON within bounds."""
+
+import json
+from collections.abc import Sequence
+
+from medlarquay import ids
+from medlarquay.settings import document_value, limits
+
+__all__ = ('load_document',)
+
+_ROOT = 'document'
+
+
+def load_document(
+    *,
+    team: ids.TeamName,
+    content: bytes,
+) -> document_value.DocumentValue:
+    """Parse a document's bytes as JSON (RFC 8259, UTF-8).
+
+    Raises
+    ------
+    DocumentError
+        If the document is too large, nested too deeply or not JSON, if an
+        object names a member twice, or if a number is not finite.
+    """
+    whole = document_value.DocumentValue(
+        team=team,
+        path=_ROOT,
+        content=f'{len(content)} bytes',
+    )
+    if len(content) > limits.MAX_DOCUMENT_BYTES:
+        raise whole.error(f'must be at most {limits.MAX_DOCUMENT_BYTES} bytes')
+    try:
+        tree = _parse_json(content)
+    except ValueError as cause:
+        raise whole.error(f'must be JSON in UTF-8: {_cause(cause)}') from cause
+    if _nests_deeper(tree, limits.MAX_NESTING):
+        raise whole.error(
+            f'must be nested at most {limits.MAX_NESTING} levels deep',
+        )
+    return document_value.DocumentValue(team=team, path=_ROOT, content=tree)
+
+
+def _parse_json(content: bytes) -> object:
+    try:
+        return json.loads(
+            content.decode(),
+            object_pairs_hook=_unique_members,
+            parse_constant=_refuse_constant,
+        )
+    except RecursionError as cause:
+        raise ValueError('it is nested too deeply to parse') from cause
+
+
+def _unique_members(pairs: Sequence[tuple[str, object]]) -> dict[str, object]:
+    members = dict(pairs)
+    if len(members) < len(pairs):
+        # Parsers differ in which of two members they keep, so an operator's
+        # tool might show another value than the one in force.
+        names = [name for name, _ in pairs]
+        twice = next(name for name in names if names.count(name) > 1)
+        raise ValueError(f'member {twice!r} occurs twice in one object')
+    return members
+
+
+def _refuse_constant(name: str) -> object:
+    raise ValueError(f'{name} is not a number in JSON')
+
+
+def _cause(failure: ValueError) -> str:
+    return ascii(str(failure)[: limits.MAX_NAME_LENGTH])[1:-1]
+
+
+def _nests_deeper(tree: object, levels: int) -> bool:
+    if isinstance(tree, dict):
+        members: Sequence[object] = tuple(tree.values())
+    elif isinstance(tree, list):
+        members = tree
+    else:
+        return False
+    return levels == 0 or any(
+        _nests_deeper(member, levels - 1) for member in members
+    )
--- a/medlarquay/settings/parse.py
+++ b/medlarquay/settings/parse.py
@@ -1,19 +1,19 @@
 """Parsing and checking of a team's document."""
 
-import json
-from typing import Any
-
-from medlarquay import errors, ids, states
-from medlarquay.settings import route_settings, service_settings, team_document
+from medlarquay import ids
+from medlarquay.settings import (
+    check_routes,
+    document_field,
+    document_value,
+    limits,
+    load_document,
+    parse_service,
+    service_settings,
+    team_document,
+)
 
 __all__ = ('parse_document',)
 
-_STEP = 'check document'
-_DEFAULT_QUEUE_LIMIT = 64
-_DEFAULT_COLD_START_MS = 0
-_DEFAULT_TIMEOUT_MS = 2000
-_IDEMPOTENT_METHODS = ('GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE')
-
 
 def parse_document(
     *,
@@ -37,59 +37,46 @@
     ------
     DocumentError
         If any rule is broken; names the path, the value and the rule.
+
+    Notes
+    -----
+    The decision depends on nothing but the arguments, so all nodes reach the
+    same one. The schema is described in ``docs/settings-tree.md``.
     """
-    try:
-        tree = json.loads(content)
-    except ValueError as cause:
-        raise errors.DocumentError(
-            f'document is not JSON: {cause}',
-            step=_STEP,
-            peer=f'teams/{team}',
-        ) from cause
-    services = tuple(
-        _parse_service(name, entry)
-        for name, entry in sorted(tree.get('services', {}).items())
-    )
-    known = {entry.name for entry in services}
-    routes = tuple(_parse_route(entry) for entry in tree.get('routes', ()))
-    for index, route in enumerate(routes):
-        if route.service not in known:
-            raise errors.DocumentError(
-                f'routes[{index}].service is {route.service!r}: '
-                'must name a service of the same team',
-                step=_STEP,
-                peer=f'teams/{team}',
-            )
+    _check_team(team)
+    document = load_document.load_document(team=team, content=content)
+    found = document.fields(document_field.DocumentField)
+    services = _parse_services(found.get(document_field.DocumentField.SERVICES))
+    routes = found.get(document_field.DocumentField.ROUTES)
     return team_document.TeamDocument(
         team=team,
         services=services,
-        routes=routes,
+        routes=check_routes.check_routes(
+            () if routes is None else routes.elements(),
+            known=frozenset(service.name for service in services),
+        ),
     )
 
 
-def _parse_service(
-    name: str,
-    entry: dict[str, Any],
-) -> service_settings.ServiceSettings:
-    floors = entry.get('floors', {})
-    return service_settings.ServiceSettings(
-        name=ids.ServiceName(name),
-        floors=tuple(
-            (rank, float(floors.get(rank.value, 0))) for rank in states.Rank
-        ),
-        queue_limit=entry.get('queue_limit', _DEFAULT_QUEUE_LIMIT),
-        cold_start_ms=entry.get('cold_start_ms', _DEFAULT_COLD_START_MS),
+def _check_team(team: ids.TeamName) -> None:
+    # A team called a.b could claim the same hosts as a team called b.
+    document_value.DocumentValue(team=team, path='team', content=team).text(
+        parse_service.NAME_PATTERN,
+        length=limits.MAX_NAME_LENGTH,
+        rule=parse_service.NAME_RULE,
     )
 
 
-def _parse_route(entry: dict[str, Any]) -> route_settings.RouteSettings:
-    return route_settings.RouteSettings(
-        host=entry['host'],
-        path_prefix=entry.get('path_prefix', '/'),
-        service=ids.ServiceName(entry['service']),
-        rank=states.Rank(entry.get('rank', 'normal')),
-        timeout_ms=entry.get('timeout_ms', _DEFAULT_TIMEOUT_MS),
-        idempotent_methods=tuple(
-            entry.get('idempotent_methods', _IDEMPOTENT_METHODS),
-        ),
+def _parse_services(
+    entry: document_value.DocumentValue | None,
+) -> tuple[service_settings.ServiceSettings, ...]:
+    if entry is None:
+        return ()
+    return tuple(
+        parse_service.parse_service(name, member)
+        for name, member in sorted(entry.members().items(), key=_name_of)
     )
+
+
+def _name_of(member: tuple[str, document_value.DocumentValue]) -> str:
+    return member[0]
