--- a/medlarquay/snapshots/__init__.py
+++ b/medlarquay/snapshots/__init__.py
@@ -1,9 +1,23 @@
 """The configuration in force: routes, services and backend servers."""
 
+from medlarquay.snapshots.apply import apply_change
 from medlarquay.snapshots.build import build_snapshot
 from medlarquay.snapshots.match import match_route
+from medlarquay.snapshots.pool import Pool
 from medlarquay.snapshots.route import Route
 from medlarquay.snapshots.service import Service
+from medlarquay.snapshots.service_key import ServiceKey
 from medlarquay.snapshots.snapshot import Snapshot
+from medlarquay.snapshots.snapshot_change import SnapshotChange
 
-__all__ = ('Route', 'Service', 'Snapshot', 'build_snapshot', 'match_route')
+__all__ = (
+    'Pool',
+    'Route',
+    'Service',
+    'ServiceKey',
+    'Snapshot',
+    'SnapshotChange',
+    'apply_change',
+    'build_snapshot',
+    'match_route',
+)
--- /dev/null
+++ b/medlarquay/snapshots/apply.py
@@ -0,0 +1,95 @@
+"""Building of a snapshot from its predecessor and what changed."""
+
+from medlarquay import ids, settings
+from medlarquay.snapshots import (
+    bind_team,
+    change_pool,
+    pool_change,
+    snapshot,
+    snapshot_change,
+)
+
+__all__ = ('apply_change',)
+
+_Documents = dict[ids.TeamName, settings.TeamDocument]
+
+
+def apply_change(
+    previous: snapshot.Snapshot,
+    change: snapshot_change.SnapshotChange,
+) -> snapshot.Snapshot:
+    """Build the snapshot after a change.
+
+    Parameters
+    ----------
+    previous : Snapshot
+        Configuration before the change; left as it is.
+    change : SnapshotChange
+        Changed documents and instances.
+
+    Returns
+    -------
+    Snapshot
+        Equal to the one that ``build_snapshot`` builds from all documents
+        and instances after the change. Services and routes that the change
+        does not affect are the same objects as before.
+
+    Notes
+    -----
+    Apart from copies of the mappings, the cost depends on the sizes of the
+    affected teams and not on the size of the fleet.
+    """
+    pooled = change_pool.change_pool(
+        previous.instances,
+        changed=change.instances,
+        removed=change.removed_instances,
+    )
+    documents = _change_documents(previous, change)
+    services = dict(previous.services)
+    routes = dict(previous.routes)
+    for team in _affected_teams(change, pooled):
+        earlier = bind_team.bound_before(previous, team)
+        for key in earlier.services:
+            services.pop(key)
+        for host in earlier.routes:
+            routes.pop(host)
+        document = documents.get(team)
+        if document is not None:
+            bound = bind_team.bind_team(
+                document,
+                backends=pooled.pool.by_service,
+                earlier=earlier,
+            )
+            services.update(bound.services)
+            routes.update(bound.routes)
+    return snapshot.Snapshot(
+        tree_revision=change.tree_revision,
+        list_revision=change.list_revision,
+        routes=routes,
+        services=services,
+        documents=documents,
+        instances=pooled.pool,
+    )
+
+
+def _change_documents(
+    previous: snapshot.Snapshot,
+    change: snapshot_change.SnapshotChange,
+) -> _Documents:
+    documents = dict(previous.documents)
+    for team in change.removed_teams:
+        documents.pop(team, None)
+    for document in change.documents:
+        documents[document.team] = document
+    return documents
+
+
+def _affected_teams(
+    change: snapshot_change.SnapshotChange,
+    pooled: pool_change.PoolChange,
+) -> frozenset[ids.TeamName]:
+    return frozenset((
+        *(document.team for document in change.documents),
+        *change.removed_teams,
+        *(team for team, _ in pooled.affected),
+    ))
--- /dev/null
+++ b/medlarquay/snapshots/change_pool.py
@@ -0,0 +1,77 @@
+"""Changes of the instance list."""
+
+from collections.abc import Iterable
+
+from medlarquay import ids, replica
+from medlarquay.snapshots import pool, pool_change, service_key
+
+__all__ = ('change_pool',)
+
+_Group = dict[ids.InstanceId, replica.InstanceRecord]
+_Groups = dict[service_key.ServiceKey, _Group]
+
+
+def change_pool(
+    current: pool.Pool,
+    *,
+    changed: Iterable[replica.InstanceRecord],
+    removed: Iterable[ids.InstanceId],
+) -> pool_change.PoolChange:
+    """Return the instance list after a change; other groups are reused.
+
+    Parameters
+    ----------
+    current : Pool
+        Instance list before the change; left as it is.
+    changed : iterable of InstanceRecord
+        New and changed records; a tombstone removes its instance.
+    removed : iterable of InstanceId
+        Instances to remove.
+    """
+    by_instance = dict(current.by_instance)
+    groups: _Groups = {}
+    for instance in removed:
+        gone = by_instance.pop(instance, None)
+        if gone is not None:
+            _group_of(gone, current, groups).pop(instance)
+    for record in changed:
+        earlier = by_instance.pop(record.instance, None)
+        if earlier is not None:
+            _group_of(earlier, current, groups).pop(record.instance)
+        if not record.deleted:
+            by_instance[record.instance] = record
+            _group_of(record, current, groups)[record.instance] = record
+    return pool_change.PoolChange(
+        pool=pool.Pool(
+            by_instance=by_instance,
+            by_service=_regroup(current, groups),
+        ),
+        affected=frozenset(groups),
+    )
+
+
+def _group_of(
+    record: replica.InstanceRecord,
+    current: pool.Pool,
+    groups: _Groups,
+) -> _Group:
+    key = (record.team, record.service)
+    if key not in groups:
+        groups[key] = {
+            member.instance: member
+            for member in current.by_service.get(key, ())
+        }
+    return groups[key]
+
+
+def _regroup(
+    current: pool.Pool,
+    groups: _Groups,
+) -> dict[service_key.ServiceKey, tuple[replica.InstanceRecord, ...]]:
+    by_service = dict(current.by_service)
+    for key, group in groups.items():
+        if group:
+            by_service[key] = tuple(group[name] for name in sorted(group))
+        else:
+            by_service.pop(key, None)
+    return by_service
--- a/medlarquay/snapshots/match.py
+++ b/medlarquay/snapshots/match.py
@@ -4,6 +4,9 @@
 
 __all__ = ('match_route',)
 
+# What may follow a prefix: nothing, a further segment or the query.
+_SEGMENT_ENDS = (b'', b'/', b'?')
+
 
 def match_route(
     current: snapshot.Snapshot,
@@ -25,9 +28,19 @@
     Returns
     -------
     Route or None
-        The route with the longest matching prefix, if any.
+        The route with the longest prefix that matches whole path segments,
+        if any.
     """
     for candidate in current.routes.get(host, ()):
-        if target.startswith(candidate.prefix):
+        if _covers(candidate.prefix, target):
             return candidate
     return None
+
+
+def _covers(prefix: bytes, target: bytes) -> bool:
+    if not target.startswith(prefix):
+        return False
+    if prefix.endswith(b'/'):
+        return True
+    end = len(prefix)
+    return target[end : end + 1] in _SEGMENT_ENDS
--- /dev/null
+++ b/medlarquay/snapshots/pool.py
@@ -0,0 +1,33 @@
+"""The instance list, grouped by service."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from medlarquay import ids, replica
+from medlarquay.snapshots import service_key
+
+__all__ = ('Pool',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Pool:
+    """The instance list, grouped by service.
+
+    Includes instances of services that no document names yet, because the
+    instance list and the settings tree are updated independently.
+
+    Attributes
+    ----------
+    by_instance : Mapping[InstanceId, InstanceRecord]
+        Records without tombstones.
+    by_service : Mapping[ServiceKey, tuple of InstanceRecord]
+        The same records, in order of instance.
+    """
+
+    by_instance: Mapping[ids.InstanceId, replica.InstanceRecord] = (
+        dataclasses.field(default_factory=dict)
+    )
+    by_service: Mapping[
+        service_key.ServiceKey,
+        tuple[replica.InstanceRecord, ...],
+    ] = dataclasses.field(default_factory=dict)
--- a/medlarquay/snapshots/snapshot.py
+++ b/medlarquay/snapshots/snapshot.py
@@ -3,8 +3,8 @@
 import dataclasses
 from collections.abc import Mapping
 
-from medlarquay import ids
-from medlarquay.snapshots import route, service
+from medlarquay import ids, settings
+from medlarquay.snapshots import pool, route, service, service_key
 
 __all__ = ('Snapshot',)
 
@@ -21,11 +21,19 @@
         Revision of the instance list.
     routes : Mapping[bytes, tuple[route.Route, ...]]
         Routes by host, longest prefix first.
-    services : Mapping[tuple[ids.TeamName, ids.ServiceName], service.Service]
+    services : Mapping[ServiceKey, service.Service]
         Services by team and name.
+    documents : Mapping[ids.TeamName, settings.TeamDocument]
+        Documents from which the routes and services were built.
+    instances : pool.Pool
+        Instance list from which the backend servers were taken.
     """
 
     tree_revision: ids.Revision
     list_revision: ids.Revision
     routes: Mapping[bytes, tuple[route.Route, ...]]
-    services: Mapping[tuple[ids.TeamName, ids.ServiceName], service.Service]
+    services: Mapping[service_key.ServiceKey, service.Service]
+    documents: Mapping[ids.TeamName, settings.TeamDocument] = dataclasses.field(
+        default_factory=dict
+    )
+    instances: pool.Pool = dataclasses.field(default_factory=pool.Pool)
--- /dev/null
+++ b/medlarquay/snapshots/snapshot_change.py
@@ -0,0 +1,33 @@
+"""What differs between two snapshots."""
+
+import dataclasses
+
+from medlarquay import ids, replica, settings
+
+__all__ = ('SnapshotChange',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class SnapshotChange:
+    """What differs between two snapshots.
+
+    Attributes
+    ----------
+    tree_revision, list_revision : ids.Revision
+        Revisions after the change.
+    documents : tuple of TeamDocument
+        New and changed documents.
+    removed_teams : tuple of TeamName
+        Teams without a document any more.
+    instances : tuple of InstanceRecord
+        New and changed records; a tombstone removes its instance.
+    removed_instances : tuple of InstanceId
+        Instances not in the list any more.
+    """
+
+    tree_revision: ids.Revision
+    list_revision: ids.Revision
+    documents: tuple[settings.TeamDocument, ...] = ()
+    removed_teams: tuple[ids.TeamName, ...] = ()
+    instances: tuple[replica.InstanceRecord, ...] = ()
+    removed_instances: tuple[ids.InstanceId, ...] = ()
