Send large frames in fragments so that small ones overtake them

A bulk answer of up to 1 MB was written to the shared link in one frame, and urgent answers queued behind it. Frames over 32 KiB are now cut into fragments, one at a time as the socket takes them, in turn for each large frame. A test shows a small frame arriving before a large one that was sent first; another that a peer cannot make a node hold an endless frame.

--- /dev/null
+++ b/medlarquay/transport/fragment_assembler.py
@@ -0,0 +1,52 @@
+"""Assembly of large frames from their fragments."""
+
+from medlarquay import errors
+from medlarquay.transport import fragment
+
+__all__ = ('FragmentAssembler',)
+
+# Large frames under way at once on one link; each holds at most the limit
+# of a whole frame, which bounds the memory that a peer can claim.
+_MAX_STREAMS = 256
+
+
+class FragmentAssembler:
+    """Assembles the frames of one link.
+
+    Parameters
+    ----------
+    max_frame_bytes : int
+        Largest frame accepted.
+    """
+
+    def __init__(self, *, max_frame_bytes: int) -> None:
+        self._parts: dict[int, list[bytes]] = {}
+        self._sizes: dict[int, int] = {}
+        self._max_frame_bytes = max_frame_bytes
+
+    def add(self, part: fragment.Fragment) -> bytes | None:
+        """Add a fragment; return the whole frame after the last one.
+
+        Raises
+        ------
+        FrameTooLargeError
+            If a frame, or the number of frames under way, exceeds its limit.
+        """
+        size = self._sizes.get(part.stream, 0) + len(part.content)
+        if size > self._max_frame_bytes:
+            raise errors.FrameTooLargeError(
+                f'fragmented frame of over {self._max_frame_bytes} bytes',
+                step='assemble frame',
+            )
+        parts = self._parts.setdefault(part.stream, [])
+        if len(self._parts) > _MAX_STREAMS:
+            raise errors.FrameTooLargeError(
+                f'over {_MAX_STREAMS} fragmented frames under way',
+                step='assemble frame',
+            )
+        parts.append(part.content)
+        self._sizes[part.stream] = size
+        if not part.last:
+            return None
+        self._sizes.pop(part.stream)
+        return b''.join(self._parts.pop(part.stream))
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -2,20 +2,30 @@
 
 from collections.abc import Callable
 
-from twisted.internet import protocol
+from twisted.internet import interfaces, protocol
 from websockets import client as ws_client
 from websockets import exceptions, frames, http11, uri
 from websockets import protocol as ws_protocol
 from websockets import server as ws_server
+from zope.interface import implementer
 
-from medlarquay import codec
+from medlarquay import codec, errors
+from medlarquay.transport import (
+    fragment,
+    fragment_assembler,
+    fragment_queue,
+)
 
 __all__ = ('Link',)
 
 
+@implementer(interfaces.IPullProducer)
 class Link(protocol.Protocol):
     """Carries binary frames over the sans-IO ``websockets`` library.
 
+    Large frames are sent in fragments, each when the socket has taken the
+    one before, so that small frames are never queued behind a large one.
+
     Parameters
     ----------
     engine : ServerProtocol or ClientProtocol
@@ -39,7 +49,11 @@
         self._received = received
         self._closed = closed
         self._path = ''
-        self._fragments: list[bytes] = []
+        self._continued: list[bytes] = []
+        self._large_frames = fragment_queue.FragmentQueue()
+        self._assembler = fragment_assembler.FragmentAssembler(
+            max_frame_bytes=codec.MAX_FRAME_BYTES,
+        )
 
     @classmethod
     def accepting(
@@ -109,9 +123,24 @@
         """Send one binary frame; dropped when the link is closing."""
         if self._engine.state is not ws_protocol.OPEN:
             return
+        if len(frame) > fragment.FRAGMENT_BYTES:
+            self._send_large(frame)
+            return
         self._engine.send_binary(frame)
         self._flush()
 
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Send the next fragment; called when the socket took the last."""
+        if self._large_frames and self._engine.state is ws_protocol.OPEN:
+            self._engine.send_binary(self._large_frames.take().encode())
+            self._flush()
+        if not self._large_frames:
+            self.transport.unregisterProducer()
+
+    def stopProducing(self) -> None:  # noqa: N802
+        """Drop the fragments that wait; the connection is lost."""
+        self._large_frames = fragment_queue.FragmentQueue()
+
     def abort(self) -> None:
         """Close the connection without a closing handshake."""
         self.transport.abortConnection()
@@ -135,14 +164,32 @@
 
     def _handle_frame(self, frame: frames.Frame) -> None:
         if frame.opcode is frames.Opcode.BINARY and frame.fin:
-            self._received(self, bytes(frame.data))
+            self._deliver(bytes(frame.data))
             return
         if frame.opcode in {frames.Opcode.BINARY, frames.Opcode.CONT}:
-            self._fragments.append(bytes(frame.data))
+            self._continued.append(bytes(frame.data))
             if frame.fin:
-                whole = b''.join(self._fragments)
-                self._fragments = []
-                self._received(self, whole)
+                whole = b''.join(self._continued)
+                self._continued = []
+                self._deliver(whole)
+
+    def _deliver(self, frame: bytes) -> None:
+        if not fragment.is_fragment(frame):
+            self._received(self, frame)
+            return
+        try:
+            whole = self._assembler.add(fragment.Fragment.decode(frame))
+        except errors.DecodeError:
+            self.transport.abortConnection()
+            return
+        if whole is not None:
+            self._received(self, whole)
+
+    def _send_large(self, frame: bytes) -> None:
+        idle = not self._large_frames
+        self._large_frames.append(frame)
+        if idle:
+            self.transport.registerProducer(self, False)  # noqa: FBT003
 
     def _flush(self) -> None:
         try:
