Add the operators' pages and the Admin task

Cause: the version, routes, members, counters and call records of a node could not be read from outside. Loading klein and twisted.web takes 8.4 MB and about 0.2 s (measured once), so the first connection of an operator delays calls under way by that time.

--- /dev/null
+++ b/medlarquay/admin/admin.py
@@ -0,0 +1,73 @@
+"""The task that owns the operators' port."""
+
+import functools
+
+from twisted.internet import interfaces
+
+from medlarquay import events
+from medlarquay.admin import lazy_factory, observed_node
+from medlarquay.tasks import task
+
+__all__ = ('Admin',)
+
+
+class Admin(task.Task):
+    """Owns the operators' port and what its pages show.
+
+    Parameters
+    ----------
+    node : ObservedNode
+        What is shown; changed by this task only.
+
+    Notes
+    -----
+    klein and twisted.web take 8.4 MB of the 64 MB that a node may use, and
+    importing them takes about 0.2 s, so they are loaded when the first
+    operator connects.
+    """
+
+    def __init__(self, *, node: observed_node.ObservedNode) -> None:
+        super().__init__(name='admin')
+        self.node = node
+
+    def listen(
+        self,
+        reactor: interfaces.IReactorTCP,
+        *,
+        host: str,
+        port: int,
+    ) -> interfaces.IListeningPort:
+        """Accept operators on one address."""
+        factory = lazy_factory.LazyFactory(build=self._build_site)
+        return reactor.listenTCP(port, factory, interface=host)
+
+    def receive(self, message: object) -> None:
+        """Handle one message."""
+        _handle(message, self)
+
+    def _build_site(self) -> interfaces.IProtocolFactory:
+        from twisted.web import server  # noqa: PLC0415
+
+        from medlarquay.admin import pages  # noqa: PLC0415
+
+        return server.Site(pages.Pages(node=self.node).app.resource())
+
+
+@functools.singledispatch
+def _handle(message: object, admin: Admin) -> None:
+    raise TypeError(f'unexpected message {type(message).__name__}')
+
+
+@_handle.register
+def _replaced(message: events.SnapshotReplaced, admin: Admin) -> None:
+    admin.node.snapshot = message.snapshot
+
+
+@_handle.register
+def _confirmed(message: events.FreshnessConfirmed, admin: Admin) -> None:
+    admin.node.confirmed_at = message.confirmed_at
+
+
+@_handle.register
+def _changed(message: events.LifecycleChanged, admin: Admin) -> None:
+    admin.node.state = message.state
--- /dev/null
+++ b/medlarquay/admin/describe.py
@@ -0,0 +1,128 @@
+"""Views of a node's state, configuration and counters."""
+
+from medlarquay import replica, snapshots, states
+from medlarquay.admin import observed_node, views
+
+__all__ = (
+    'count_backends',
+    'describe_counters',
+    'describe_health',
+    'describe_members',
+    'describe_readiness',
+    'describe_routes',
+    'describe_version',
+)
+
+_MS_PER_SECOND = 1000
+
+
+def describe_health(node: observed_node.ObservedNode) -> views.HealthView:
+    """Return that the process answers."""
+    return views.HealthView(state=node.state.value)
+
+
+def describe_readiness(node: observed_node.ObservedNode) -> views.ReadyView:
+    """Return whether callers may be sent to the node."""
+    serving = node.state is states.NodeState.SERVING
+    return views.ReadyView(
+        ready=serving and node.snapshot is not None,
+        state=node.state.value,
+    )
+
+
+def describe_version(node: observed_node.ObservedNode) -> views.VersionView:
+    """Return which configuration the node runs."""
+    current = node.snapshot
+    return views.VersionView(
+        instance=node.hello.instance,
+        incarnation=node.hello.incarnation,
+        region=node.hello.region,
+        data_centre=node.hello.data_centre,
+        state=node.state.value,
+        tree_revision=0 if current is None else current.tree_revision,
+        list_revision=0 if current is None else current.list_revision,
+        confirmed_ms_ago=_confirmed_ms_ago(node),
+    )
+
+
+def describe_routes(
+    node: observed_node.ObservedNode,
+) -> tuple[views.RouteView, ...]:
+    """Return the routes in force, in order of host, longest prefix first."""
+    if node.snapshot is None:
+        return ()
+    return tuple(
+        _describe_route(route)
+        for _, routes in sorted(node.snapshot.routes.items())
+        for route in routes
+    )
+
+
+def describe_members(
+    node: observed_node.ObservedNode,
+) -> tuple[views.MemberView, ...]:
+    """Return the instance list that the node holds, in order of instance."""
+    if node.snapshot is None:
+        return ()
+    return tuple(
+        _describe_member(record)
+        for _, record in sorted(node.snapshot.instances.by_instance.items())
+    )
+
+
+def describe_counters(
+    node: observed_node.ObservedNode,
+) -> tuple[views.CounterView, ...]:
+    """Return every reason that was counted."""
+    return tuple(
+        views.CounterView(
+            counter=type(member).__name__,
+            reason=str(member.value),
+            count=count,
+        )
+        for member, count in node.counters.counts.items()
+    )
+
+
+def count_backends(
+    service: snapshots.Service,
+    state: states.InstanceState,
+) -> int:
+    """Return the number of backend servers in one state."""
+    return sum(record.state is state for record in service.backends)
+
+
+def _confirmed_ms_ago(node: observed_node.ObservedNode) -> int | None:
+    if node.confirmed_at is None:
+        return None
+    return int((node.clock() - node.confirmed_at) * _MS_PER_SECOND)
+
+
+def _describe_route(route: snapshots.Route) -> views.RouteView:
+    return views.RouteView(
+        host=route.parameters.host,
+        path_prefix=route.parameters.path_prefix,
+        team=route.service.team,
+        service=route.parameters.service,
+        rank=route.parameters.rank.value,
+        timeout_ms=route.parameters.timeout_ms,
+        idempotent_methods=route.parameters.idempotent_methods,
+        live=count_backends(route.service, states.InstanceState.LIVE),
+        leaving=count_backends(route.service, states.InstanceState.LEAVING),
+    )
+
+
+def _describe_member(record: replica.InstanceRecord) -> views.MemberView:
+    return views.MemberView(
+        instance=record.instance,
+        revision=record.revision,
+        team=record.team,
+        service=record.service,
+        region=record.region,
+        data_centre=record.data_centre,
+        host=record.host,
+        caller_port=record.caller_port,
+        peer_port=record.peer_port,
+        slots=record.slots,
+        state=record.state.value,
+    )
--- /dev/null
+++ b/medlarquay/admin/describe_record.py
@@ -0,0 +1,33 @@
+"""Views of call records."""
+
+from medlarquay import telemetry
+from medlarquay.admin import observed_node, views
+
+__all__ = ('describe_records',)
+
+
+def describe_records(
+    node: observed_node.ObservedNode,
+) -> tuple[views.RecordView, ...]:
+    """Return the latest call records, oldest first."""
+    return tuple(_describe_record(record) for record in node.records)
+
+
+def _describe_record(record: telemetry.CallRecord) -> views.RecordView:
+    return views.RecordView(
+        recorded_at=record.recorded_at,
+        side=record.side.value,
+        team=record.team,
+        service=record.service,
+        method=_text(record.method),
+        target=_text(record.target),
+        request_key=record.request_key,
+        outcome=record.outcome.value,
+        status=record.status,
+        reason=None if record.reason is None else record.reason.value,
+    )
+
+
+def _text(octets: bytes) -> str:
+    # Callers choose these octets; escapes keep them apart and printable.
+    return octets.decode('ascii', 'backslashreplace')
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -10,6 +10,7 @@
 from medlarquay.events.documents_read import DocumentsRead
 from medlarquay.events.drain_requested import DrainRequested
 from medlarquay.events.freshness_confirmed import FreshnessConfirmed
+from medlarquay.events.lifecycle_changed import LifecycleChanged
 from medlarquay.events.link_closed import LinkClosed
 from medlarquay.events.request_received import RequestReceived
 from medlarquay.events.request_rejected import RequestRejected
@@ -37,6 +38,7 @@
     'CancelCall',
     'DocumentsRead',
     'DrainRequested',
+    'LifecycleChanged',
     'LinkClosed',
     'RequestReceived',
     'RequestRejected',
