Add the command-line tool

Cause: operators could neither check a document before publishing it nor read a node's pages from a shell.

--- /dev/null
+++ b/medlarquay/addresses/tests/test_parse.py
@@ -0,0 +1,30 @@
+"""Parsing of addresses."""
+
+import pytest
+
+from medlarquay import addresses
+
+
+@pytest.mark.parametrize('text', ['127.0.0.1:1', '[::1]:65535'])
+def test_address_keeps_its_form(text: str) -> None:
+    """Guards against an IPv6 address whose port cannot be told from it."""
+    assert str(addresses.parse_address(text)) == text
+
+
+@pytest.mark.parametrize(
+    'text',
+    [
+        '',
+        'localhost:1',
+        '127.0.0.1',
+        '127.0.0.1:0',
+        '127.0.0.1:65536',
+        '127.0.0.1:+1',
+        '::1:80',
+        ':80',
+    ],
+)
+def test_bad_address_is_refused(text: str) -> None:
+    """Guards against a node that starts with an address it cannot reach."""
+    with pytest.raises(ValueError, match='.'):
+        addresses.parse_address(text)
--- /dev/null
+++ b/medlarquay/cli/__init__.py
@@ -0,0 +1,1 @@
+"""The command-line tool for operators."""
--- /dev/null
+++ b/medlarquay/cli/explain_command.py
@@ -0,0 +1,28 @@
+"""Show how a node would route a request."""
+
+import dataclasses
+
+from medlarquay import addresses
+
+__all__ = ('ExplainCommand',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ExplainCommand:
+    """Show how a node would route a request.
+
+    Attributes
+    ----------
+    node : addresses.NodeAddress
+        Operators' port of the node.
+    host, target, method : str
+        The request.
+    as_json : bool
+        Whether to print JSON.
+    """
+
+    node: addresses.NodeAddress
+    host: str
+    target: str
+    method: str
+    as_json: bool
--- /dev/null
+++ b/medlarquay/cli/fetch_views.py
@@ -0,0 +1,86 @@
+"""Views from the pages of a node."""
+
+from collections.abc import Mapping
+from types import MappingProxyType
+from typing import Any
+
+from medlarquay import errors
+from medlarquay.admin import views
+from medlarquay.cli import (
+    console,
+    explain_command,
+    node_question,
+    show_command,
+    show_topic,
+)
+
+__all__ = ('fetch_explanation', 'fetch_topic')
+
+_VIEWS: Mapping[show_topic.ShowTopic, type[object]] = MappingProxyType({
+    show_topic.ShowTopic.VERSION: views.VersionView,
+    show_topic.ShowTopic.ROUTES: views.RouteView,
+    show_topic.ShowTopic.MEMBERS: views.MemberView,
+    show_topic.ShowTopic.COUNTERS: views.CounterView,
+    show_topic.ShowTopic.RECORDS: views.RecordView,
+})
+
+
+def fetch_topic(
+    command: show_command.ShowCommand,
+    terminal: console.Console,
+) -> tuple[Any, ...]:
+    """Return the views of one page.
+
+    Raises
+    ------
+    LinkError
+        If the node gives no answer.
+    DecodeError
+        If the answer is not the page.
+    """
+    question = node_question.NodeQuestion(
+        node=command.node,
+        page=command.topic.value,
+    )
+    return views.decode_view(
+        _VIEWS[command.topic],
+        terminal.ask(question),
+        peer=str(command.node),
+    )
+
+
+def fetch_explanation(
+    command: explain_command.ExplainCommand,
+    terminal: console.Console,
+) -> views.ExplainView:
+    """Return how the node would route a request.
+
+    Raises
+    ------
+    LinkError
+        If the node gives no answer.
+    DecodeError
+        If the answer is no explanation.
+    """
+    question = node_question.NodeQuestion(
+        node=command.node,
+        page='explain',
+        parameters=(
+            ('host', command.host),
+            ('target', command.target),
+            ('method', command.method),
+        ),
+    )
+    peer = str(command.node)
+    found = views.decode_view(
+        views.ExplainView,
+        terminal.ask(question),
+        peer=peer,
+    )
+    if len(found) == 1:
+        return found[0]
+    raise errors.DecodeError(
+        f'{len(found)} explanations',
+        step='explain',
+        peer=peer,
+    )
--- /dev/null
+++ b/medlarquay/cli/run_command.py
@@ -0,0 +1,95 @@
+"""Execution of the commands."""
+
+import functools
+
+from medlarquay import errors
+from medlarquay.admin import views
+from medlarquay.cli import (
+    console,
+    exit_code,
+    explain_command,
+    fetch_views,
+    format_views,
+    show_command,
+    validate_command,
+    validate_file,
+)
+
+__all__ = ('run_command',)
+
+
+def run_command(
+    command: object,
+    terminal: console.Console,
+) -> exit_code.ExitCode:
+    """Run one command and return the exit code.
+
+    Parameters
+    ----------
+    command : object
+        A parsed command.
+    terminal : Console
+        Takes the output.
+    """
+    try:
+        return _run(command, terminal)
+    except OSError as failure:
+        terminal.problems.write(f'medlarquay: {failure}\n')
+        return exit_code.ExitCode.USAGE
+    except errors.MedlarquayError as failure:
+        terminal.problems.write(f'medlarquay: {failure}\n')
+        return exit_code.ExitCode.NODE_UNREACHABLE
+
+
+@functools.singledispatch
+def _run(command: object, terminal: console.Console) -> exit_code.ExitCode:
+    raise TypeError(f'unexpected command {type(command).__name__}')
+
+
+@_run.register
+def _validate(
+    command: validate_command.ValidateCommand,
+    terminal: console.Console,
+) -> exit_code.ExitCode:
+    view = validate_file.validate_file(command)
+    _print_view(view, terminal, as_json=command.as_json)
+    if view.valid:
+        return exit_code.ExitCode.OK
+    return exit_code.ExitCode.CHECK_FAILED
+
+
+@_run.register
+def _show(
+    command: show_command.ShowCommand,
+    terminal: console.Console,
+) -> exit_code.ExitCode:
+    found = fetch_views.fetch_topic(command, terminal)
+    if command.as_json:
+        terminal.output.write('{}\n'.format(views.encode_view(found).decode()))
+    else:
+        terminal.output.write(format_views.format_rows(found))
+    return exit_code.ExitCode.OK
+
+
+@_run.register
+def _explain(
+    command: explain_command.ExplainCommand,
+    terminal: console.Console,
+) -> exit_code.ExitCode:
+    view = fetch_views.fetch_explanation(command, terminal)
+    _print_view(view, terminal, as_json=command.as_json)
+    if view.refusal is None:
+        return exit_code.ExitCode.OK
+    return exit_code.ExitCode.CHECK_FAILED
+
+
+def _print_view(
+    view: object,
+    terminal: console.Console,
+    *,
+    as_json: bool,
+) -> None:
+    if as_json:
+        terminal.output.write('{}\n'.format(views.encode_view(view).decode()))
+    else:
+        terminal.output.write(format_views.format_view(view))
--- /dev/null
+++ b/medlarquay/cli/show_command.py
@@ -0,0 +1,27 @@
+"""Show one page of a node."""
+
+import dataclasses
+
+from medlarquay import addresses
+from medlarquay.cli import show_topic
+
+__all__ = ('ShowCommand',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ShowCommand:
+    """Show one page of a node.
+
+    Attributes
+    ----------
+    topic : show_topic.ShowTopic
+        Page.
+    node : addresses.NodeAddress
+        Operators' port of the node.
+    as_json : bool
+        Whether to print JSON.
+    """
+
+    topic: show_topic.ShowTopic
+    node: addresses.NodeAddress
+    as_json: bool
--- /dev/null
+++ b/medlarquay/cli/show_topic.py
@@ -0,0 +1,15 @@
+"""What ``medlarquay show`` can show."""
+
+import enum
+
+__all__ = ('ShowTopic',)
+
+
+class ShowTopic(enum.Enum):
+    """What ``medlarquay show`` can show; the value is the page."""
+
+    VERSION = 'version'
+    ROUTES = 'routes'
+    MEMBERS = 'members'
+    COUNTERS = 'counters'
+    RECORDS = 'records'
--- /dev/null
+++ b/medlarquay/cli/validate_file.py
@@ -0,0 +1,30 @@
+"""Checking of a document in a file."""
+
+import pathlib
+
+from medlarquay import errors, settings
+from medlarquay.cli import validate_command, validation_view
+
+__all__ = ('validate_file',)
+
+
+def validate_file(
+    command: validate_command.ValidateCommand,
+) -> validation_view.ValidationView:
+    """Check a document as the nodes do.
+
+    Raises
+    ------
+    OSError
+        If the file cannot be read.
+    """
+    content = pathlib.Path(command.path).read_bytes()
+    try:
+        document = settings.parse_document(team=command.team, content=content)
+    except errors.DocumentError as failure:
+        return validation_view.ValidationView(valid=False, error=str(failure))
+    return validation_view.ValidationView(
+        valid=True,
+        services=len(document.services),
+        routes=len(document.routes),
+    )
