Check the daemon's settings and stop it gracefully

Cause: bad settings failed late or not at all, and SIGTERM stopped the reactor at once, with requests in flight. Change: each setting has a rule, a flag and a variable; a bad one exits with code 2 and names all three. The Lifecycle task asks the parts of the node to drain, waits for owner and router or the drain deadline, and leaves one second for answers in socket buffers. The node composes the Admin and Lifecycle tasks.

--- /dev/null
+++ b/medlarquay/daemon/check_settings.py
@@ -0,0 +1,63 @@
+"""Checking of the daemon's settings."""
+
+from collections.abc import Mapping, Sequence
+from typing import Any
+
+from medlarquay import errors
+from medlarquay.daemon import node_settings, setting, setting_list
+
+__all__ = ('check_settings',)
+
+_STEP = 'check settings'
+
+
+def check_settings(
+    texts: Mapping[str, Sequence[str]],
+) -> node_settings.NodeSettings:
+    """Return the settings that texts stand for.
+
+    Parameters
+    ----------
+    texts : Mapping
+        Texts of each setting by its field.
+
+    Raises
+    ------
+    SettingError
+        If a text breaks a rule or settings contradict each other.
+    """
+    fields: dict[str, Any] = {
+        known.field: _check(known, texts[known.field])
+        for known in setting_list.SETTINGS
+    }
+    found = node_settings.NodeSettings(**fields)
+    ports = (found.caller_port, found.peer_port, found.admin_port)
+    if len(set(ports)) < len(ports):
+        raise errors.SettingError(
+            '--caller-port, --peer-port and --admin-port must differ',
+            step=_STEP,
+        )
+    return found
+
+
+def _check(known: setting.Setting, texts: Sequence[str]) -> object:
+    if known.repeated:
+        return tuple(_check_text(known, text) for text in texts)
+    if texts:
+        # As usual, the last of several flags is in force.
+        return _check_text(known, texts[-1])
+    raise errors.SettingError(f'{_label(known)} is required', step=_STEP)
+
+
+def _check_text(known: setting.Setting, text: str) -> object:
+    try:
+        return known.check(text)
+    except ValueError as cause:
+        raise errors.SettingError(
+            f'{_label(known)} is {text!r}: {cause}',
+            step=_STEP,
+        ) from cause
+
+
+def _label(known: setting.Setting) -> str:
+    return f'{known.flag} ({known.variable})'
--- /dev/null
+++ b/medlarquay/daemon/lifecycle.py
@@ -0,0 +1,121 @@
+"""The task that owns the lifecycle of the node."""
+
+import functools
+from collections.abc import Callable, Collection
+
+from twisted.internet import interfaces
+
+from medlarquay import events, states
+from medlarquay.daemon import lifecycle_effects, lifecycle_machine
+from medlarquay.tasks import alarm, task
+
+__all__ = ('Lifecycle',)
+
+# Answers that were written may still be in socket buffers when the last part
+# has finished; stopping the reactor would cut them off.
+_FLUSH_S = 1
+
+
+class Lifecycle(task.Task, lifecycle_effects.LifecycleEffects):
+    """Owns the state of the node and its graceful stop.
+
+    Parameters
+    ----------
+    reactor : IReactorTime and IReactorCore
+        Schedules the drain deadline and is stopped.
+    clock : callable
+        Returns seconds on the monotonic clock.
+    parts : collection of Task
+        Receive ``DrainRequested``.
+    subscribers : collection of Task
+        Receive ``LifecycleChanged``.
+    drain_timeout_s : float
+        Longest time from the request to stop until the stop, in seconds.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTime,
+        clock: Callable[[], float],
+        parts: Collection[task.Task],
+        subscribers: Collection[task.Task],
+        drain_timeout_s: float,
+    ) -> None:
+        super().__init__(name='lifecycle')
+        self.machine = lifecycle_machine.build_machine(self)
+        self.working = set(states.NodePart)
+        self.stop_at: float | None = None
+        self._reactor = reactor
+        self._clock = clock
+        self._parts = parts
+        self._subscribers = subscribers
+        self._drain_timeout_s = drain_timeout_s
+        self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
+
+    def receive(self, message: object) -> None:
+        """Handle one message."""
+        _handle(message, self)
+
+    def enter(self, state: states.NodeState) -> None:
+        """Announce the state entered."""
+        self._log.info('entered state {}', state.value)
+        for subscriber in self._subscribers:
+            subscriber.post(events.LifecycleChanged(state=state))
+
+    def start_drain(self) -> None:
+        """Ask the parts to finish their work before the drain deadline."""
+        self.stop_by(self._clock() + self._drain_timeout_s)
+        for part in self._parts:
+            part.post(events.DrainRequested())
+
+    def flush(self) -> None:
+        """Stop once the answers written have left the socket buffers."""
+        self.stop_by(self._clock() + _FLUSH_S)
+
+    def stop_by(self, deadline: float) -> None:
+        """Stop at a time, in seconds on the monotonic clock, or earlier."""
+        if self.stop_at is None or deadline < self.stop_at:
+            self.stop_at = deadline
+        self._alarm.wake_at(self.stop_at)
+
+    def stop(self) -> None:
+        """End the process."""
+        if self.working:
+            unfinished = ', '.join(sorted(part.value for part in self.working))
+            self._log.warning('drain deadline passed; working: {}', unfinished)
+        self._reactor.stop()
+
+
+@functools.singledispatch
+def _handle(message: object, lifecycle: Lifecycle) -> None:
+    raise TypeError(f'unexpected message {type(message).__name__}')
+
+
+@_handle.register
+def _replaced(message: events.SnapshotReplaced, lifecycle: Lifecycle) -> None:
+    lifecycle.machine.configure()
+
+
+@_handle.register
+def _drain(message: events.DrainRequested, lifecycle: Lifecycle) -> None:
+    lifecycle.machine.drain()
+
+
+@_handle.register
+def _finished(message: events.WorkFinished, lifecycle: Lifecycle) -> None:
+    if lifecycle.stop_at is None:
+        return
+    lifecycle.working.discard(message.part)
+    if not lifecycle.working:
+        lifecycle.flush()
+
+
+@_handle.register
+def _tick(message: events.Tick, lifecycle: Lifecycle) -> None:
+    if lifecycle.stop_at is None:
+        return
+    if message.now >= lifecycle.stop_at:
+        lifecycle.machine.finish()
+    else:
+        lifecycle.stop_by(lifecycle.stop_at)
--- /dev/null
+++ b/medlarquay/daemon/lifecycle_machine.py
@@ -0,0 +1,57 @@
+"""The state machine of a node's lifecycle."""
+
+from collections.abc import Callable
+
+import automat
+
+from medlarquay import states
+from medlarquay.daemon import lifecycle_effects, lifecycle_inputs
+
+__all__ = ('build_machine',)
+
+_Inputs = lifecycle_inputs.LifecycleInputs
+_Effects = lifecycle_effects.LifecycleEffects
+
+
+def build_machine(effects: _Effects) -> _Inputs:
+    """Return a machine in the state *starting*."""
+    return _MACHINE(effects)
+
+
+def _define() -> Callable[[_Effects], _Inputs]:
+    builder = automat.TypeMachineBuilder(_Inputs, _Effects)
+    starting = builder.state(states.NodeState.STARTING.value)
+    serving = builder.state(states.NodeState.SERVING.value)
+    draining = builder.state(states.NodeState.DRAINING.value)
+    stopped = builder.state(states.NodeState.STOPPED.value)
+
+    starting.upon(_Inputs.configure).to(serving)(_serve)
+    for accepting in (starting, serving):
+        accepting.upon(_Inputs.drain).to(draining)(_drain)
+        accepting.upon(_Inputs.finish).loop().returns(None)
+    draining.upon(_Inputs.finish).to(stopped)(_stop)
+    for configured in (serving, draining, stopped):
+        configured.upon(_Inputs.configure).loop().returns(None)
+    # A second signal does not shorten the drain: a planned stop aborts no
+    # request in flight.
+    draining.upon(_Inputs.drain).loop().returns(None)
+    stopped.upon(_Inputs.drain).loop().returns(None)
+    stopped.upon(_Inputs.finish).loop().returns(None)
+    return builder.build()
+
+
+def _serve(inputs: _Inputs, effects: _Effects) -> None:
+    effects.enter(states.NodeState.SERVING)
+
+
+def _drain(inputs: _Inputs, effects: _Effects) -> None:
+    effects.enter(states.NodeState.DRAINING)
+    effects.start_drain()
+
+
+def _stop(inputs: _Inputs, effects: _Effects) -> None:
+    effects.enter(states.NodeState.STOPPED)
+    effects.stop()
+
+
+_MACHINE = _define()
--- a/medlarquay/daemon/main.py
+++ b/medlarquay/daemon/main.py
@@ -2,8 +2,7 @@
 
 import sys
 
-import logbook
-
+from medlarquay import telemetry
 from medlarquay.daemon import parse_arguments
 
 __all__ = ('run',)
@@ -15,15 +14,7 @@
     # that a node may use, and twisted does without it.
     sys.modules.setdefault('OpenSSL', None)  # type: ignore[arg-type]
     settings = parse_arguments.parse_arguments()
-    handler = logbook.StreamHandler(
-        sys.stderr,
-        level=logbook.INFO,
-        format_string=(
-            '{record.time:%H:%M:%S.%f} {record.level_name} '
-            '{record.channel}: {record.message}'
-        ),
-    )
-    handler.push_application()
+    telemetry.set_up_logs(stream=sys.stderr, level=settings.log_level)
     # The reactor is imported after the settings were checked, so that a bad
     # flag is reported without the cost of starting one.
     from twisted.internet import reactor  # noqa: PLC0415
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -5,8 +5,8 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import ids, messages
-from medlarquay.daemon import node_settings
+from medlarquay import admin, ids, messages, telemetry
+from medlarquay.daemon import lifecycle, node_settings, signals
 from medlarquay.tasks import (
     backend,
     caller_listener,
@@ -36,6 +36,14 @@
         region=settings.region,
         data_centre=settings.data_centre,
     )
+    operators = admin.Admin(
+        node=admin.ObservedNode(
+            hello=hello,
+            counters=telemetry.Counters(),
+            records=telemetry.RecordLog(),
+            clock=clock,
+        ),
+    )
     links = peer_links.PeerLinks(reactor=reactor, hello=hello, clock=clock)
     own = owner.Owner(links=links, clock=clock)
     own.backend = backend.Backend(
@@ -55,14 +63,36 @@
     links.owner = own
     callers = caller_listener.CallerListener(router=routing)
     routing.listener = callers
-    current = configuration.Configuration(subscribers=(routing, own))
+    life = lifecycle.Lifecycle(
+        reactor=reactor,
+        clock=clock,
+        parts=(own, routing, callers, links),
+        subscribers=(operators,),
+        drain_timeout_s=settings.drain_timeout_s,
+    )
+    own.lifecycle = life
+    routing.lifecycle = life
+    # The lifecycle comes last, so that all others have the configuration when
+    # the node is announced as serving.
+    current = configuration.Configuration(
+        subscribers=(routing, own, operators, life),
+    )
     reader = source_reader.SourceReader(
         reactor=reactor,
         base_url=settings.source_url,
         configuration=current,
         clock=clock,
     )
-    peers = peer_listener.PeerListener(calls=links)
-    peers.listen(reactor, host=settings.host, port=settings.peer_port)
+    peer_listener.PeerListener(calls=links).listen(
+        reactor,
+        host=settings.host,
+        port=settings.peer_port,
+    )
     callers.listen(reactor, host=settings.host, port=settings.caller_port)
+    operators.listen(reactor, host=settings.host, port=settings.admin_port)
+    reactor.callWhenRunning(
+        signals.post_on_signal,
+        reactor=reactor,
+        target=life,
+    )
     reader.start()
--- a/medlarquay/daemon/node_settings.py
+++ b/medlarquay/daemon/node_settings.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids
+from medlarquay import addresses, ids
 
 __all__ = ('NodeSettings',)
 
@@ -24,7 +24,16 @@
     backend_host, backend_port : str, int
         Address of the local backend server.
     source_url : str
-        Address of the configuration service.
+        Address of the configuration service, without a slash at its end.
+    seed : tuple of NodeAddress
+        Peer ports of nodes to ask at start.
+    key_retention_s : float
+        Time for which the result of an idempotency key is kept, in seconds;
+        the same on all nodes.
+    drain_timeout_s : float
+        Longest time for a graceful stop, in seconds.
+    log_level : str
+        Least level of the log lines that are written.
     """
 
     instance: ids.InstanceId
@@ -37,3 +46,7 @@
     backend_host: str
     backend_port: int
     source_url: str
+    seed: tuple[addresses.NodeAddress, ...]
+    key_retention_s: float
+    drain_timeout_s: float
+    log_level: str
--- a/medlarquay/daemon/parse_arguments.py
+++ b/medlarquay/daemon/parse_arguments.py
@@ -2,55 +2,71 @@
 
 import argparse
 import os
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
-from medlarquay import ids
-from medlarquay.daemon import node_settings
+from medlarquay import errors
+from medlarquay.daemon import (
+    check_settings,
+    node_settings,
+    setting,
+    setting_list,
+)
 
 __all__ = ('parse_arguments',)
 
-_PREFIX = 'MEDLARQUAY_'
-
 
 def parse_arguments(
     arguments: Sequence[str] | None = None,
+    *,
+    environment: Mapping[str, str] = os.environ,
 ) -> node_settings.NodeSettings:
-    """Return the checked settings; exit with code 2 on a bad one."""
+    """Return the checked settings; exit with code 2 on a bad one.
+
+    Parameters
+    ----------
+    arguments : sequence of str, optional
+        Arguments without the program's name; those of the process if left
+        out.
+    environment : Mapping
+        Environment variables; a flag takes precedence over its variable.
+    """
     parser = argparse.ArgumentParser(
         prog='medlarquayd',
         description='Node of the medlarquay service mesh.',
     )
-    for flag in ('instance', 'region', 'data-centre', 'host', 'source-url'):
-        _add(parser, flag, str)
-    for flag in ('caller-port', 'peer-port', 'admin-port', 'backend-port'):
-        _add(parser, flag, int)
-    _add(parser, 'backend-host', str)
-    found = parser.parse_args(arguments)
-    return node_settings.NodeSettings(
-        instance=ids.InstanceId(found.instance),
-        region=ids.RegionName(found.region),
-        data_centre=ids.DataCentreName(found.data_centre),
-        host=found.host,
-        caller_port=found.caller_port,
-        peer_port=found.peer_port,
-        admin_port=found.admin_port,
-        backend_host=found.backend_host,
-        backend_port=found.backend_port,
-        source_url=found.source_url,
-    )
+    _add_flags(parser)
+    flags = parser.parse_args(arguments)
+    texts = {
+        known.field: getattr(flags, known.field)
+        or _from_environment(known, environment)
+        for known in setting_list.SETTINGS
+    }
+    try:
+        return check_settings.check_settings(texts)
+    except errors.SettingError as failure:
+        parser.error(str(failure))
 
 
-def _add(
-    parser: argparse.ArgumentParser,
-    flag: str,
-    kind: type[str] | type[int],
-) -> None:
-    variable = _PREFIX + flag.upper().replace('-', '_')
-    default = os.environ.get(variable)
-    parser.add_argument(
-        f'--{flag}',
-        type=kind,
-        default=default,
-        required=default is None,
-        help=f'environment variable {variable}',
-    )
+def _add_flags(parser: argparse.ArgumentParser) -> None:
+    for known in setting_list.SETTINGS:
+        default = known.default or 'none'
+        if known.default is None:
+            default = 'required'
+        parser.add_argument(
+            known.flag,
+            action='append',
+            dest=known.field,
+            help=f'{known.summary} ({known.variable}; default: {default})',
+        )
+
+
+def _from_environment(
+    known: setting.Setting,
+    environment: Mapping[str, str],
+) -> list[str]:
+    text = environment.get(known.variable, known.default)
+    if text is None:
+        return []
+    if known.repeated:
+        return [part.strip() for part in text.split(',') if part.strip()]
+    return [text]
--- /dev/null
+++ b/medlarquay/daemon/tests/test_process.py
@@ -0,0 +1,83 @@
+"""The daemon as a process."""
+
+import contextlib
+import json
+import signal
+import socket
+import subprocess
+import sys
+from http import HTTPStatus, client
+
+import pytest
+
+_PORT_NAMES = ('caller-port', 'peer-port', 'admin-port', 'backend-port')
+# Far above the usual half second, so that a busy machine changes no verdict.
+_START_ATTEMPTS = 600
+
+
+def _free_port() -> int:
+    with socket.socket() as bound:
+        bound.bind(('127.0.0.1', 0))
+        return bound.getsockname()[1]
+
+
+def _get(port: int, page: str) -> tuple[int, bytes]:
+    connection = client.HTTPConnection('127.0.0.1', port, timeout=30)
+    with contextlib.closing(connection):
+        connection.request('GET', f'/{page}')
+        answer = connection.getresponse()
+        return answer.status, answer.read()
+
+
+def _wait_until_healthy(admin_port: int, node: subprocess.Popen[str]) -> None:
+    for _ in range(_START_ATTEMPTS):
+        with contextlib.suppress(ConnectionError):
+            if _get(admin_port, 'health')[0] == HTTPStatus.OK:
+                return
+        try:
+            node.wait(timeout=0.05)
+        except subprocess.TimeoutExpired:
+            continue
+        break
+    pytest.fail('node did not start')
+
+
+def test_node_answers_operators_and_stops_on_sigterm() -> None:
+    """Guards against a composition whose parts do not fit together."""
+    ports = [_free_port() for _ in _PORT_NAMES]
+    flags = [
+        f'--{name}={port}'
+        for name, port in zip(_PORT_NAMES, ports, strict=True)
+    ]
+    node = subprocess.Popen(
+        [
+            sys.executable,
+            '-m',
+            'medlarquay.daemon.main',
+            '--instance=i1',
+            '--region=palermo',
+            '--data-centre=pa1',
+            '--host=127.0.0.1',
+            '--backend-host=127.0.0.1',
+            f'--source-url=http://127.0.0.1:{_free_port()}',
+            '--drain-timeout-s=0',
+            *flags,
+        ],
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        logged = _check_and_stop(ports[2], node)
+    finally:
+        node.kill()
+        node.wait()
+    assert node.returncode == 0
+    assert 'lifecycle: entered state stopped' in logged
+
+
+def _check_and_stop(admin_port: int, node: subprocess.Popen[str]) -> str:
+    _wait_until_healthy(admin_port, node)
+    assert _get(admin_port, 'ready')[0] == HTTPStatus.SERVICE_UNAVAILABLE
+    assert json.loads(_get(admin_port, 'version')[1])['instance'] == 'i1'
+    node.send_signal(signal.SIGTERM)
+    return node.communicate(timeout=60)[1]
--- a/medlarquay/tasks/owner.py
+++ b/medlarquay/tasks/owner.py
@@ -29,6 +29,7 @@
         super().__init__(name='owner')
         self.backend: task.Task | None = None
         self.router: task.Task | None = None
+        self.lifecycle: task.Task | None = None
         self.running: dict[ids.ExchangeId, events.RunCall] = {}
         self.clock = clock
         self._links = links
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -34,6 +34,7 @@
     ) -> None:
         super().__init__(name='router')
         self.listener: task.Task | None = None
+        self.lifecycle: task.Task | None = None
         self.snapshot: snapshots.Snapshot | None = None
         self.calls: dict[ids.CallId, ingress_call.IngressCall] = {}
         self.by_caller: dict[ids.CallerId, ids.CallId] = {}
