Rewrite the test doubles on twisted protocols and add the caller

The doubles on twisted.web distorted latencies, and no double could shed, drain, crash, be cancelled, lag or record its runs outside the process.

The source gains faults and a call counter by second that includes pending watches, the backend server slots, deadlines, cold start, shedding, lagging reports, a poison path and a record on its standard output, and a caller sends an open-loop load with seeded arrival times and records what it was told. A comparison finds requests for which both records differ.

--- /dev/null
+++ b/medlarquay/testing/backend_job.py
@@ -0,0 +1,34 @@
+"""A request at the backend server double."""
+
+import dataclasses
+
+from twisted.internet import interfaces
+
+from medlarquay.testing import http_exchange, run_entry
+
+__all__ = ('BackendJob',)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class BackendJob:
+    """A request at the backend server double.
+
+    Attributes
+    ----------
+    exchange : HttpExchange
+        Request to answer.
+    service_s : float
+        Service time in seconds.
+    deadline : float
+        Reactor time after which the caller no longer waits.
+    entry : RunEntry or None
+        Record of the run; None while the request waits for a slot.
+    timer : IDelayedCall or None
+        Ends the run.
+    """
+
+    exchange: http_exchange.HttpExchange
+    service_s: float
+    deadline: float
+    entry: run_entry.RunEntry | None = None
+    timer: interfaces.IDelayedCall | None = None
--- /dev/null
+++ b/medlarquay/testing/build_job.py
@@ -0,0 +1,59 @@
+"""Building of a job from a request to the backend server double."""
+
+from urllib.parse import parse_qsl
+
+from medlarquay.testing import backend_job, backend_settings, http_exchange
+
+__all__ = ('build_job', 'query_of')
+
+_MS_PER_SECOND = 1000
+_DEFAULT_TIMEOUT_MS = 60000
+
+
+def build_job(
+    exchange: http_exchange.HttpExchange,
+    *,
+    settings: backend_settings.BackendSettings,
+    started_at: float,
+    now: float,
+) -> backend_job.BackendJob:
+    """Return the job of a request.
+
+    Parameters
+    ----------
+    exchange : HttpExchange
+        Request; names its service time in ``x-service-ms`` or in the query.
+    settings : BackendSettings
+        Behaviour of the backend server.
+    started_at, now : float
+        Start of the backend server and current time, in reactor seconds.
+    """
+    timeout_ms = float(
+        exchange.headers.get('request-timeout-ms', _DEFAULT_TIMEOUT_MS),
+    )
+    named = exchange.headers.get('x-service-ms')
+    if named is None:
+        named = query_of(exchange.target).get('service_ms')
+    service_s = float(named or settings.service_ms) / _MS_PER_SECOND
+    return backend_job.BackendJob(
+        exchange=exchange,
+        service_s=service_s * _cold_factor(settings, now - started_at),
+        deadline=now + timeout_ms / _MS_PER_SECOND,
+    )
+
+
+def query_of(target: str) -> dict[str, str]:
+    """Return the fields of the query of a request target."""
+    if '?' not in target:
+        return {}
+    return dict(parse_qsl(target.partition('?')[2]))
+
+
+def _cold_factor(
+    settings: backend_settings.BackendSettings,
+    age_s: float,
+) -> float:
+    cold_s = settings.cold_start_ms / _MS_PER_SECOND
+    if age_s >= cold_s:
+        return 1
+    return 1 + (settings.cold_factor - 1) * (1 - age_s / cold_s)
--- /dev/null
+++ b/medlarquay/testing/client_connection.py
@@ -0,0 +1,104 @@
+"""Client side of HTTP/1.1 for the test doubles."""
+
+from collections.abc import Callable
+
+import httptools
+from twisted.internet import protocol
+
+from medlarquay.testing import client_answer
+
+__all__ = ('ClientConnection',)
+
+
+class ClientConnection(protocol.Protocol):
+    """Carries one exchange at a time.
+
+    Parameters
+    ----------
+    release : callable
+        Receives this connection when it can carry another exchange.
+    """
+
+    def __init__(
+        self, *, release: Callable[['ClientConnection'], None]
+    ) -> None:
+        self._release = release
+        self._deliver: Callable[[client_answer.ClientAnswer], None] | None = (
+            None
+        )
+        self._open = False
+        self._reset()
+
+    @property
+    def usable(self) -> bool:
+        """Whether the connection is open and idle."""
+        return self._open and self._deliver is None
+
+    def connectionMade(self) -> None:  # noqa: N802
+        """Disable Nagle's algorithm: requests are written whole."""
+        self._open = True
+        self.transport.setTcpNoDelay(True)
+
+    def start(
+        self,
+        request: bytes,
+        deliver: Callable[[client_answer.ClientAnswer], None],
+    ) -> None:
+        """Send a request; ``deliver`` is called exactly once."""
+        self._reset()
+        self._deliver = deliver
+        self.transport.write(request)
+
+    def abort(self, *, timed_out: bool = False) -> None:
+        """Close the connection and report that there was no answer."""
+        self._open = False
+        self.transport.abortConnection()
+        self._finish(client_answer.ClientAnswer(timed_out=timed_out))
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Feed received bytes to the parser."""
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError:
+            self.abort()
+
+    def connectionLost(self, reason: object = None) -> None:  # noqa: N802
+        """Report a broken exchange."""
+        self._open = False
+        self._finish(client_answer.ClientAnswer())
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header field."""
+        self._headers[name.decode().lower()] = value.decode()
+
+    def on_body(self, body: bytes) -> None:
+        """Collect part of the body."""
+        self._body += body
+
+    def on_message_complete(self) -> None:
+        """Deliver the whole answer."""
+        answer = client_answer.ClientAnswer(
+            status=self._parser.get_status_code(),
+            headers=self._headers,
+            body=self._body,
+        )
+        deliver = self._deliver
+        self._deliver = None
+        if self._parser.should_keep_alive():
+            self._release(self)
+        else:
+            self._open = False
+            self.transport.loseConnection()
+        if deliver is not None:
+            deliver(answer)
+
+    def _finish(self, answer: client_answer.ClientAnswer) -> None:
+        deliver = self._deliver
+        self._deliver = None
+        if deliver is not None:
+            deliver(answer)
+
+    def _reset(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers: dict[str, str] = {}
+        self._body = b''
--- /dev/null
+++ b/medlarquay/testing/http_exchange.py
@@ -0,0 +1,52 @@
+"""One request to a test double."""
+
+import dataclasses
+import http
+from collections.abc import Callable, Mapping
+
+__all__ = ('HttpExchange',)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class HttpExchange:
+    """One request to a test double, and the way to answer it.
+
+    Attributes
+    ----------
+    method, target : str
+        Request line.
+    headers : dict of str
+        Header fields; names in lower case.
+    body : bytes
+        Whole body.
+    send : callable
+        Writes an answer to the connection.
+    reset : callable
+        Resets the connection instead of answering.
+    gone : callable
+        Called when the connection closes before the answer.
+    """
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+    send: Callable[[bytes], None]
+    reset: Callable[[], None]
+    gone: Callable[[], None] | None = None
+
+    def answer(
+        self,
+        body: bytes = b'',
+        *,
+        status: int = http.HTTPStatus.OK,
+        headers: Mapping[str, str] | None = None,
+    ) -> None:
+        """Answer the request."""
+        self.gone = None
+        lines = [f'HTTP/1.1 {status} Answer']
+        lines.extend(
+            f'{name}: {value}' for name, value in (headers or {}).items()
+        )
+        lines.append(f'content-length: {len(body)}\r\n\r\n')
+        self.send('\r\n'.join(lines).encode() + body)
--- /dev/null
+++ b/medlarquay/testing/run_entry.py
@@ -0,0 +1,55 @@
+"""What a backend server recorded of one request."""
+
+import dataclasses
+import json
+
+__all__ = ('RunEntry',)
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class RunEntry:
+    """What a backend server recorded of one request.
+
+    Attributes
+    ----------
+    request : str
+        Value of ``x-request-id``; empty when the request had none.
+    key : str
+        Idempotency key; empty when the request had none.
+    target : str
+        Path and query.
+    started_at, ended_at : float
+        Unix times in seconds; the end is 0 while the request runs and stays
+        0 when the process ended first.
+    state : str
+        ``running``, ``completed``, ``cancelled`` (the connection closed) or
+        ``expired`` (the deadline passed).
+    """
+
+    request: str
+    key: str
+    target: str
+    started_at: float
+    ended_at: float = 0
+    state: str = 'running'
+
+    def to_line(self) -> str:
+        """Return the entry as one line of JSON.
+
+        An array is written because ``dataclasses.asdict`` costs 23 us, more
+        than the rest of the record.
+        """
+        return json.dumps([
+            self.request,
+            self.key,
+            self.target,
+            self.started_at,
+            self.ended_at,
+            self.state,
+        ])
+
+    @classmethod
+    def from_line(cls, line: str) -> 'RunEntry':
+        """Return the entry of a line."""
+        names = [field.name for field in dataclasses.fields(cls)]
+        return cls(**dict(zip(names, json.loads(line), strict=True)))
--- a/medlarquay/testing/source.py
+++ b/medlarquay/testing/source.py
@@ -1,106 +1,196 @@
 """Test double of the configuration service and the instance list."""
 
 import argparse
+import dataclasses
+import functools
 import json
+import time
+from typing import Any
+from urllib.parse import parse_qsl
 
-from twisted.internet import interfaces, reactor
-from twisted.web import resource, server
+from twisted.internet import interfaces, task
+
+from medlarquay.testing import (
+    call_counter,
+    http_exchange,
+    serving,
+    source_faults,
+    source_tree,
+    source_watch,
+)
 
 __all__ = ('Source',)
 
 _MS_PER_SECOND = 1000
+_INSTANCES = 'instances'
 
 
-class Source(resource.Resource):
+class Source:
     """Read-and-watch service over two trees, with a test-only write side.
 
     ``GET /v1/watch/<tree>?after=R&wait_ms=T`` answers with the entries newer
     than ``R``, waiting up to ``T`` ms for one. ``PUT /publish/<tree>/<key>``
-    is how operators and the platform publish in tests.
+    publishes one value (an empty body deletes it) and ``PUT /publish/<tree>``
+    a JSON object of several. ``GET /v1/calls`` shows the counted calls and
+    ``PUT /-/faults`` sets the fields of ``SourceFaults``.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Runs the waits.
     """
 
-    isLeaf = True  # noqa: N815
-
-    def __init__(self) -> None:
-        super().__init__()
-        self.trees: dict[str, dict[str, tuple[int, str | None]]] = {
-            'teams': {},
-            'instances': {},
+    def __init__(self, *, reactor: interfaces.IReactorTime) -> None:
+        self.counter = call_counter.CallCounter()
+        self.faults = source_faults.SourceFaults()
+        self._reactor = reactor
+        self._trees = {
+            'teams': source_tree.SourceTree(),
+            _INSTANCES: source_tree.SourceTree(),
         }
-        self.revisions = {'teams': 0, 'instances': 0}
-        self.calls = 0
-        self._waiting: list[tuple[server.Request, str, int]] = []
-
-    def render_GET(self, request: server.Request) -> bytes | int:  # noqa: N802
-        """Answer a read or hold a watch."""
-        tree = request.path.decode().rpartition('/')[2]
-        if tree == 'calls':
-            return json.dumps({'calls': self.calls}).encode()
-        self.calls += 1
-        after = int(request.args.get(b'after', [b'0'])[0])
-        wait_ms = int(request.args.get(b'wait_ms', [b'0'])[0])
-        if self.revisions[tree] > after or not wait_ms:
-            return self._answer(tree, after)
-        entry = (request, tree, after)
-        self._waiting.append(entry)
-        timer = reactor.callLater(
+        self._waiting: list[source_watch.SourceWatch] = []
+
+    def handle(self, exchange: http_exchange.HttpExchange) -> None:
+        """Serve one request."""
+        path, _, query = exchange.target.partition('?')
+        parts = path.strip('/').split('/')
+        match parts:
+            case ['v1', 'calls']:
+                exchange.answer(self._calls())
+            case ['v1', 'watch', tree]:
+                self._read(exchange, tree, dict(parse_qsl(query)))
+            case ['publish', tree, key]:
+                changes = {key: exchange.body.decode()}
+                exchange.answer(self._publish(tree, changes))
+            case ['publish', tree]:
+                changes = json.loads(exchange.body)
+                exchange.answer(self._publish(tree, changes))
+            case ['-', 'faults']:
+                self._set_faults(json.loads(exchange.body))
+                exchange.answer()
+            case _:
+                exchange.answer(status=404)
+
+    def count_pending(self) -> None:
+        """Count the pending watches; called as each second begins."""
+        self.counter.add_pending(now=time.time(), pending=len(self._waiting))
+
+    def _calls(self) -> bytes:
+        return json.dumps({
+            'calls': self.counter.total,
+            'by_second': self.counter.by_second,
+        }).encode()
+
+    def _set_faults(self, fields: dict[str, Any]) -> None:
+        self.faults = dataclasses.replace(self.faults, **fields)
+        if self.faults.down:
+            for watch in tuple(self._waiting):
+                self._forget(watch)
+                watch.exchange.reset()
+
+    def _publish(self, tree: str, changes: dict[str, str]) -> bytes:
+        if tree == _INSTANCES and self.faults.list_lag_ms:
+            self._reactor.callLater(
+                self.faults.list_lag_ms / _MS_PER_SECOND,
+                self._apply,
+                tree,
+                changes,
+            )
+        else:
+            self._apply(tree, changes)
+        return json.dumps({'revision': self._trees[tree].revision}).encode()
+
+    def _apply(self, tree: str, changes: dict[str, str]) -> None:
+        for key, content in changes.items():
+            self._trees[tree].publish(key, content or None)
+        for watch in tuple(self._waiting):
+            if watch.tree == tree and self._visible(tree) > watch.after:
+                self._finish(watch)
+
+    def _read(
+        self,
+        exchange: http_exchange.HttpExchange,
+        tree: str,
+        query: dict[str, str],
+    ) -> None:
+        self.counter.add(now=time.time())
+        if self.faults.down:
+            exchange.reset()
+            return
+        after = int(query.get('after', 0))
+        wait_ms = int(query.get('wait_ms', 0))
+        if self._visible(tree) > after or not wait_ms:
+            self._reactor.callLater(
+                self.faults.slow_ms / _MS_PER_SECOND,
+                self._answer,
+                exchange,
+                tree,
+                after,
+            )
+        else:
+            self._wait(exchange, tree, after, wait_ms)
+
+    def _wait(
+        self,
+        exchange: http_exchange.HttpExchange,
+        tree: str,
+        after: int,
+        wait_ms: int,
+    ) -> None:
+        watch = source_watch.SourceWatch(
+            exchange=exchange,
+            tree=tree,
+            after=after,
+        )
+        watch.timer = self._reactor.callLater(
             wait_ms / _MS_PER_SECOND,
             self._finish,
-            entry,
+            watch,
         )
-        request.notifyFinish().addBoth(self._forget, entry, timer)
-        return server.NOT_DONE_YET
-
-    def render_PUT(self, request: server.Request) -> bytes:  # noqa: N802
-        """Publish one value; an empty body deletes it."""
-        tree, key = request.path.decode().split('/')[2:]
-        self.revisions[tree] += 1
-        content = request.content.read().decode()
-        self.trees[tree][key] = (self.revisions[tree], content or None)
-        for entry in tuple(self._waiting):
-            if entry[1] == tree:
-                self._finish(entry)
-        return json.dumps({'revision': self.revisions[tree]}).encode()
-
-    def _answer(self, tree: str, after: int) -> bytes:
-        entries = [
-            {'key': key, 'revision': revision, 'value': content}
-            for key, (revision, content) in self.trees[tree].items()
-            if revision > after
-        ]
-        return json.dumps({
-            'revision': self.revisions[tree],
-            'entries': entries,
-        }).encode()
+        exchange.gone = functools.partial(self._forget, watch)
+        self._waiting.append(watch)
 
-    def _finish(self, entry: tuple[server.Request, str, int]) -> None:
-        if entry in self._waiting:
-            self._waiting.remove(entry)
-            request, tree, after = entry
-            request.write(self._answer(tree, after))
-            request.finish()
+    def _finish(self, watch: source_watch.SourceWatch) -> None:
+        self._forget(watch)
+        self._answer(watch.exchange, watch.tree, watch.after)
 
-    def _forget(
+    def _forget(self, watch: source_watch.SourceWatch) -> None:
+        if watch in self._waiting:
+            self._waiting.remove(watch)
+        if watch.timer is not None and watch.timer.active():
+            watch.timer.cancel()
+
+    def _answer(
         self,
-        result: object,
-        entry: tuple[server.Request, str, int],
-        timer: interfaces.IDelayedCall,
+        exchange: http_exchange.HttpExchange,
+        tree: str,
+        after: int,
     ) -> None:
-        if entry in self._waiting:
-            self._waiting.remove(entry)
-        if timer.active():
-            timer.cancel()
+        until = self._visible(tree)
+        content = {
+            'revision': until,
+            'entries': self._trees[tree].entries(after=after, until=until),
+        }
+        exchange.answer(json.dumps(content).encode())
+
+    def _visible(self, tree: str) -> int:
+        """Return the revision at which this call sees a tree."""
+        revision = self._trees[tree].revision
+        if self.counter.total % self.faults.stale_every:
+            return revision
+        return max(0, revision - self.faults.behind)
 
 
 def main() -> None:
     """Serve until the process ends."""
+    from twisted.internet import reactor  # noqa: PLC0415
+
     parser = argparse.ArgumentParser()
-    parser.add_argument('--port', type=int, required=True)
+    parser.add_argument('--port', type=int, default=0)
     found = parser.parse_args()
-    site = server.Site(Source())
-    site.noisy = False
-    reactor.listenTCP(found.port, site, interface='127.0.0.1')
-    reactor.run()
+    source = Source(reactor=reactor)
+    task.LoopingCall(source.count_pending).start(1, now=False)
+    serving.serve(reactor=reactor, port=found.port, handle=source.handle)
 
 
 if __name__ == '__main__':
--- /dev/null
+++ b/medlarquay/testing/tests/test_comparison.py
@@ -0,0 +1,72 @@
+"""Comparison of callers' and backend servers' records."""
+
+import pytest
+
+from medlarquay import testing
+
+
+def _told(*outcomes: str, key: str = 'k', foreign: bool = False):
+    return testing.ToldEntry(
+        request='1',
+        mix='approve',
+        key=key,
+        idempotent=False,
+        sent_at=0,
+        outcomes=list(outcomes),
+        foreign=foreign,
+    )
+
+
+def _run(state: str = 'completed'):
+    return testing.RunEntry(
+        request='1',
+        key='k',
+        target='/',
+        started_at=0,
+        state=state,
+    )
+
+
+@pytest.mark.parametrize(
+    ('told', 'ran', 'field'),
+    [
+        (_told('run'), [], 'told_run_not_run'),
+        (_told('run'), [_run('cancelled')], 'told_run_not_run'),
+        (_told('not-run'), [_run()], 'told_not_run_ran'),
+        (_told('not-run'), [_run('running')], 'told_not_run_ran'),
+        (_told('unknown', 'run'), [_run(), _run()], 'ran_twice'),
+        (_told('unknown'), [_run(), _run()], 'ran_twice'),
+        (_told('run', key=''), [_run(), _run()], 'ran_twice'),
+        (_told('none'), [_run()], 'unanswered'),
+        (_told(), [], 'unanswered'),
+        (_told('run', foreign=True), [_run()], 'foreign'),
+    ],
+)
+def test_each_difference_is_found(told, ran, field) -> None:
+    """Guards against a benchmark that passes although the records differ."""
+    found = testing.compare(told=[told], ran=ran)
+    assert getattr(found, field) == ['1']
+    assert found.differences == 1
+
+
+@pytest.mark.parametrize(
+    ('told', 'ran'),
+    [
+        (_told('run'), [_run()]),
+        (_told('run'), [_run('expired')]),
+        (_told('not-run'), []),
+        (_told('unknown'), []),
+        (_told('unknown'), [_run('running')]),
+        # An earlier unknown attempt outweighs a later proof of not run.
+        (_told('unknown', 'not-run'), [_run()]),
+    ],
+)
+def test_equal_records_have_no_difference(told, ran) -> None:
+    """Guards against a benchmark that reports faults that are none."""
+    assert not testing.compare(told=[told], ran=ran).differences
+
+
+def test_line_keeps_the_entry() -> None:
+    """Guards against a record that a kill makes unreadable."""
+    entry = _run('cancelled')
+    assert testing.RunEntry.from_line(entry.to_line()) == entry
--- /dev/null
+++ b/medlarquay/testing/tests/test_load.py
@@ -0,0 +1,26 @@
+"""Arrival times and keys of the caller double."""
+
+import random
+import uuid
+
+from medlarquay import keys
+from medlarquay.testing import load_mix, load_plan, make_key
+
+
+def _plan(seed: int) -> load_plan.LoadPlan:
+    mix = load_mix.LoadMix(name='a', nodes=['n'], host='h', rate=100)
+    return load_plan.LoadPlan(seed=seed, seconds=10, mixes=[mix])
+
+
+def test_arrivals_follow_the_seed() -> None:
+    """Guards against two runs of one seed that differ."""
+    assert _plan(1).arrivals() == _plan(1).arrivals()
+    assert _plan(1).arrivals() != _plan(2).arrivals()
+    assert 900 < len(_plan(1).arrivals()) < 1100
+
+
+def test_key_carries_its_creation_time() -> None:
+    """Guards against keys that an owner must refuse as of unknown age."""
+    key = make_key.make_key(unix_time=1700000000, source=random.Random(1))
+    assert uuid.UUID(key).version == 7
+    assert keys.parse_key(key).created_at == 1700000000
