--- /dev/null
+++ b/bench/cluster.py
@@ -0,0 +1,229 @@
+"""A source, nodes and backend servers as processes on loopback."""
+
+import json
+import pathlib
+import signal
+import socket
+import tempfile
+import time
+import types
+from collections.abc import Iterable
+from typing import Any, Self
+
+from bench import http_json, instance, managed_process
+from medlarquay import testing
+
+__all__ = ('Cluster', 'choose_ports')
+
+_PORTS = ('caller-port', 'peer-port', 'admin-port')
+_READY_S = 30
+_NODE = 'medlarquay.daemon.main'
+
+
+class Cluster:
+    """Processes of one test; ends exactly those it started, also on error.
+
+    Use as a context manager. Test doubles let the kernel choose their port;
+    a node needs its ports before it starts, so they are chosen by binding
+    port 0 and released just before the start.
+    """
+
+    def __init__(self) -> None:
+        self.instances: dict[str, instance.Instance] = {}
+        self.source_url = ''
+        self.node_source_url = ''
+        self._processes: list[managed_process.ManagedProcess] = []
+        self._directory = tempfile.TemporaryDirectory(prefix='medlarquay-')
+
+    def __enter__(self) -> Self:
+        """Start the source."""
+        # A terminated benchmark leaves through ``__exit__`` as well.
+        signal.signal(signal.SIGTERM, signal.default_int_handler)
+        try:
+            port = self.start('medlarquay.testing.source', 'source').port()
+        except BaseException:
+            self.stop()
+            raise
+        self.source_url = f'http://127.0.0.1:{port}'
+        self.node_source_url = self.source_url
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: types.TracebackType | None,
+    ) -> None:
+        """End all processes."""
+        self.stop()
+
+    def start(
+        self,
+        module: str,
+        name: str,
+        *arguments: str,
+    ) -> managed_process.ManagedProcess:
+        """Start one process."""
+        process = managed_process.ManagedProcess(
+            module=module,
+            arguments=list(arguments),
+            name=name,
+            directory=pathlib.Path(self._directory.name),
+        )
+        self._processes.append(process)
+        return process
+
+    def stop(self) -> None:
+        """End the processes by their ids, the latest first."""
+        for process in self._processes:
+            process.send(signal.SIGCONT)
+            process.send(signal.SIGTERM)
+        for process in reversed(self._processes):
+            process.stop()
+        self._directory.cleanup()
+
+    def add(
+        self,
+        added: Iterable[instance.Instance],
+        *,
+        backend: dict[str, Any] | None = None,
+        quiet: bool = False,
+    ) -> None:
+        """Start instances and publish them.
+
+        Parameters
+        ----------
+        added : iterable of Instance
+            Instances to start.
+        backend : dict
+            Fields of ``BackendSettings``; ``slots`` comes from the instance.
+        quiet : bool
+            Whether the backend servers print no record.
+        """
+        found = list(added)
+        for one in found:
+            one.ports = one.ports or choose_ports()
+            self.instances[one.name] = one
+            self.start_backend(one, backend or {}, quiet=quiet)
+        self.publish_instances()
+        for one in found:
+            self.start_node(one)
+
+    def start_node(self, one: instance.Instance) -> None:
+        """Start the node of an instance."""
+        one.node = self.start(
+            _NODE,
+            f'node-{one.name}',
+            *_node_arguments(one, self.node_source_url),
+        )
+
+    def publish_instances(self) -> None:
+        """Publish the instance list."""
+        entries = {
+            name: json.dumps(one.entry())
+            for name, one in self.instances.items()
+        }
+        http_json.ask(f'{self.source_url}/publish/instances', entries)
+
+    def publish_team(self, team: str, document: dict[str, Any]) -> None:
+        """Publish the document of a team."""
+        http_json.ask(f'{self.source_url}/publish/teams/{team}', document)
+
+    def wait_ready(self, hosts: Iterable[str]) -> None:
+        """Wait until each node answers for each host.
+
+        Raises
+        ------
+        RuntimeError
+            If a node ended or is not ready in time; with its log.
+        """
+        until = time.monotonic() + _READY_S
+        for one in self.instances.values():
+            for host in hosts:
+                url = f'http://{one.caller_address}/-ready'
+                while http_json.status_of(url, host=host) != 200:
+                    _check_alive(one, until)
+                    time.sleep(0.05)
+
+    def start_caller(self, name: str = 'caller') -> str:
+        """Start a caller; return its address."""
+        process = self.start('medlarquay.testing.caller', name)
+        return f'http://127.0.0.1:{process.port()}'
+
+    def runs(self) -> list[testing.RunEntry]:
+        """Return what all backend servers recorded, dead ones included."""
+        entries: list[testing.RunEntry] = []
+        for one in self.instances.values():
+            if one.backend is not None:
+                entries.extend(_runs_of(one.backend))
+        return entries
+
+    def start_backend(
+        self,
+        one: instance.Instance,
+        settings: dict[str, Any],
+        *,
+        quiet: bool = False,
+    ) -> None:
+        """Start the backend server of an instance, on its port if it has one."""
+        arguments = [
+            f'--name={one.name}',
+            f'--via={one.caller_address}',
+            f'--settings={json.dumps({"slots": one.slots, **settings})}',
+        ]
+        if quiet:
+            arguments.append('--quiet')
+        if one.backend_port:
+            arguments.append(f'--port={one.backend_port}')
+        one.backend = self.start(
+            'medlarquay.testing.backend_server',
+            f'backend-{one.name}-{len(self._processes)}',
+            *arguments,
+        )
+        one.backend_port = one.backend.port()
+
+
+def _node_arguments(one: instance.Instance, source_url: str) -> list[str]:
+    ports = [f'--{flag}={port}' for flag, port in one.ports.items()]
+    return [
+        f'--instance={one.name}',
+        f'--region={one.region}',
+        f'--data-centre={one.data_centre}',
+        '--host=127.0.0.1',
+        f'--source-url={source_url}',
+        '--backend-host=127.0.0.1',
+        f'--backend-port={one.backend_port}',
+        *ports,
+    ]
+
+
+def _check_alive(one: instance.Instance, until: float) -> None:
+    node = one.node
+    if node is None or (node.running and time.monotonic() < until):
+        return
+    raise RuntimeError(
+        f'node {one.name} is not ready: {node.errors.read_text()[-2000:]}',
+    )
+
+
+def choose_ports() -> dict[str, int]:
+    """Return ports of a node that the kernel chose."""
+    sockets = [socket.socket() for _ in _PORTS]
+    for unused in sockets:
+        unused.bind(('127.0.0.1', 0))
+    ports = [bound.getsockname()[1] for bound in sockets]
+    for bound_socket in sockets:
+        bound_socket.close()
+    return dict(zip(_PORTS, ports, strict=True))
+
+
+def _runs_of(
+    process: managed_process.ManagedProcess,
+) -> list[testing.RunEntry]:
+    """Return the runs of one backend server, the last line of each run."""
+    runs: dict[tuple[str, float], testing.RunEntry] = {}
+    for line in process.lines():
+        if line.startswith('['):
+            entry = testing.RunEntry.from_line(line)
+            runs[entry.request, entry.started_at] = entry
+    return list(runs.values())
