--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -3,19 +3,18 @@
 import json
 import pathlib
 import signal
-import socket
 import tempfile
 import time
 import types
 from collections.abc import Iterable
 from typing import Any, Self
 
-from bench import http_json, instance, managed_process
+from bench import http_json, instance, managed_process, port_reservation
 from medlarquay import testing
 
-__all__ = ('Cluster', 'choose_ports')
+__all__ = ('PORT_FLAGS', 'Cluster', 'wait_backend')
 
-_PORTS = ('caller-port', 'peer-port', 'admin-port')
+PORT_FLAGS = ('caller-port', 'peer-port', 'admin-port')
 _READY_S = 30
 _NODE = 'medlarquay.daemon.main'
 
@@ -24,12 +23,12 @@
     """Processes of one test; ends exactly those it started, also on error.
 
     Use as a context manager. Test doubles let the kernel choose their port;
-    a node needs its ports before it starts, so they are chosen by binding
-    port 0 and released just before the start.
+    the ports of nodes are reserved.
     """
 
     def __init__(self) -> None:
         self.instances: dict[str, instance.Instance] = {}
+        self.ports = port_reservation.PortReservation()
         self.source_url = ''
         self.node_source_url = ''
         self._processes: list[managed_process.ManagedProcess] = []
@@ -80,6 +79,7 @@
             process.send(signal.SIGTERM)
         for process in reversed(self._processes):
             process.stop()
+        self.ports.release()
         self._directory.cleanup()
 
     def add(
@@ -102,9 +102,12 @@
         """
         found = list(added)
         for one in found:
-            one.ports = one.ports or choose_ports()
+            for flag in PORT_FLAGS:
+                one.ports.setdefault(flag, self.ports.take())
             self.instances[one.name] = one
             self.start_backend(one, backend or {}, quiet=quiet)
+        for started in found:
+            wait_backend(started)
         self.publish_instances()
         for one in found:
             self.start_node(one)
@@ -125,6 +128,12 @@
         }
         http_json.ask(f'{self.source_url}/publish/instances', entries)
 
+    def leave(self, name: str) -> None:
+        """Publish that an instance is leaving."""
+        entry = self.instances[name].entry(state='leaving')
+        url = f'{self.source_url}/publish/instances/{name}'
+        http_json.ask(url, entry)
+
     def publish_team(self, team: str, document: dict[str, Any]) -> None:
         """Publish the document of a team."""
         http_json.ask(f'{self.source_url}/publish/teams/{team}', document)
@@ -165,7 +174,10 @@
         *,
         quiet: bool = False,
     ) -> None:
-        """Start the backend server of an instance, on its port if it has one."""
+        """Start the backend server of an instance, on its port if it has one.
+
+        It starts while others do; ``wait_backend`` waits for its port.
+        """
         arguments = [
             f'--name={one.name}',
             f'--via={one.caller_address}',
@@ -180,7 +192,6 @@
             f'backend-{one.name}-{len(self._processes)}',
             *arguments,
         )
-        one.backend_port = one.backend.port()
 
 
 def _node_arguments(one: instance.Instance, source_url: str) -> list[str]:
@@ -206,15 +217,10 @@
     )
 
 
-def choose_ports() -> dict[str, int]:
-    """Return ports of a node that the kernel chose."""
-    sockets = [socket.socket() for _ in _PORTS]
-    for unused in sockets:
-        unused.bind(('127.0.0.1', 0))
-    ports = [bound.getsockname()[1] for bound in sockets]
-    for bound_socket in sockets:
-        bound_socket.close()
-    return dict(zip(_PORTS, ports, strict=True))
+def wait_backend(one: instance.Instance) -> None:
+    """Wait until the backend server of an instance listens."""
+    if one.backend is not None:
+        one.backend_port = one.backend.port()
 
 
 def _runs_of(
--- a/bench/relayed_cluster.py
+++ b/bench/relayed_cluster.py
@@ -32,7 +32,7 @@
         """Start instances behind the relay and publish them."""
         found = list(added)
         for unstarted in found:
-            unstarted.ports = cluster.choose_ports()
+            unstarted.ports['peer-port'] = self.ports.take()
         self._source_port = int(self.source_url.rpartition(':')[2])
         targets = [entry.ports['peer-port'] for entry in found]
         ports = self._start_relay([self._source_port, *targets])
--- /dev/null
+++ b/bench/retry_chain.py
@@ -0,0 +1,101 @@
+"""Retries over a chain of five hops of which the last one fails."""
+
+from bench import cluster, http_json, instance, load_runner, plain_cluster
+from medlarquay import testing
+
+__all__ = ('measure',)
+
+_TEAM = 'chain'
+_HOPS = ('one', 'two', 'three', 'four', 'five')
+_LAST = _HOPS[-1]
+_SECONDS = 5
+_RATE = 25
+# The plain policy makes 1,024 attempts at the last hop for each request.
+_PLAIN_RATE = 0.5
+
+
+def measure(running: cluster.Cluster) -> float:
+    """Return attempts at the last hop for each request that reaches it."""
+    plain = isinstance(running, plain_cluster.PlainCluster)
+    with running:
+        running.publish_team(_TEAM, _document())
+        running.add(_instances(), quiet=True)
+        running.wait_ready([f'{name}.{_TEAM}' for name in _HOPS])
+        _fail_last(running)
+        before = _received(running)
+        caller = running.start_caller()
+        plan = _plan(running, _PLAIN_RATE if plain else _RATE)
+        told = load_runner.run_load(caller, plan)
+        attempts = _received(running) - before
+    return attempts / len(told)
+
+
+def _fail_last(running: cluster.Cluster) -> None:
+    for address in _last_addresses(running):
+        http_json.ask(f'http://{address}/-/settings', {'failing': True})
+
+
+def _received(running: cluster.Cluster) -> int:
+    return sum(
+        http_json.ask(f'http://{address}/-/counts').get('received', 0)
+        for address in _last_addresses(running)
+    )
+
+
+def _last_addresses(running: cluster.Cluster) -> list[str]:
+    return [
+        one.backend_address
+        for one in running.instances.values()
+        if one.service == _LAST
+    ]
+
+
+def _plan(running: cluster.Cluster, rate: float) -> testing.LoadPlan:
+    first = running.instances[f'{_HOPS[0]}-0']
+    return testing.LoadPlan(
+        seed=3,
+        seconds=_SECONDS,
+        mixes=[
+            testing.LoadMix(
+                name='chain',
+                nodes=[first.caller_address],
+                host=f'{_HOPS[0]}.{_TEAM}',
+                rate=rate,
+                method='POST',
+                path='/chain',
+                deadline_ms=5000,
+                chain=','.join(f'{name}.{_TEAM}' for name in _HOPS[1:]),
+            ),
+        ],
+    )
+
+
+def _document() -> dict[str, object]:
+    return {
+        'services': {name: {} for name in _HOPS},
+        'routes': [
+            {
+                'host': f'{name}.{_TEAM}',
+                'service': name,
+                'timeout_ms': 5000,
+            }
+            for name in _HOPS
+        ],
+    }
+
+
+def _instances() -> list[instance.Instance]:
+    """Return one instance a hop, and two of the last for a retry."""
+    names = [f'{name}-0' for name in _HOPS]
+    names.append(f'{_LAST}-1')
+    return [
+        instance.Instance(
+            name=name,
+            team=_TEAM,
+            service=name.partition('-')[0],
+            region='erie',
+            data_centre='erie-1',
+            slots=6,
+        )
+        for name in names
+    ]
--- a/medlarquay/testing/caller.py
+++ b/medlarquay/testing/caller.py
@@ -27,6 +27,7 @@
 _GRACE_S = 3
 _RESEND_DELAY_S = 0.2
 _OUTCOME = 'medlarquay-outcome'
+_SERVER_ERROR = 500
 
 
 class Caller:
@@ -158,9 +159,15 @@
         return 'none'
     if not answer.status:
         return 'unknown'
+    stated = answer.headers.get(_OUTCOME)
+    return _outcome_without_node(answer) if stated is None else stated
+
+
+def _outcome_without_node(answer: client_answer.ClientAnswer) -> str:
+    """Return what an answer of a backend server or plain proxy tells."""
     if 'medlarquay-shed' in answer.headers:
-        return answer.headers.get(_OUTCOME, 'not-run')
-    return answer.headers.get(_OUTCOME, 'run')
+        return 'not-run'
+    return 'unknown' if answer.status >= _SERVER_ERROR else 'run'
 
 
 def main() -> None:
