Add admission decisions and their replay

The owner sent every request at once, so bulk work filled the slots and urgent work waited behind it. Admission now has slots with a cold-start ramp and a reduction after shed answers, a bounded queue for each rank, floors measured by a decayed share of slot time, and a reserve against long work.

--- /dev/null
+++ b/medlarquay/admission/__init__.py
@@ -0,0 +1,38 @@
+"""Admission: slots, ranks, queues and deadlines of one backend server."""
+
+from medlarquay.admission.admission import Admission
+from medlarquay.admission.decide import Decision, decide
+from medlarquay.admission.inputs import (
+    Arrived,
+    BackendStarted,
+    Cancelled,
+    ClockChecked,
+    Finished,
+    LimitsChanged,
+    QueuesEmptied,
+    WasShed,
+)
+from medlarquay.admission.limits import Limits
+from medlarquay.admission.load import load_of
+from medlarquay.admission.next_check import next_check
+from medlarquay.admission.refuse import Refuse
+from medlarquay.admission.start import Start
+
+__all__ = (
+    'Admission',
+    'Arrived',
+    'BackendStarted',
+    'Cancelled',
+    'ClockChecked',
+    'Decision',
+    'Finished',
+    'Limits',
+    'LimitsChanged',
+    'QueuesEmptied',
+    'Refuse',
+    'Start',
+    'WasShed',
+    'decide',
+    'load_of',
+    'next_check',
+)
--- /dev/null
+++ b/medlarquay/admission/expected_wait.py
@@ -0,0 +1,38 @@
+"""Expected wait in a queue."""
+
+from medlarquay import states
+from medlarquay.admission import admission
+
+__all__ = ('expected_wait',)
+
+# Keeps the divisions defined for a floor of 0 and for a full share.
+_SMALLEST_SHARE = 0.01
+
+
+def expected_wait(
+    state: admission.Admission,
+    rank: states.Rank,
+    now: float,
+) -> float:
+    """Return the expected wait of a new request of a rank, in seconds.
+
+    Notes
+    -----
+    A rank is served in one of two ways: in its turn, behind the queued work
+    of more urgent ranks and with the slots that these leave, or by its floor,
+    behind its own queue only. The shorter wait counts.
+    """
+    slots = state.limit.usable(now)
+    own = len(state.queues[rank]) * state.times.expected(rank)
+    ahead = own
+    taken: float = 0
+    for other in states.Rank:
+        if other is rank:
+            break
+        ahead += len(state.queues[other]) * state.times.expected(other)
+        taken += state.shares.held(other)
+    left = max(slots - taken, _SMALLEST_SHARE * slots)
+    floor = max(state.bounds.floors.get(rank, 0), _SMALLEST_SHARE)
+    in_turn = ahead / left
+    by_floor = own / (floor * slots)
+    return min(in_turn, by_floor) + state.times.overall / slots
--- /dev/null
+++ b/medlarquay/admission/inputs/finished.py
@@ -0,0 +1,20 @@
+"""The backend server answered a request."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('Finished',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Finished:
+    """The backend server answered a request.
+
+    Attributes
+    ----------
+    exchange : ExchangeId
+        Number of the exchange at the owner.
+    """
+
+    exchange: ids.ExchangeId
--- /dev/null
+++ b/medlarquay/admission/inputs/was_shed.py
@@ -0,0 +1,20 @@
+"""The backend server refused a request because of its load."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('WasShed',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WasShed:
+    """The backend server refused a request because of its load.
+
+    Attributes
+    ----------
+    exchange : ExchangeId
+        Number of the exchange at the owner.
+    """
+
+    exchange: ids.ExchangeId
--- /dev/null
+++ b/medlarquay/admission/limits.py
@@ -0,0 +1,30 @@
+"""What the operators set for one backend server."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from medlarquay import states
+
+__all__ = ('Limits',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Limits:
+    """What the operators set for one backend server.
+
+    Attributes
+    ----------
+    slots : int
+        Requests that the backend server runs at once.
+    floors : Mapping[Rank, float]
+        Floor share of slot time for each rank, 0 to 1.
+    queue_limit : int
+        Most queued requests for each rank.
+    cold_start : float
+        Seconds over which slots are ramped up after a start.
+    """
+
+    slots: int
+    floors: Mapping[states.Rank, float]
+    queue_limit: int
+    cold_start: float = 0
--- /dev/null
+++ b/medlarquay/admission/load.py
@@ -0,0 +1,16 @@
+"""Load of one backend server."""
+
+from medlarquay import messages
+from medlarquay.admission import admission
+
+__all__ = ('load_of',)
+
+
+def load_of(state: admission.Admission, now: float) -> messages.LoadState:
+    """Return the load that is carried on each result."""
+    return messages.LoadState(
+        slots=state.limit.usable(now),
+        running=len(state.running),
+        queued=len(state.queued_ranks),
+        service_time=state.times.overall,
+    )
--- /dev/null
+++ b/medlarquay/admission/running_work.py
@@ -0,0 +1,23 @@
+"""A request that holds a slot."""
+
+import dataclasses
+
+from medlarquay import states
+
+__all__ = ('RunningWork',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class RunningWork:
+    """A request that holds a slot.
+
+    Attributes
+    ----------
+    rank : Rank
+        Priority class.
+    started_at : float
+        Seconds on the monotonic clock.
+    """
+
+    rank: states.Rank
+    started_at: float
--- /dev/null
+++ b/medlarquay/admission/tests/test_decide.py
@@ -0,0 +1,165 @@
+"""Decisions of admission, one event at a time."""
+
+from types import MappingProxyType
+
+import pytest
+
+from medlarquay import admission, ids, states
+
+_REASON = states.RefusalReason
+_FLOORS = MappingProxyType(dict.fromkeys(states.Rank, 0.2))
+
+
+def _state(*, slots: int = 1, cold_start: float = 0) -> admission.Admission:
+    return admission.Admission(
+        bounds=admission.Limits(
+            slots=slots,
+            floors=_FLOORS,
+            queue_limit=2,
+            cold_start=cold_start,
+        ),
+    )
+
+
+def _arrive(
+    state: admission.Admission,
+    number: int,
+    *,
+    now: float = 0,
+    deadline: float = 10,
+    rank: states.Rank = states.Rank.NORMAL,
+) -> admission.Decision:
+    event = admission.Arrived(
+        exchange=ids.ExchangeId(number),
+        rank=rank,
+        deadline=deadline,
+    )
+    return admission.decide(event, state, now)
+
+
+def _start(number: int) -> admission.Start:
+    return admission.Start(exchange=ids.ExchangeId(number))
+
+
+def _refuse(number: int, reason: states.RefusalReason) -> admission.Refuse:
+    return admission.Refuse(exchange=ids.ExchangeId(number), reason=reason)
+
+
+def _finish(
+    state: admission.Admission,
+    number: int,
+    now: float,
+) -> admission.Decision:
+    event = admission.Finished(exchange=ids.ExchangeId(number))
+    return admission.decide(event, state, now)
+
+
+def test_deadline_is_checked_on_arrival_and_on_leaving_the_queue() -> None:
+    """Guards against sending work that nobody waits for."""
+    state = _state()
+    assert _arrive(state, 1, now=5, deadline=5) == (
+        _refuse(1, _REASON.DEADLINE_PASSED),
+    )
+    assert _arrive(state, 2) == (_start(2),)
+    assert not _arrive(state, 3, deadline=3)
+    assert not _arrive(state, 4, deadline=9)
+    assert _finish(state, 2, 4) == (
+        _refuse(3, _REASON.DEADLINE_PASSED),
+        _start(4),
+    )
+
+
+def test_pause_drops_queued_work_before_it_starts() -> None:
+    """Guards against stale work sent by a process that was paused."""
+    state = _state()
+    _arrive(state, 1, deadline=100)
+    _arrive(state, 2, deadline=3)
+    _arrive(state, 3, deadline=190)
+    assert admission.next_check(state, 0) == 3
+    assert admission.decide(admission.ClockChecked(), state, 60) == (
+        _refuse(2, _REASON.DEADLINE_PASSED),
+    )
+    assert _finish(state, 1, 60) == (_start(3),)
+
+
+def test_unreachable_deadline_is_refused_at_once() -> None:
+    """Guards against a caller that waits in vain for a late refusal."""
+    state = _state()
+    _arrive(state, 1)
+    _finish(state, 1, 2)
+    _arrive(state, 2, now=2)
+    assert _arrive(state, 3, now=2, deadline=4.5) == (
+        _refuse(3, _REASON.DEADLINE_UNREACHABLE),
+    )
+
+
+def test_outdated_service_time_is_corrected() -> None:
+    """Guards against refusing everything for ever after one slow answer."""
+    state = _state()
+    _arrive(state, 1, deadline=100)
+    _finish(state, 1, 50)
+    for number in range(2, 2000):
+        decision = _arrive(state, number, now=50, deadline=51)
+        if decision == (_start(number),):
+            return
+    pytest.fail('no request was admitted')
+
+
+def test_queue_is_bounded_for_each_rank() -> None:
+    """Guards against memory use and useless waits in an overload."""
+    state = _state()
+    for number in (1, 2, 3):
+        _arrive(state, number)
+    assert _arrive(state, 4) == (_refuse(4, _REASON.QUEUE_FULL),)
+    assert not _arrive(state, 5, rank=states.Rank.URGENT)
+
+
+def test_shed_answer_reduces_slots_for_a_time() -> None:
+    """Guards against overrunning a backend server that sheds."""
+    state = _state(slots=4)
+    for number in (1, 2, 3, 4):
+        _arrive(state, number)
+    shed = admission.WasShed(exchange=ids.ExchangeId(1))
+    admission.decide(shed, state, 1)
+    assert not _arrive(state, 5, now=1)
+    assert admission.load_of(state, 1).slots == 3
+    assert admission.decide(admission.ClockChecked(), state, 1.5) == (
+        _start(5),
+    )
+
+
+def test_cold_start_ramps_slots() -> None:
+    """Guards against a full load on a backend server that has just started."""
+    state = _state(slots=4, cold_start=4)
+    admission.decide(admission.BackendStarted(), state, 10)
+    assert admission.load_of(state, 10).slots == 1
+    assert admission.load_of(state, 12).slots == 2
+    assert admission.load_of(state, 14).slots == 4
+
+
+def test_cancel_frees_a_slot_or_a_place() -> None:
+    """Guards against slots leaked by callers that have gone."""
+    state = _state()
+    for number in (1, 2, 3):
+        _arrive(state, number)
+    queued = admission.Cancelled(exchange=ids.ExchangeId(2))
+    running = admission.Cancelled(exchange=ids.ExchangeId(1))
+    assert not admission.decide(queued, state, 1)
+    assert admission.decide(running, state, 1) == (_start(3),)
+
+
+def test_long_work_leaves_a_slot_to_urgent_work() -> None:
+    """Guards against urgent work that waits for the end of long work."""
+    state = _state(slots=6)
+    urgent = states.Rank.URGENT
+    bulk = states.Rank.BULK
+    _arrive(state, 1, deadline=100, rank=bulk)
+    _finish(state, 1, 4)
+    for number in range(2, 100):
+        _arrive(state, number, now=number + 3, deadline=999, rank=urgent)
+        _finish(state, number, number + 3.9)
+    now = 103
+    for number in range(100, 108):
+        _arrive(state, number, now=now, deadline=999, rank=bulk)
+    assert admission.load_of(state, now).running == 6 - 1
+    assert _arrive(state, 200, now=now, deadline=999, rank=urgent)
--- /dev/null
+++ b/medlarquay/testing/replay/apply.py
@@ -0,0 +1,60 @@
+"""Application of admission events to the policy under replay."""
+
+import functools
+import math
+
+from medlarquay import admission
+from medlarquay.testing.replay import fifo
+
+__all__ = ('apply', 'check_due')
+
+
+@functools.singledispatch
+def apply(policy: object, event: object, now: float) -> admission.Decision:
+    """Give a policy an admission event."""
+    raise TypeError(f'unexpected policy {type(policy).__name__}')
+
+
+@apply.register
+def _apply_admission(
+    policy: admission.Admission,
+    event: object,
+    now: float,
+) -> admission.Decision:
+    return admission.decide(event, policy, now)
+
+
+@apply.register
+def _apply_fifo(
+    policy: fifo.Fifo,
+    event: object,
+    now: float,
+) -> admission.Decision:
+    if isinstance(event, admission.Arrived):
+        return policy.arrive(event.exchange)
+    if isinstance(event, admission.Finished):
+        return policy.finish()
+    return ()
+
+
+@functools.singledispatch
+def check_due(policy: object, now: float) -> float:
+    """Return when the policy wants its deadlines checked.
+
+    Returns
+    -------
+    float
+        Seconds from the start; infinity when no check is needed.
+    """
+    raise TypeError(f'unexpected policy {type(policy).__name__}')
+
+
+@check_due.register
+def _check_fifo(policy: fifo.Fifo, now: float) -> float:
+    return math.inf
+
+
+@check_due.register
+def _check_admission(policy: admission.Admission, now: float) -> float:
+    due = admission.next_check(policy, now)
+    return math.inf if due is None else due
--- /dev/null
+++ b/medlarquay/testing/replay/replay_request.py
@@ -0,0 +1,27 @@
+"""One request of a replay."""
+
+import dataclasses
+
+from medlarquay import states
+
+__all__ = ('ReplayRequest',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplayRequest:
+    """One request of a replay.
+
+    Attributes
+    ----------
+    arrives_at, deadline : float
+        Seconds from the start of the replay.
+    rank : Rank
+        Priority class.
+    service : float
+        Seconds that the request holds a slot.
+    """
+
+    arrives_at: float
+    deadline: float
+    rank: states.Rank
+    service: float
--- /dev/null
+++ b/medlarquay/testing/replay/replay_result.py
@@ -0,0 +1,35 @@
+"""What became of one request of a replay."""
+
+import dataclasses
+
+from medlarquay import states
+from medlarquay.testing.replay import replay_request
+
+__all__ = ('ReplayResult',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReplayResult:
+    """What became of one request of a replay.
+
+    Attributes
+    ----------
+    request : ReplayRequest
+        Request.
+    finished_at : float or None
+        Seconds from the start; None when it was refused.
+    reason : RefusalReason or None
+        Why it was refused.
+    """
+
+    request: replay_request.ReplayRequest
+    finished_at: float | None
+    reason: states.RefusalReason | None = None
+
+    @property
+    def in_time(self) -> bool:
+        """Whether the request finished within its deadline."""
+        return (
+            self.finished_at is not None
+            and self.finished_at <= self.request.deadline
+        )
