Add the idempotency ledger

A request that was resent after a hang ran twice, because no process knew of the first attempt. The ledger at the home of a key keeps running and ended keys, checks that no earlier home can have run a plain key, and is bounded.

--- /dev/null
+++ b/medlarquay/ledger/__init__.py
@@ -0,0 +1,40 @@
+"""Idempotency ledger of one backend server."""
+
+from medlarquay.ledger.decide import Decision, decide
+from medlarquay.ledger.inputs import (
+    Answered,
+    EndpointsReplaced,
+    OutcomeLost,
+    PauseNoticed,
+    Presented,
+    Withdrawn,
+)
+from medlarquay.ledger.ledger import Ledger
+from medlarquay.ledger.recorded_answer import RecordedAnswer
+from medlarquay.ledger.results import (
+    Proceed,
+    Refuse,
+    Replay,
+    ReportDropped,
+    ReportUnknown,
+    Wait,
+)
+
+__all__ = (
+    'Answered',
+    'Decision',
+    'EndpointsReplaced',
+    'Ledger',
+    'OutcomeLost',
+    'PauseNoticed',
+    'Presented',
+    'Proceed',
+    'RecordedAnswer',
+    'Refuse',
+    'Replay',
+    'ReportDropped',
+    'ReportUnknown',
+    'Wait',
+    'Withdrawn',
+    'decide',
+)
--- /dev/null
+++ b/medlarquay/ledger/inputs/withdrawn.py
@@ -0,0 +1,20 @@
+"""The request of a key was not sent, or its run was refused."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('Withdrawn',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Withdrawn:
+    """The request of a key was not sent, or its run was refused.
+
+    Attributes
+    ----------
+    key : RequestKey
+        Key; it is free again.
+    """
+
+    key: ids.RequestKey
--- /dev/null
+++ b/medlarquay/ledger/ledger.py
@@ -0,0 +1,47 @@
+"""Keys that the home remembers."""
+
+import collections
+
+from medlarquay import ids
+from medlarquay.ledger import home_history, running_entry, settled_entry
+
+__all__ = ('Ledger',)
+
+
+class Ledger:
+    """Keys that the home remembers.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Instance of this node.
+    incarnation : Incarnation
+        This run of the node.
+
+    Notes
+    -----
+    Only ``decide`` changes the state. Settled entries are in order of their
+    deadlines because each is appended with the same retention.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: ids.InstanceId,
+        incarnation: ids.Incarnation,
+    ) -> None:
+        self.instance = instance
+        self.incarnation = incarnation
+        self.history = home_history.HomeHistory(instance=instance)
+        self.confirmed_at: float | None = None
+        self.paused = False
+        self.running: dict[ids.RequestKey, running_entry.RunningEntry] = {}
+        self.settled: collections.OrderedDict[
+            ids.RequestKey, settled_entry.SettledEntry
+        ] = collections.OrderedDict()
+        self.answer_bytes = 0
+
+    @property
+    def size(self) -> int:
+        """Number of entries."""
+        return len(self.running) + len(self.settled)
--- /dev/null
+++ b/medlarquay/ledger/results/replay.py
@@ -0,0 +1,20 @@
+"""Answer with the recorded answer."""
+
+import dataclasses
+
+from medlarquay.ledger import recorded_answer
+
+__all__ = ('Replay',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Replay:
+    """Answer with the recorded answer.
+
+    Attributes
+    ----------
+    answer : RecordedAnswer
+        Answer of the earlier attempt.
+    """
+
+    answer: recorded_answer.RecordedAnswer
--- /dev/null
+++ b/medlarquay/ledger/results/report_dropped.py
@@ -0,0 +1,10 @@
+"""The request has run, but its answer was not kept."""
+
+import dataclasses
+
+__all__ = ('ReportDropped',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ReportDropped:
+    """The request has run, but its answer was not kept."""
