Add crash suspects and quarantine

A request that crashes its backend server took down one server after another while its caller resent it.

--- a/medlarquay/ledger/tests/test_at_most_once.py
+++ b/medlarquay/ledger/tests/test_at_most_once.py
@@ -143,7 +143,7 @@
             )
         self._decide(event, attempt.node)
 
-    @stateful.rule(seconds=st.sampled_from([1, 3, 6, 8, 30, 300]))
+    @stateful.rule(seconds=st.sampled_from([1, 1, 3, 3, 6, 8, 30, 300]))
     def wait(self, seconds: float) -> None:
         """Let time pass; reachable nodes follow the list with their lag."""
         until = self.now + seconds
@@ -159,6 +159,20 @@
         listed = self.changes[-1][1] ^ {node}
         self.changes.append((self.now, listed))
 
+    @stateful.rule(key=made)
+    def move_home(self, key: ids.RequestKey) -> None:
+        """Remove the home of a key from the list."""
+        listed = self.changes[-1][1]
+        home = keys.home_of(key, listed)
+        if home is not None:
+            self.changes.append((self.now, listed - {home}))
+
+    @stateful.rule(key=made)
+    def resend(self, key: ids.RequestKey) -> None:
+        """Send a key through every ingress."""
+        for ingress in _NODES:
+            self.send(key=key, ingress=ingress, begin=True)
+
     @stateful.rule(node=_nodes)
     def restart(self, node: ids.InstanceId) -> None:
         """Replace a node; it has a new incarnation and no memory."""
--- a/medlarquay/ledger/tests/test_decide.py
+++ b/medlarquay/ledger/tests/test_decide.py
@@ -179,3 +179,25 @@
     _settle(book, ledger.EndpointsReplaced(instances=other))
     not_home = ledger.Refuse(reason=_REASON.NOT_HOME)
     assert _present(book, _timed(1)) == not_home
+
+
+def test_gap_in_freshness_breaks_the_history() -> None:
+    """Guards against a home that came and went during a partition."""
+    book = _book()
+    _follow(book, 30)
+    _confirm(book, 100)
+    _confirm(book, 104)
+    _confirm(book, 108)
+    unknown = ledger.Refuse(reason=_REASON.KEY_HISTORY_UNKNOWN)
+    assert _present(book, _timed(50), now=108) == unknown
+    assert _present(book, _timed(107.5), now=109) == ledger.Proceed()
+
+
+def test_home_listed_for_a_moment_runs_nothing() -> None:
+    """Guards against a home that no other node has noticed."""
+    book = _book(confirmed_at=1)
+    _confirm(book, 4)
+    unknown = ledger.Refuse(reason=_REASON.KEY_HISTORY_UNKNOWN)
+    assert _present(book, _timed(8.5), now=8.8) == unknown
+    _confirm(book, 7)
+    assert _present(book, _timed(8.5), now=8.8) == ledger.Proceed()
--- /dev/null
+++ b/medlarquay/quarantine/__init__.py
@@ -0,0 +1,30 @@
+"""Crash suspects and quarantine of requests."""
+
+from medlarquay.quarantine.announce import Announce
+from medlarquay.quarantine.decide import Decision, decide
+from medlarquay.quarantine.fingerprint import fingerprint_of
+from medlarquay.quarantine.hold import Hold
+from medlarquay.quarantine.inputs import (
+    BackendCrashed,
+    Completed,
+    StartAsked,
+    Stopped,
+)
+from medlarquay.quarantine.permit import Permit
+from medlarquay.quarantine.quarantine import Quarantine
+from medlarquay.quarantine.refuse import Refuse
+
+__all__ = (
+    'Announce',
+    'BackendCrashed',
+    'Completed',
+    'Decision',
+    'Hold',
+    'Permit',
+    'Quarantine',
+    'Refuse',
+    'StartAsked',
+    'Stopped',
+    'decide',
+    'fingerprint_of',
+)
--- /dev/null
+++ b/medlarquay/quarantine/blame.py
@@ -0,0 +1,32 @@
+"""Which suspect is to blame for crashes."""
+
+from medlarquay import ids
+from medlarquay.quarantine import quarantine
+
+__all__ = ('is_blamed',)
+
+_CRASHES_TO_BLAME = 2
+
+
+def is_blamed(
+    state: quarantine.Quarantine,
+    fingerprint: ids.Fingerprint,
+) -> bool:
+    """Return whether a fingerprint is quarantined.
+
+    Notes
+    -----
+    When reports are late, two suspects can be in flight together at two
+    crashes. Both stay suspects then, so that an unrelated request is not
+    refused; they no longer run together, so the next crash tells them apart.
+    """
+    own = state.suspects.get(fingerprint)
+    if own is None or len(own.crashes) < _CRASHES_TO_BLAME:
+        return False
+    if own.alone:
+        return True
+    return not any(
+        len(other.crashes & own.crashes) >= _CRASHES_TO_BLAME
+        for known, other in state.suspects.items()
+        if known != fingerprint
+    )
--- /dev/null
+++ b/medlarquay/quarantine/fingerprint.py
@@ -0,0 +1,25 @@
+"""Fingerprint of a request."""
+
+import hashlib
+
+from medlarquay import ids, messages
+
+__all__ = ('fingerprint_of',)
+
+_DIGEST_BYTES = 16
+
+
+def fingerprint_of(request: messages.CallRequest) -> ids.Fingerprint:
+    """Return the digest of service, method, path and body."""
+    head = b'%b\n%b\n%b\n%b\n' % (
+        request.team.encode(),
+        request.service.encode(),
+        request.method,
+        request.target,
+    )
+    return ids.Fingerprint(
+        hashlib.blake2b(
+            head + request.body,
+            digest_size=_DIGEST_BYTES,
+        ).digest(),
+    )
--- /dev/null
+++ b/medlarquay/quarantine/inputs/__init__.py
@@ -0,0 +1,8 @@
+"""Events that the quarantine decides on."""
+
+from medlarquay.quarantine.inputs.backend_crashed import BackendCrashed
+from medlarquay.quarantine.inputs.completed import Completed
+from medlarquay.quarantine.inputs.start_asked import StartAsked
+from medlarquay.quarantine.inputs.stopped import Stopped
+
+__all__ = ('BackendCrashed', 'Completed', 'StartAsked', 'Stopped')
--- /dev/null
+++ b/medlarquay/quarantine/inputs/backend_crashed.py
@@ -0,0 +1,24 @@
+"""The backend server crashed with requests in flight."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from medlarquay import ids
+
+__all__ = ('BackendCrashed',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendCrashed:
+    """The backend server crashed with requests in flight.
+
+    Attributes
+    ----------
+    crash : str
+        Identifies the crash in the fleet.
+    in_flight : Mapping[ExchangeId, Fingerprint]
+        Requests in flight.
+    """
+
+    crash: str
+    in_flight: Mapping[ids.ExchangeId, ids.Fingerprint]
--- /dev/null
+++ b/medlarquay/quarantine/tests/fleet.py
@@ -0,0 +1,138 @@
+"""Discrete-time fleet that runs a trace with one poison request."""
+
+import dataclasses
+import heapq
+import typing
+
+from medlarquay import ids, quarantine
+
+_SERVICE = ids.ServiceName('ordertake')
+_POISON = ids.Fingerprint(b'poison')
+_CRASHES_AFTER_S = 0.05
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class _Event:
+    kind: str
+    node: int
+    subject: object
+
+
+class Fleet:
+    """Owners that each run requests, crash on the poison and restart."""
+
+    def __init__(self, trace: dict[str, typing.Any], *, guarded: bool) -> None:
+        self.trace = trace
+        self.guarded = guarded
+        self.crashes = 0
+        self.refused: list[ids.Fingerprint] = []
+        self.finished: set[ids.Fingerprint] = set()
+        self.states = [
+            quarantine.Quarantine(service=_SERVICE)
+            for _ in range(trace['nodes'])
+        ]
+        self.running: list[dict[ids.ExchangeId, ids.Fingerprint]] = [
+            {} for _ in self.states
+        ]
+        self.held: list[list[ids.Fingerprint]] = [[] for _ in self.states]
+        self.up_at: list[float] = [0 for _ in self.states]
+        self.events: list[tuple[float, int, _Event]] = []
+        self.serial = 0
+
+    def run(self) -> None:
+        """Run the whole trace."""
+        for sent_at, first in self.trace['poison']:
+            self.add(sent_at, 'arrive', first, _POISON)
+        every = self.trace['neighbour_every']
+        for number in range(int(self.trace['seconds'] / every)):
+            name = ids.Fingerprint(b'neighbour %d' % number)
+            self.add(number * every, 'arrive', number, name)
+        while self.events:
+            now, _, event = heapq.heappop(self.events)
+            getattr(self, event.kind)(event.node, event.subject, now)
+
+    def add(self, when: float, kind: str, node: int, subject: object) -> None:
+        """Schedule an event."""
+        self.serial += 1
+        event = _Event(
+            kind=kind,
+            node=node % len(self.states),
+            subject=subject,
+        )
+        heapq.heappush(self.events, (when, self.serial, event))
+
+    def arrive(self, node: int, name: ids.Fingerprint, now: float) -> None:
+        """Start, hold or refuse a request; pass over a server that is down."""
+        if self.up_at[node] > now:
+            self.add(now, 'arrive', node + 1, name)
+            return
+        self.serial += 1
+        exchange = ids.ExchangeId(self.serial)
+        asked = quarantine.StartAsked(exchange=exchange, fingerprint=name)
+        decision = self.decide(node, asked, now)
+        if decision == quarantine.Refuse():
+            self.refused.append(name)
+        elif decision == quarantine.Hold():
+            self.held[node].append(name)
+        else:
+            self.running[node][exchange] = name
+            if name == _POISON:
+                self.add(now + _CRASHES_AFTER_S, 'crash', node, exchange)
+            else:
+                service = self.trace['neighbour_service']
+                self.add(now + service, 'finish', node, exchange)
+
+    def finish(self, node: int, exchange: ids.ExchangeId, now: float) -> None:
+        """End a request and start what was held."""
+        name = self.running[node].pop(exchange, None)
+        if name is None:
+            return
+        self.finished.add(name)
+        ended = quarantine.Completed(exchange=exchange, fingerprint=name)
+        self.decide(node, ended, now)
+        held = self.held[node]
+        self.held[node] = []
+        for waiting in held:
+            self.arrive(node, waiting, now)
+
+    def crash(self, node: int, exchange: ids.ExchangeId, now: float) -> None:
+        """Crash a backend server; callers of neighbours resend at once."""
+        if exchange not in self.running[node]:
+            return
+        self.crashes += 1
+        in_flight = self.running[node]
+        self.running[node] = {}
+        self.up_at[node] = now + self.trace['restart']
+        crashed = quarantine.BackendCrashed(
+            crash=f'{node}/{self.crashes}',
+            in_flight=in_flight,
+        )
+        self.decide(node, crashed, now)
+        held = self.held[node]
+        self.held[node] = []
+        for name in (*in_flight.values(), *held):
+            if name != _POISON:
+                self.add(now, 'arrive', node + 1, name)
+
+    def report(self, node: int, message: object, now: float) -> None:
+        """Receive a report of another owner."""
+        self.decide(node, message, now)
+
+    def decide(self, node: int, event: object, now: float) -> object:
+        """Decide, and send reports with the delay of the trace."""
+        if not self.guarded:
+            return quarantine.Permit()
+        found = None
+        for decision in quarantine.decide(event, self.states[node], now):
+            if isinstance(decision, quarantine.Announce):
+                self.announce(node, decision.message, now)
+            else:
+                found = decision
+        return found
+
+    def announce(self, node: int, message: object, now: float) -> None:
+        """Send a report to all other owners."""
+        for other in range(len(self.states)):
+            if other != node:
+                later = now + self.trace['report_delay']
+                self.add(later, 'report', other, message)
