Let the owner decide by admission, ledger and quarantine

The owner sent every request to the backend server at once and aborted on every cancel. It now turns its messages into events of the three decision packages and carries out their results: queued, replayed, waiting, held and refused requests, drain, closed links and deadlines that pass while a request runs. The backend task holds back the failure of a lost connection until a probe shows whether the backend server crashed, and probes one that is down.

--- /dev/null
+++ b/medlarquay/daemon/build_owner.py
@@ -0,0 +1,38 @@
+"""Composition of the owner with its connections to the backend server."""
+
+from twisted.internet import interfaces
+
+from medlarquay import messages, telemetry
+from medlarquay.daemon import node_settings
+from medlarquay.tasks import backend, clocks, owner, task
+
+__all__ = ('build_owner',)
+
+
+def build_owner(
+    *,
+    reactor: interfaces.IReactorCore,
+    settings: node_settings.NodeSettings,
+    hello: messages.Hello,
+    links: task.Task,
+    counters: telemetry.Counters,
+    records: telemetry.RecordLog,
+) -> owner.Owner:
+    """Build the owner and the backend task and connect them."""
+    clock = clocks.Clocks()
+    own = owner.Owner(
+        hello=hello,
+        links=links,
+        reactor=reactor,
+        clock=clock,
+        counters=counters,
+        records=records,
+    )
+    own.backend = backend.Backend(
+        reactor=reactor,
+        owner=own,
+        host=settings.backend_host,
+        port=settings.backend_port,
+        clock=clock.monotonic,
+    )
+    return own
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -2,16 +2,15 @@
 
 import secrets
 import time
+from collections.abc import Callable
 
 from twisted.internet import interfaces
 
 from medlarquay import admin, ids, messages, telemetry
-from medlarquay.daemon import lifecycle, node_settings, signals
+from medlarquay.daemon import build_owner, lifecycle, node_settings, signals
 from medlarquay.tasks import (
-    backend,
     caller_listener,
     configuration,
-    owner,
     peer_links,
     peer_listener,
     router,
@@ -30,27 +29,18 @@
 ) -> None:
     """Build the tasks of a node, connect them and start them."""
     clock = time.monotonic
-    hello = messages.Hello(
-        instance=settings.instance,
-        incarnation=ids.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
-        region=settings.region,
-        data_centre=settings.data_centre,
-    )
-    operators = admin.Admin(
-        node=admin.ObservedNode(
-            hello=hello,
-            counters=telemetry.Counters(),
-            records=telemetry.RecordLog(),
-            clock=clock,
-        ),
+    observed = _observe(settings, clock)
+    operators = admin.Admin(node=observed)
+    links = peer_links.PeerLinks(
+        reactor=reactor, hello=observed.hello, clock=clock
     )
-    links = peer_links.PeerLinks(reactor=reactor, hello=hello, clock=clock)
-    own = owner.Owner(links=links, clock=clock)
-    own.backend = backend.Backend(
+    own = build_owner.build_owner(
         reactor=reactor,
-        owner=own,
-        host=settings.backend_host,
-        port=settings.backend_port,
+        settings=settings,
+        hello=observed.hello,
+        links=links,
+        counters=observed.counters,
+        records=observed.records,
     )
     routing = router.Router(
         instance=settings.instance,
@@ -96,3 +86,20 @@
         target=life,
     )
     reader.start()
+
+
+def _observe(
+    settings: node_settings.NodeSettings,
+    clock: Callable[[], float],
+) -> admin.ObservedNode:
+    return admin.ObservedNode(
+        hello=messages.Hello(
+            instance=settings.instance,
+            incarnation=ids.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
+            region=settings.region,
+            data_centre=settings.data_centre,
+        ),
+        counters=telemetry.Counters(),
+        records=telemetry.RecordLog(),
+        clock=clock,
+    )
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -3,6 +3,8 @@
 from medlarquay.events.abort_request import AbortRequest
 from medlarquay.events.answer_ready import AnswerReady
 from medlarquay.events.backend_answered import BackendAnswered
+from medlarquay.events.backend_changed import BackendChanged
+from medlarquay.events.backend_crashed import BackendCrashed
 from medlarquay.events.backend_failed import BackendFailed
 from medlarquay.events.broadcast_reply import BroadcastReply
 from medlarquay.events.caller_gone import CallerGone
@@ -33,6 +35,8 @@
     'AbortRequest',
     'AnswerReady',
     'BackendAnswered',
+    'BackendChanged',
+    'BackendCrashed',
     'BackendFailed',
     'CallerGone',
     'CancelCall',
--- a/medlarquay/events/backend_failed.py
+++ b/medlarquay/events/backend_failed.py
@@ -19,8 +19,14 @@
         Whether any byte of the request may have reached it.
     refused : bool
         Whether a new connection was refused.
+    too_large : bool
+        Whether the answer exceeded the size limit.
+    reset : bool
+        Whether the connection was lost, not closed by this node.
     """
 
     exchange: ids.ExchangeId
     sent: bool
     refused: bool
+    too_large: bool = False
+    reset: bool = False
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -1,5 +1,6 @@
 """Enumerated states and reasons."""
 
+from medlarquay.states.backend_state import BackendState
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
@@ -13,6 +14,7 @@
 __all__ = (
     'RecordSide',
     'NodePart',
+    'BackendState',
     'InstanceState',
     'NodeState',
     'Outcome',
--- a/medlarquay/tasks/backend.py
+++ b/medlarquay/tasks/backend.py
@@ -1,15 +1,21 @@
 """The task that owns the connections to the local backend server."""
 
 import functools
+from collections.abc import Callable
 
-from twisted.internet import endpoints, interfaces
+from twisted.internet import defer, endpoints, interfaces
 
-from medlarquay import events, ids, transport
-from medlarquay.tasks import task
+from medlarquay import events, ids, states, transport
+from medlarquay.tasks import backend_health, task
 
 __all__ = ('Backend',)
 
 _CONNECT_TIMEOUT_S = 1
+_FIRST_PROBE_S = 0.1
+_LONGEST_PROBE_S = 1
+# One lost connection of a backend server that still accepts is a half answer;
+# more at once are those of a process that was replaced within milliseconds.
+_LOSSES_OF_A_CRASH = 2
 
 
 class Backend(task.Task):
@@ -17,12 +23,21 @@
 
     Parameters
     ----------
-    reactor : IReactorTCP
-        Opens connections.
+    reactor : IReactorTCP and IReactorTime
+        Opens connections and schedules probes.
     owner : Task
-        Receives ``BackendAnswered`` and ``BackendFailed``.
+        Receives ``BackendAnswered``, ``BackendFailed``, ``BackendCrashed``
+        and ``BackendChanged``.
     host, port : str, int
         Address of the backend server.
+    clock : callable
+        Returns seconds on the monotonic clock.
+
+    Notes
+    -----
+    When a connection with a request in flight is lost, its failure is held
+    back until a probe shows whether the backend server crashed, so that a
+    suspect is known before its caller can send it again.
     """
 
     def __init__(
@@ -32,12 +47,21 @@
         owner: task.Task,
         host: str,
         port: int,
+        clock: Callable[[], float],
     ) -> None:
         super().__init__(name='backend')
         self.active: dict[ids.ExchangeId, transport.BackendConnection] = {}
         self.idle: list[transport.BackendConnection] = []
         self.opening: dict[ids.ExchangeId, events.StartRequest] = {}
+        self._broken: list[events.BackendFailed] = []
+        self._losses = 0
+        self._probing = False
+        self._timer: interfaces.IDelayedCall | None = None
+        self._probe_delay: float = _FIRST_PROBE_S
+        self._reactor = reactor
         self._owner = owner
+        self._clock = clock
+        self._health = backend_health.build_health(self)
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor,
             host,
@@ -61,13 +85,57 @@
     def open(self, message: events.StartRequest) -> None:
         """Open a connection and send the request on it."""
         self.opening[message.exchange] = message
+        connecting = self._connect()
+        connecting.addCallbacks(
+            self._opened,
+            self._refused,
+            callbackArgs=(message,),
+            errbackArgs=(message,),
+        )
+
+    def probe(self) -> None:
+        """Open a connection to see whether the backend server accepts."""
+        if not self._probing:
+            self._probing = True
+            connecting = self._connect()
+            connecting.addCallbacks(self._probed, self._probe_failed)
+
+    def probe_later(self) -> None:
+        """Open a connection after a delay that doubles."""
+        waits = self._timer is not None and self._timer.active()
+        if self._probing or waits:
+            return
+        self._timer = self._reactor.callLater(self._probe_delay, self.probe)
+        self._probe_delay = min(2 * self._probe_delay, _LONGEST_PROBE_S)
+
+    def report_crash(self) -> None:
+        """Report a backend server that refuses connections."""
+        self._log.warning('backend server refused a connection')
+        self._end_in_flight(states.BackendState.DOWN)
+
+    def report_up(self) -> None:
+        """Report a backend server that accepts connections again."""
+        self._log.info('backend server accepts connections')
+        self._probe_delay = _FIRST_PROBE_S
+        self._owner.post(events.BackendChanged(state=states.BackendState.UP))
+
+    def settle_losses(self) -> None:
+        """Report a crash if all earlier connections were lost at once."""
+        # After a crash the probing connection is the only one left.
+        usable = sum(connection.usable for connection in self.idle)
+        survived = bool(self.active) or usable > 1
+        if self._losses >= _LOSSES_OF_A_CRASH and not survived:
+            self._end_in_flight(states.BackendState.UP)
+            return
+        self._report_broken()
+
+    def _connect(self) -> defer.Deferred:
         connection = transport.BackendConnection(
             deliver=self._deliver,
             release=self.idle.append,
+            closed=self._closed,
         )
-        connecting = endpoints.connectProtocol(self._endpoint, connection)
-        connecting.addCallback(self._opened, message)
-        connecting.addErrback(self._refused, message)
+        return endpoints.connectProtocol(self._endpoint, connection)
 
     def _opened(
         self,
@@ -76,26 +144,85 @@
     ) -> None:
         if self.opening.pop(message.exchange, None) is None:
             self.idle.append(connection)
-            return
-        self.start(connection, message)
+        elif message.deadline <= self._clock():
+            self.idle.append(connection)
+            self._owner.post(_unsent(message, refused=False))
+        else:
+            self.start(connection, message)
 
     def _refused(self, failure: object, message: events.StartRequest) -> None:
-        if self.opening.pop(message.exchange, None) is None:
-            return
-        self._owner.post(
-            events.BackendFailed(
-                exchange=message.exchange,
-                sent=False,
-                refused=True,
-            ),
-        )
+        if self.opening.pop(message.exchange, None) is not None:
+            self._owner.post(_unsent(message, refused=True))
+        self._health.connection_refused()
+
+    def _probe_failed(self, failure: object) -> None:
+        self._probing = False
+        self._health.connection_refused()
+
+    def _probed(self, connection: transport.BackendConnection) -> None:
+        self._probing = False
+        self.idle.append(connection)
+        self._health.connection_accepted()
+
+    def _closed(self, connection: transport.BackendConnection) -> None:
+        self._losses += 1
 
     def _deliver(
         self,
         message: events.BackendAnswered | events.BackendFailed,
     ) -> None:
         self.active.pop(message.exchange, None)
-        self._owner.post(message)
+        if isinstance(message, events.BackendFailed) and message.reset:
+            if not self._broken:
+                self._losses = 1
+            self._broken.append(message)
+            self._health.connection_lost()
+        else:
+            self._owner.post(message)
+
+    def _end_in_flight(self, found: states.BackendState) -> None:
+        for exchange, connection in tuple(self.active.items()):
+            connection.abort()
+            self._broken.append(
+                events.BackendFailed(
+                    exchange=exchange,
+                    sent=True,
+                    refused=False,
+                    reset=True,
+                ),
+            )
+        self.active.clear()
+        if self._broken:
+            self._owner.post(
+                events.BackendCrashed(
+                    exchanges=tuple(
+                        failure.exchange for failure in self._broken
+                    ),
+                ),
+            )
+        # The state is reported first, so that no freed slot is filled with
+        # work for a backend server that is down.
+        self._owner.post(events.BackendChanged(state=found))
+        self._report_broken()
+
+    def _report_broken(self) -> None:
+        broken = self._broken
+        self._broken = []
+        self._losses = 0
+        for failure in broken:
+            self._owner.post(failure)
+
+
+def _unsent(
+    message: events.StartRequest,
+    *,
+    refused: bool,
+) -> events.BackendFailed:
+    return events.BackendFailed(
+        exchange=message.exchange,
+        sent=False,
+        refused=refused,
+    )
 
 
 @functools.singledispatch
--- /dev/null
+++ b/medlarquay/tasks/owner_handle.py
@@ -0,0 +1,313 @@
+"""Handlers of the messages to the owner task."""
+
+import functools
+import math
+
+from medlarquay import (
+    admission,
+    events,
+    ledger,
+    messages,
+    quarantine,
+    states,
+)
+from medlarquay.tasks import (
+    owner_base,
+    owner_job,
+    owner_keys,
+    owner_results,
+    owner_snapshot,
+    owner_starts,
+    waiting_caller,
+)
+
+__all__ = ('handle',)
+
+# A timer that fires later than this was held up by a pause of the process.
+_PAUSE_S = 1
+# A backend server that hangs this long past the deadline of a non-idempotent
+# request will not answer; the slot and the connection are given up.
+_HUNG_S = 600
+# Bounds the cost of ticks when many deadlines lie close together.
+_SHORTEST_WAKE_S = 0.01
+_SHED_STATUS = 503
+_SHED = (b'medlarquay-shed', b'1')
+
+
+@functools.singledispatch
+def handle(message: object, owner: owner_base.OwnerBase) -> None:
+    """Handle one message to the owner task."""
+    raise TypeError(f'unexpected message {type(message).__name__}')
+
+
+@handle.register
+def _run(message: events.RunCall, owner: owner_base.OwnerBase) -> None:
+    request = message.request
+    caller = waiting_caller.WaitingCaller(
+        link=message.link,
+        call_id=request.call_id,
+        deadline=request.deadline,
+    )
+    reason = _refusal_on_arrival(request, owner)
+    if reason is not None:
+        owner_results.refuse_call(caller, reason, owner)
+        return
+    job = owner_job.OwnerJob(
+        exchange=owner.jobs.next_exchange(),
+        request=request,
+        fingerprint=quarantine.fingerprint_of(request),
+    )
+    if request.request_key is None or request.idempotent:
+        owner.jobs.add(job)
+        owner.jobs.join(job, caller)
+        owner_starts.admit(job, owner)
+    else:
+        owner_keys.run_keyed(job, request.request_key, caller, owner)
+
+
+def _refusal_on_arrival(
+    request: messages.CallRequest,
+    owner: owner_base.OwnerBase,
+) -> states.RefusalReason | None:
+    if request.deadline <= owner.now():
+        return states.RefusalReason.DEADLINE_PASSED
+    place = owner.place
+    if place is None:
+        return states.RefusalReason.NO_CONFIGURATION
+    # An ingress with an older list may still send work of another service.
+    if (request.team, request.service) != (place.team, place.service):
+        return states.RefusalReason.NO_BACKEND
+    return None
+
+
+@handle.register
+def _answered(
+    message: events.BackendAnswered,
+    owner: owner_base.OwnerBase,
+) -> None:
+    job = owner.jobs.find(message.exchange)
+    if job is None:
+        return
+    if message.status == _SHED_STATUS and _SHED in message.headers:
+        owner_results.release(job, owner)
+        shed = admission.WasShed(exchange=job.exchange)
+        decisions = admission.decide(shed, owner.admission, owner.now())
+        owner_results.refuse_job(job, states.RefusalReason.SHED, owner)
+    else:
+        completed = quarantine.Completed(
+            exchange=job.exchange,
+            fingerprint=job.fingerprint,
+        )
+        _tell_quarantine(completed, owner)
+        finished = admission.Finished(exchange=job.exchange)
+        decisions = admission.decide(finished, owner.admission, owner.now())
+        owner_results.answer_job(job, message, owner)
+    owner_starts.carry_out(decisions, owner)
+    owner_starts.readmit_held(owner)
+
+
+@handle.register
+def _failed(
+    message: events.BackendFailed,
+    owner: owner_base.OwnerBase,
+) -> None:
+    job = owner.jobs.find(message.exchange)
+    if job is None:
+        return
+    owner_results.release(job, owner)
+    if message.too_large:
+        reason = states.RefusalReason.ANSWER_TOO_LARGE
+    elif message.sent:
+        reason = states.RefusalReason.BACKEND_LOST
+    elif job.request.deadline <= owner.now():
+        reason = states.RefusalReason.DEADLINE_PASSED
+    else:
+        reason = states.RefusalReason.BACKEND_DOWN
+    if message.sent:
+        owner_results.lose_job(job, reason, owner)
+    else:
+        owner_results.refuse_job(job, reason, owner)
+    freed = admission.Cancelled(exchange=job.exchange)
+    owner_starts.tell_admission(freed, owner)
+    owner_starts.readmit_held(owner)
+
+
+@handle.register
+def _crashed(
+    message: events.BackendCrashed,
+    owner: owner_base.OwnerBase,
+) -> None:
+    known = (owner.jobs.find(exchange) for exchange in message.exchanges)
+    jobs = [entry for entry in known if entry is not None]
+    for job in jobs:
+        owner_results.record_job(
+            job,
+            states.Outcome.UNKNOWN,
+            owner,
+            reason=states.RefusalReason.BACKEND_LOST,
+        )
+    crashed = quarantine.BackendCrashed(
+        crash=owner.next_crash(),
+        in_flight={found.exchange: found.fingerprint for found in jobs},
+    )
+    _tell_quarantine(crashed, owner)
+
+
+@handle.register
+def _changed(
+    message: events.BackendChanged,
+    owner: owner_base.OwnerBase,
+) -> None:
+    owner.backend_state = message.state
+    if message.state is states.BackendState.UP:
+        owner_starts.tell_admission(admission.BackendStarted(), owner)
+        return
+    reason = states.RefusalReason.BACKEND_DOWN
+    owner_starts.tell_admission(admission.QueuesEmptied(reason=reason), owner)
+    owner_starts.readmit_held(owner)
+
+
+@handle.register
+def _suspected(
+    message: messages.CrashSuspected,
+    owner: owner_base.OwnerBase,
+) -> None:
+    _tell_quarantine(message, owner)
+
+
+@handle.register
+def _cleared(
+    message: messages.SuspicionCleared,
+    owner: owner_base.OwnerBase,
+) -> None:
+    _tell_quarantine(message, owner)
+    owner_starts.readmit_held(owner)
+
+
+@handle.register
+def _cancel(message: events.CancelCall, owner: owner_base.OwnerBase) -> None:
+    job = owner.jobs.leave(message.link, message.call_id)
+    if job is None or job.callers:
+        return
+    if not job.sent:
+        _withdraw(job, owner)
+    elif job.key is None:
+        _abort(job, owner)
+
+
+@handle.register
+def _link_closed(
+    message: events.LinkClosed,
+    owner: owner_base.OwnerBase,
+) -> None:
+    for call_id in owner.jobs.calls_of(message.link):
+        job = owner.jobs.leave(message.link, call_id)
+        if job is None or job.callers:
+            continue
+        if not job.sent:
+            _withdraw(job, owner)
+        elif job.request.idempotent:
+            _abort(job, owner)
+
+
+@handle.register
+def _replaced(
+    message: events.SnapshotReplaced,
+    owner: owner_base.OwnerBase,
+) -> None:
+    owner_snapshot.follow(message.snapshot, owner)
+
+
+@handle.register
+def _confirmed(
+    message: events.FreshnessConfirmed,
+    owner: owner_base.OwnerBase,
+) -> None:
+    owner_results.tell_ledger(message, owner)
+
+
+@handle.register
+def _drain(
+    message: events.DrainRequested,
+    owner: owner_base.OwnerBase,
+) -> None:
+    owner.drain()
+
+
+@handle.register
+def _tick(message: events.Tick, owner: owner_base.OwnerBase) -> None:
+    now = owner.now()
+    if message.late > _PAUSE_S:
+        owner_results.tell_ledger(ledger.PauseNoticed(), owner)
+    owner_starts.tell_admission(admission.ClockChecked(), owner)
+    for job in owner.jobs:
+        _check_deadlines(job, owner, now)
+    _wake_again(owner, now)
+
+
+def _check_deadlines(
+    job: owner_job.OwnerJob,
+    owner: owner_base.OwnerBase,
+    now: float,
+) -> None:
+    """Let callers go whose deadline has passed.
+
+    A queued or held job ends as not run when its own deadline passes. The
+    outcome of a sent job is not known at that time.
+    """
+    deadline = job.request.deadline
+    if not job.sent and deadline <= now:
+        _withdraw(job, owner, states.RefusalReason.DEADLINE_PASSED)
+        return
+    for caller in job.callers:
+        if caller.deadline <= now:
+            owner.jobs.leave(caller.link, caller.call_id)
+            owner.reply(
+                caller.link,
+                messages.CallUnknown(
+                    call_id=caller.call_id,
+                    reason=states.RefusalReason.DEADLINE_PASSED,
+                ),
+            )
+    hung = not job.callers and deadline + _HUNG_S <= now
+    if job.sent and not job.callers and (job.request.idempotent or hung):
+        _abort(job, owner)
+
+
+def _wake_again(owner: owner_base.OwnerBase, now: float) -> None:
+    checked = admission.next_check(owner.admission, now)
+    earliest = math.inf if checked is None else checked
+    for job in owner.jobs:
+        deadlines = [caller.deadline for caller in job.callers]
+        deadlines.append(job.request.deadline + _HUNG_S)
+        earliest = min(earliest, *deadlines)
+    if earliest < math.inf:
+        owner.wake_at(max(earliest, now + _SHORTEST_WAKE_S))
+
+
+def _withdraw(
+    job: owner_job.OwnerJob,
+    owner: owner_base.OwnerBase,
+    reason: states.RefusalReason = states.RefusalReason.CANCELLED,
+) -> None:
+    """End a job that was not sent."""
+    owner_results.refuse_job(job, reason, owner)
+    freed = admission.Cancelled(exchange=job.exchange)
+    owner_starts.tell_admission(freed, owner)
+
+
+def _abort(job: owner_job.OwnerJob, owner: owner_base.OwnerBase) -> None:
+    """Cancel a job at the backend server."""
+    owner.ask_backend(events.AbortRequest(exchange=job.exchange))
+    owner_results.release(job, owner)
+    owner_results.lose_job(job, states.RefusalReason.CANCELLED, owner)
+    freed = admission.Cancelled(exchange=job.exchange)
+    owner_starts.tell_admission(freed, owner)
+    owner_starts.readmit_held(owner)
+
+
+def _tell_quarantine(event: object, owner: owner_base.OwnerBase) -> None:
+    decisions = quarantine.decide(event, owner.quarantine, owner.now())
+    for decision in decisions:
+        if isinstance(decision, quarantine.Announce):
+            owner.announce(decision.message)
--- /dev/null
+++ b/medlarquay/tasks/owner_jobs.py
@@ -0,0 +1,80 @@
+"""The requests that the owner has queued or sent."""
+
+from collections.abc import Iterator
+
+from medlarquay import ids
+from medlarquay.tasks import owner_job, waiting_caller
+
+__all__ = ('OwnerJobs',)
+
+
+class OwnerJobs:
+    """The requests that the owner has queued or sent, by exchange and call."""
+
+    def __init__(self) -> None:
+        self.held: list[owner_job.OwnerJob] = []
+        self._by_exchange: dict[ids.ExchangeId, owner_job.OwnerJob] = {}
+        self._by_call: dict[
+            tuple[ids.LinkId, ids.CallId], owner_job.OwnerJob
+        ] = {}
+        self._last = 0
+
+    def __len__(self) -> int:
+        """Return the number of jobs."""
+        return len(self._by_exchange)
+
+    def __iter__(self) -> Iterator[owner_job.OwnerJob]:
+        """Iterate over a copy, so that jobs may be removed meanwhile."""
+        return iter(tuple(self._by_exchange.values()))
+
+    def next_exchange(self) -> ids.ExchangeId:
+        """Return a new number for an exchange."""
+        self._last += 1
+        return ids.ExchangeId(self._last)
+
+    def add(self, job: owner_job.OwnerJob) -> None:
+        """Add a job without callers."""
+        self._by_exchange[job.exchange] = job
+
+    def find(self, exchange: ids.ExchangeId) -> owner_job.OwnerJob | None:
+        """Return the job of an exchange."""
+        return self._by_exchange.get(exchange)
+
+    def join(
+        self,
+        job: owner_job.OwnerJob,
+        caller: waiting_caller.WaitingCaller,
+    ) -> None:
+        """Let a caller wait for a job."""
+        job.callers.append(caller)
+        self._by_call[caller.link, caller.call_id] = job
+
+    def leave(
+        self,
+        link: ids.LinkId,
+        call_id: ids.CallId,
+    ) -> owner_job.OwnerJob | None:
+        """Remove a caller; return the job that it waited for."""
+        job = self._by_call.pop((link, call_id), None)
+        if job is not None:
+            job.callers = [
+                caller
+                for caller in job.callers
+                if (caller.link, caller.call_id) != (link, call_id)
+            ]
+        return job
+
+    def calls_of(self, link: ids.LinkId) -> list[ids.CallId]:
+        """Return the calls that wait on a link."""
+        return [call_id for found, call_id in self._by_call if found == link]
+
+    def pop(self, exchange: ids.ExchangeId) -> owner_job.OwnerJob | None:
+        """Remove a job with its callers, who stay listed in it."""
+        job = self._by_exchange.pop(exchange, None)
+        if job is None:
+            return None
+        for caller in job.callers:
+            self._by_call.pop((caller.link, caller.call_id), None)
+        if job in self.held:
+            self.held.remove(job)
+        return job
--- /dev/null
+++ b/medlarquay/tasks/owner_place.py
@@ -0,0 +1,24 @@
+"""What the snapshot says of the own instance."""
+
+import dataclasses
+
+from medlarquay import ids, replica
+
+__all__ = ('OwnerPlace',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class OwnerPlace:
+    """What the snapshot says of the own instance.
+
+    Attributes
+    ----------
+    team, service : TeamName, ServiceName
+        Service of the local backend server.
+    peers : tuple[InstanceRecord, ...]
+        Other backend servers of the service.
+    """
+
+    team: ids.TeamName
+    service: ids.ServiceName
+    peers: tuple[replica.InstanceRecord, ...]
--- /dev/null
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -0,0 +1,81 @@
+"""What the owner takes from a new snapshot."""
+
+from medlarquay import (
+    admission,
+    ids,
+    ledger,
+    quarantine,
+    replica,
+    snapshots,
+    states,
+)
+from medlarquay.tasks import (
+    owner_base,
+    owner_place,
+    owner_results,
+    owner_starts,
+)
+
+__all__ = ('follow',)
+
+_MS_PER_SECOND = 1000
+
+
+def follow(
+    snapshot: snapshots.Snapshot,
+    owner: owner_base.OwnerBase,
+) -> None:
+    """Take limits, peers and the history of endpoints from a snapshot."""
+    own = _find_own(snapshot, owner.hello.instance)
+    if own is not None:
+        _follow_own(own, snapshot.services[own.team, own.service], owner)
+    place = owner.place
+    if place is None:
+        return
+    service = snapshot.services.get((place.team, place.service))
+    backends = () if service is None else service.backends
+    listed = frozenset(record.instance for record in backends)
+    replaced = ledger.EndpointsReplaced(instances=listed)
+    owner_results.tell_ledger(replaced, owner)
+
+
+def _find_own(
+    snapshot: snapshots.Snapshot,
+    instance: ids.InstanceId,
+) -> replica.InstanceRecord | None:
+    for service in snapshot.services.values():
+        for record in service.backends:
+            if record.instance == instance:
+                return record
+    return None
+
+
+def _follow_own(
+    own: replica.InstanceRecord,
+    service: snapshots.Service,
+    owner: owner_base.OwnerBase,
+) -> None:
+    first = owner.place is None
+    owner.place = owner_place.OwnerPlace(
+        team=own.team,
+        service=own.service,
+        peers=tuple(
+            record
+            for record in service.backends
+            if record.instance != own.instance
+        ),
+    )
+    parameters = service.parameters
+    limits = admission.Limits(
+        slots=own.slots,
+        floors=dict(parameters.floors),
+        queue_limit=parameters.queue_limit,
+        cold_start=parameters.cold_start_ms / _MS_PER_SECOND,
+    )
+    owner_starts.tell_admission(admission.LimitsChanged(limits=limits), owner)
+    if first:
+        # The node starts with its backend server, which is cold then.
+        owner_starts.tell_admission(admission.BackendStarted(), owner)
+        owner.quarantine = quarantine.Quarantine(service=own.service)
+    if own.state is states.InstanceState.LEAVING:
+        owner.drain()
--- /dev/null
+++ b/medlarquay/tasks/owner_starts.py
@@ -0,0 +1,145 @@
+"""Carrying out of the decisions that start or refuse a job."""
+
+import functools
+
+from medlarquay import admission, events, quarantine, states
+from medlarquay.tasks import owner_base, owner_job, owner_results
+
+__all__ = ('admit', 'carry_out', 'readmit_held', 'tell_admission')
+
+_MS_PER_SECOND = 1000
+_TIMEOUT = b'request-timeout-ms'
+
+
+def admit(job: owner_job.OwnerJob, owner: owner_base.OwnerBase) -> None:
+    """Ask admission for a slot, unless nothing may run now."""
+    owner.wake_at(job.request.deadline)
+    if owner.draining:
+        owner_results.refuse_job(job, states.RefusalReason.DRAINING, owner)
+    else:
+        _ask_for_slot(job, owner)
+
+
+def readmit_held(owner: owner_base.OwnerBase) -> None:
+    """Ask again for suspects that waited for another suspect to end."""
+    held = owner.jobs.held
+    if not held:
+        return
+    owner.jobs.held = []
+    for job in held:
+        _ask_for_slot(job, owner)
+
+
+def tell_admission(event: object, owner: owner_base.OwnerBase) -> None:
+    """Give admission an event and carry out what it decides."""
+    carry_out(
+        admission.decide(event, owner.admission, owner.now()),
+        owner,
+    )
+
+
+def carry_out(
+    decisions: admission.Decision,
+    owner: owner_base.OwnerBase,
+) -> None:
+    """Carry out decisions and those that follow from them in order.
+
+    Notes
+    -----
+    A start that the quarantine turns down frees its slot for the next
+    request. The list keeps this from recursing once for each queued request.
+    """
+    waiting = list(decisions)
+    while waiting:
+        waiting.extend(_carry_out(waiting.pop(0), owner))
+
+
+def _ask_for_slot(
+    job: owner_job.OwnerJob,
+    owner: owner_base.OwnerBase,
+) -> None:
+    if owner.backend_state is states.BackendState.DOWN:
+        owner_results.refuse_job(job, states.RefusalReason.BACKEND_DOWN, owner)
+        return
+    arrived = admission.Arrived(
+        exchange=job.exchange,
+        rank=job.request.rank,
+        deadline=job.request.deadline,
+    )
+    tell_admission(arrived, owner)
+
+
+@functools.singledispatch
+def _carry_out(
+    decision: object,
+    owner: owner_base.OwnerBase,
+) -> admission.Decision:
+    raise TypeError(f'unexpected decision {type(decision).__name__}')
+
+
+@_carry_out.register
+def _refuse(
+    decision: admission.Refuse,
+    owner: owner_base.OwnerBase,
+) -> admission.Decision:
+    job = owner.jobs.find(decision.exchange)
+    if job is not None:
+        owner_results.refuse_job(job, decision.reason, owner)
+    return ()
+
+
+@_carry_out.register
+def _start(
+    decision: admission.Start,
+    owner: owner_base.OwnerBase,
+) -> admission.Decision:
+    now = owner.now()
+    job = owner.jobs.find(decision.exchange)
+    if job is None:
+        return _free_slot(decision, owner, now)
+    asked = quarantine.StartAsked(
+        exchange=job.exchange,
+        fingerprint=job.fingerprint,
+    )
+    permission = quarantine.decide(asked, owner.quarantine, now)[0]
+    if isinstance(permission, quarantine.Permit):
+        _send(job, owner, now)
+        return ()
+    if isinstance(permission, quarantine.Hold):
+        owner.jobs.held.append(job)
+    else:
+        reason = states.RefusalReason.QUARANTINED
+        owner_results.refuse_job(job, reason, owner)
+    return _free_slot(decision, owner, now)
+
+
+def _free_slot(
+    decision: admission.Start,
+    owner: owner_base.OwnerBase,
+    now: float,
+) -> admission.Decision:
+    freed = admission.Cancelled(exchange=decision.exchange)
+    return admission.decide(freed, owner.admission, now)
+
+
+def _send(
+    job: owner_job.OwnerJob,
+    owner: owner_base.OwnerBase,
+    now: float,
+) -> None:
+    job.sent = True
+    request = job.request
+    left_ms = max(1, int((request.deadline - now) * _MS_PER_SECOND))
+    owner.ask_backend(
+        events.StartRequest(
+            exchange=job.exchange,
+            method=request.method,
+            target=request.target,
+            headers=(
+                *(pair for pair in request.headers if pair[0] != _TIMEOUT),
+                (_TIMEOUT, b'%d' % left_ms),
+            ),
+            body=request.body,
+            deadline=request.deadline,
+        ),
+    )
--- /dev/null
+++ b/medlarquay/tasks/waiting_caller.py
@@ -0,0 +1,29 @@
+"""An attempt that waits for the result of a job."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('WaitingCaller',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class WaitingCaller:
+    """An attempt that waits for the result of a job.
+
+    Attributes
+    ----------
+    link : LinkId
+        Link to answer on; 0 for the ingress of this node.
+    call_id : CallId
+        Number of the call on the link.
+    deadline : float
+        Seconds on the monotonic clock.
+    replayed : bool
+        Whether it joined an earlier attempt with the same key.
+    """
+
+    link: ids.LinkId
+    call_id: ids.CallId
+    deadline: float
+    replayed: bool = False
--- a/medlarquay/transport/backend_connection.py
+++ b/medlarquay/transport/backend_connection.py
@@ -20,6 +20,8 @@
         Receives ``BackendAnswered`` and ``BackendFailed``.
     release : callable
         Receives this connection when it can carry another exchange.
+    closed : callable
+        Receives this connection when it has been closed by either side.
     """
 
     def __init__(
@@ -30,9 +32,11 @@
             None,
         ],
         release: Callable[['BackendConnection'], None],
+        closed: Callable[['BackendConnection'], None],
     ) -> None:
         self._deliver = deliver
         self._release = release
+        self._closed = closed
         self._exchange: ids.ExchangeId | None = None
         self._lost = False
         self._reset()
@@ -75,7 +79,8 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report a broken exchange."""
         self._lost = True
-        self._fail()
+        self._closed(self)
+        self._fail(reset=True)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect one header field."""
@@ -87,7 +92,7 @@
         """Collect part of the body."""
         self._body_bytes += len(body)
         if self._body_bytes > http_limits.MAX_ANSWER_BYTES:
-            self._fail()
+            self._fail(too_large=True)
             return
         self._body.append(body)
 
@@ -109,7 +114,7 @@
             self.transport.loseConnection()
         self._deliver(answered)
 
-    def _fail(self) -> None:
+    def _fail(self, *, too_large: bool = False, reset: bool = False) -> None:
         exchange = self._exchange
         self._exchange = None
         if not self._lost:
@@ -121,6 +126,8 @@
                     exchange=exchange,
                     sent=True,
                     refused=False,
+                    too_large=too_large,
+                    reset=reset,
                 ),
             )
 
