--- a/medlarquay/tasks/backend.py
+++ b/medlarquay/tasks/backend.py
@@ -3,7 +3,8 @@
 import functools
 from collections.abc import Callable
 
-from twisted.internet import defer, endpoints, interfaces
+from twisted.internet import defer, endpoints, error, interfaces
+from twisted.python import failure
 
 from medlarquay import events, ids, states, transport
 from medlarquay.tasks import backend_health, task
@@ -37,7 +38,9 @@
     -----
     When a connection with a request in flight is lost, its failure is held
     back until a probe shows whether the backend server crashed, so that a
-    suspect is known before its caller can send it again.
+    suspect is known before its caller can send it again. Requests in flight
+    go on when a new connection is refused: a backend server that drains has
+    closed its listening socket.
     """
 
     def __init__(
@@ -108,16 +111,20 @@
         self._timer = self._reactor.callLater(self._probe_delay, self.probe)
         self._probe_delay = min(2 * self._probe_delay, _LONGEST_PROBE_S)
 
-    def report_crash(self) -> None:
+    def report_down(self) -> None:
         """Report a backend server that refuses connections."""
         self._log.warning('backend server refused a connection')
-        self._end_in_flight(states.BackendState.DOWN)
+        self._report(states.BackendState.DOWN, crashed=True)
+
+    def report_losses(self) -> None:
+        """Report connections lost after the backend server went down."""
+        self._report(None, crashed=True)
 
     def report_up(self) -> None:
         """Report a backend server that accepts connections again."""
         self._log.info('backend server accepts connections')
         self._probe_delay = _FIRST_PROBE_S
-        self._owner.post(events.BackendChanged(state=states.BackendState.UP))
+        self._report(states.BackendState.UP, crashed=True)
 
     def settle_losses(self) -> None:
         """Report a crash if all earlier connections were lost at once."""
@@ -125,9 +132,9 @@
         usable = sum(connection.usable for connection in self.idle)
         survived = bool(self.active) or usable > 1
         if self._losses >= _LOSSES_OF_A_CRASH and not survived:
-            self._end_in_flight(states.BackendState.UP)
-            return
-        self._report_broken()
+            self._report(states.BackendState.UP, crashed=True)
+        else:
+            self._report(None, crashed=False)
 
     def _connect(self) -> defer.Deferred:
         connection = transport.BackendConnection(
@@ -150,14 +157,22 @@
         else:
             self.start(connection, message)
 
-    def _refused(self, failure: object, message: events.StartRequest) -> None:
+    def _refused(
+        self,
+        reason: failure.Failure,
+        message: events.StartRequest,
+    ) -> None:
+        if _shows_down(reason, working=bool(self.active)):
+            self._health.connection_refused()
         if self.opening.pop(message.exchange, None) is not None:
             self._owner.post(_unsent(message, refused=True))
-        self._health.connection_refused()
 
-    def _probe_failed(self, failure: object) -> None:
+    def _probe_failed(self, reason: failure.Failure) -> None:
         self._probing = False
-        self._health.connection_refused()
+        if _shows_down(reason, working=bool(self.active)):
+            self._health.connection_refused()
+        else:
+            self._health.connection_accepted()
 
     def _probed(self, connection: transport.BackendConnection) -> None:
         self._probing = False
@@ -180,37 +195,30 @@
         else:
             self._owner.post(message)
 
-    def _end_in_flight(self, found: states.BackendState) -> None:
-        for exchange, connection in tuple(self.active.items()):
-            connection.abort()
-            self._broken.append(
-                events.BackendFailed(
-                    exchange=exchange,
-                    sent=True,
-                    refused=False,
-                    reset=True,
-                ),
-            )
-        self.active.clear()
-        if self._broken:
-            self._owner.post(
-                events.BackendCrashed(
-                    exchanges=tuple(
-                        failure.exchange for failure in self._broken
-                    ),
-                ),
-            )
-        # The state is reported first, so that no freed slot is filled with
-        # work for a backend server that is down.
-        self._owner.post(events.BackendChanged(state=found))
-        self._report_broken()
-
-    def _report_broken(self) -> None:
+    def _report(
+        self,
+        found: states.BackendState | None,
+        *,
+        crashed: bool,
+    ) -> None:
         broken = self._broken
         self._broken = []
         self._losses = 0
-        for failure in broken:
-            self._owner.post(failure)
+        if broken and crashed:
+            exchanges = tuple(entry.exchange for entry in broken)
+            self._owner.post(events.BackendCrashed(exchanges=exchanges))
+        # The state is reported first, so that no freed slot is filled with
+        # work for a backend server that is down.
+        if found is not None:
+            self._owner.post(events.BackendChanged(state=found))
+        for entry in broken:
+            self._owner.post(entry)
+
+
+def _shows_down(reason: failure.Failure, *, working: bool) -> bool:
+    # A busy backend server that still works may be slow to accept.
+    refused = reason.check(error.ConnectionRefusedError) is not None
+    return refused or not working
 
 
 def _unsent(
--- a/medlarquay/tasks/backend_health.py
+++ b/medlarquay/tasks/backend_health.py
@@ -16,9 +16,12 @@
     def probe_later(self) -> None:
         """Open a connection after a delay, unless one is under way."""
 
-    def report_crash(self) -> None:
+    def report_down(self) -> None:
         """Report that the backend server is down."""
 
+    def report_losses(self) -> None:
+        """Report connections lost while the backend server is down."""
+
     def report_up(self) -> None:
         """Report that the backend server is up."""
 
@@ -53,10 +56,15 @@
 @_up.upon(HealthInputs.connection_refused).to(_down)
 @_checking.upon(HealthInputs.connection_refused).to(_down)
 def _fall(inputs: HealthInputs, actions: HealthActions) -> None:
-    actions.report_crash()
+    actions.report_down()
     actions.probe_later()
 
 
+@_down.upon(HealthInputs.connection_lost).loop()
+def _probe_again(inputs: HealthInputs, actions: HealthActions) -> None:
+    actions.probe()
+
+
 @_checking.upon(HealthInputs.connection_accepted).to(_up)
 def _settle(inputs: HealthInputs, actions: HealthActions) -> None:
     actions.settle_losses()
@@ -69,12 +77,12 @@
 
 @_down.upon(HealthInputs.connection_refused).loop()
 def _wait(inputs: HealthInputs, actions: HealthActions) -> None:
+    actions.report_losses()
     actions.probe_later()
 
 
 _up.upon(HealthInputs.connection_accepted).loop().returns(None)
 _checking.upon(HealthInputs.connection_lost).loop().returns(None)
-_down.upon(HealthInputs.connection_lost).loop().returns(None)
 _machine = _builder.build()
 
 
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -200,13 +200,13 @@
     message: events.LinkClosed,
     owner: owner_base.OwnerBase,
 ) -> None:
-    for call_id in owner.jobs.calls_of(message.link):
-        job = owner.jobs.leave(message.link, call_id)
-        if job is None or job.callers:
-            continue
-        if not job.sent:
-            _withdraw(job, owner)
-        elif job.request.idempotent:
+    abandoned = owner.jobs.leave_link(message.link)
+    # Queued requests go first: an abort frees a slot that one would take.
+    for queued in abandoned:
+        if not queued.sent:
+            _withdraw(queued, owner)
+    for job in abandoned:
+        if job.sent and job.request.idempotent:
             _abort(job, owner)
 
 
@@ -241,7 +241,9 @@
         owner_results.tell_ledger(ledger.PauseNoticed(), owner)
     owner_starts.tell_admission(admission.ClockChecked(), owner)
     for job in owner.jobs:
-        _check_deadlines(job, owner, now)
+        # The end of one job can end others.
+        if owner.jobs.find(job.exchange) is job:
+            _check_deadlines(job, owner, now)
     _wake_again(owner, now)
 
 
--- a/medlarquay/tasks/owner_jobs.py
+++ b/medlarquay/tasks/owner_jobs.py
@@ -64,9 +64,11 @@
             ]
         return job
 
-    def calls_of(self, link: ids.LinkId) -> list[ids.CallId]:
-        """Return the calls that wait on a link."""
-        return [call_id for found, call_id in self._by_call if found == link]
+    def leave_link(self, link: ids.LinkId) -> list[owner_job.OwnerJob]:
+        """Remove all callers on a link; return jobs without callers."""
+        calls = [call_id for found, call_id in self._by_call if found == link]
+        left = [self.leave(link, call_id) for call_id in calls]
+        return [job for job in left if job is not None and not job.callers]
 
     def pop(self, exchange: ids.ExchangeId) -> owner_job.OwnerJob | None:
         """Remove a job with its callers, who stay listed in it."""
