Choose parents and readers from the instance list

Cause: nodes need one distribution tree without an election or stored state, and the source must see fewer than 200 calls a second.

--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -4,13 +4,19 @@
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
 from medlarquay.states.outcome import Outcome
+from medlarquay.states.parent_fault import ParentFault
 from medlarquay.states.rank import Rank
+from medlarquay.states.reading_mode import ReadingMode
 from medlarquay.states.record_side import RecordSide
 from medlarquay.states.refusal_reason import RefusalReason
+from medlarquay.states.replica_event import ReplicaEvent
 from medlarquay.states.retry_denial import RetryDenial
 from medlarquay.states.retry_reason import RetryReason
 
 __all__ = (
+    'ParentFault',
+    'ReadingMode',
+    'ReplicaEvent',
     'RecordSide',
     'NodePart',
     'InstanceState',
--- /dev/null
+++ b/medlarquay/states/parent_fault.py
@@ -0,0 +1,15 @@
+"""Why a parent is not followed."""
+
+import enum
+
+__all__ = ('ParentFault',)
+
+
+class ParentFault(enum.Enum):
+    """Why a parent is not followed."""
+
+    CLOSED = 'closed'
+    SILENT = 'silent'
+    BEHIND = 'behind'
+    NOT_FRESH = 'not_fresh'
+    MALFORMED = 'malformed'
--- /dev/null
+++ b/medlarquay/states/reading_mode.py
@@ -0,0 +1,15 @@
+"""How often a node may read the source."""
+
+import enum
+
+__all__ = ('ReadingMode',)
+
+
+class ReadingMode(enum.Enum):
+    """How often a node may read the source."""
+
+    NONE = 'none'
+    #: Reads the instance list rarely and at a random phase, to find peers.
+    ISOLATED = 'isolated'
+    #: Watches both trees on behalf of a region.
+    READER = 'reader'
--- /dev/null
+++ b/medlarquay/topology/__init__.py
@@ -0,0 +1,23 @@
+"""Who follows whom and who reads the source; decisions only."""
+
+from medlarquay.topology.backoff import Backoff
+from medlarquay.topology.choice import Choice
+from medlarquay.topology.choose import choose
+from medlarquay.topology.members import Members
+from medlarquay.topology.peer import Peer
+from medlarquay.topology.rank_value import rank_value
+from medlarquay.topology.situation import Situation
+from medlarquay.topology.source_limiter import SourceLimiter
+from medlarquay.topology.suspects import Suspects
+
+__all__ = (
+    'Backoff',
+    'Choice',
+    'Members',
+    'Peer',
+    'Situation',
+    'SourceLimiter',
+    'Suspects',
+    'choose',
+    'rank_value',
+)
