--- a/medlarquay/codec/__init__.py
+++ b/medlarquay/codec/__init__.py
@@ -1,5 +1,6 @@
 """Encoding of messages between nodes as CBOR; holds no decisions."""
 
+from medlarquay.codec import control_encoding as _control_encoding
 from medlarquay.codec.decode import MAX_FRAME_BYTES, decode
 from medlarquay.codec.encode import encode
 from medlarquay.codec.message_type import MessageType
--- a/medlarquay/codec/checked.py
+++ b/medlarquay/codec/checked.py
@@ -32,6 +32,16 @@
         self._peer = peer
         self._position = 0
 
+    @property
+    def peer(self) -> str:
+        """Peer that sent the array."""
+        return self._peer
+
+    @property
+    def length(self) -> int:
+        """Number of fields."""
+        return len(self._fields)
+
     def take(self, kind: type[_Kind]) -> _Kind:
         """Return the next field, which must be exactly of one type.
 
@@ -85,6 +95,12 @@
             return None
         return Checked(fields=found, peer=self._peer)
 
+    def nested(self, fields: object) -> 'Checked':
+        """Return a reader of an array inside the field read last."""
+        if type(fields) is list:
+            return Checked(fields=fields, peer=self._peer)
+        raise self.error('is not a list of arrays')
+
     def finish(self) -> None:
         """Check that no field is left.
 
--- /dev/null
+++ b/medlarquay/codec/control_limits.py
@@ -0,0 +1,24 @@
+"""Bounds of control messages."""
+
+__all__ = (
+    'DIGEST_BYTES',
+    'MAX_DOCUMENT_BYTES',
+    'MAX_ENTRIES_BYTES',
+    'MAX_MESSAGE_BYTES',
+    'MAX_REVISION',
+    'MAX_TEXT',
+)
+
+#: Length of a SHA-256 digest in bytes.
+DIGEST_BYTES = 32
+#: The source holds values up to 1 MB.
+MAX_DOCUMENT_BYTES = 1 << 20
+#: All documents of one message; the sender closes a part at 1 MiB.
+MAX_MESSAGE_BYTES = 1 << 22
+#: The instance entries of one message; the sender closes a part at 4,096
+#: entries of about 200 bytes.
+MAX_ENTRIES_BYTES = 1 << 22
+#: Largest revision; the source counts in signed 64-bit integers.
+MAX_REVISION = (1 << 63) - 1
+#: Longest name, address or reason, in characters.
+MAX_TEXT = 1024
--- a/medlarquay/codec/decode.py
+++ b/medlarquay/codec/decode.py
@@ -1,9 +1,11 @@
 """Decoding of messages between nodes."""
 
+from types import MappingProxyType
+
 import cbor2
 
 from medlarquay import errors
-from medlarquay.codec import call_decoders, checked
+from medlarquay.codec import call_decoders, checked, control_decoders
 
 __all__ = ('MAX_FRAME_BYTES', 'decode')
 
@@ -12,6 +14,11 @@
 
 _STEP = 'decode message'
 
+_DECODERS = MappingProxyType({
+    **call_decoders.DECODERS,
+    **control_decoders.DECODERS,
+})
+
 
 def decode(frame: bytes, *, now: float, peer: str) -> object:
     """Decode one frame into a message.
@@ -44,7 +51,7 @@
             peer=peer,
         )
     reader = checked.Checked(fields=_load_array(frame, peer), peer=peer)
-    decoder = call_decoders.DECODERS.get(reader.take(int))
+    decoder = _DECODERS.get(reader.take(int))
     if decoder is None:
         raise reader.error('is an unknown message type')
     message = decoder(reader, now)
@@ -55,7 +62,8 @@
 def _load_array(frame: bytes, peer: str) -> list[object]:
     try:
         fields = cbor2.loads(frame)
-    except (cbor2.CBORError, ValueError, RecursionError) as cause:
+    except Exception as cause:
+        # Malformed tags raise errors of many types from other libraries.
         raise errors.DecodeError(
             f'frame is not CBOR: {cause}',
             step=_STEP,
--- a/medlarquay/codec/encode.py
+++ b/medlarquay/codec/encode.py
@@ -7,7 +7,7 @@
 from medlarquay import messages
 from medlarquay.codec import message_type
 
-__all__ = ('encode',)
+__all__ = ('encode', 'fields_of')
 
 _MS_PER_SECOND = 1000
 
@@ -27,15 +27,16 @@
     -------
     bytes
     """
-    return cbor2.dumps(_fields(message, now))
+    return cbor2.dumps(fields_of(message, now))
 
 
 @functools.singledispatch
-def _fields(message: object, now: float) -> list[object]:
+def fields_of(message: object, now: float) -> list[object]:
+    """Return the fields of a message; each family of messages registers here."""
     raise TypeError(f'no encoding for {type(message).__name__}')
 
 
-@_fields.register
+@fields_of.register
 def _hello(message: messages.Hello, now: float) -> list[object]:
     return [
         int(message_type.MessageType.HELLO),
@@ -46,7 +47,7 @@
     ]
 
 
-@_fields.register
+@fields_of.register
 def _call_request(message: messages.CallRequest, now: float) -> list[object]:
     return [
         int(message_type.MessageType.CALL_REQUEST),
@@ -64,12 +65,12 @@
     ]
 
 
-@_fields.register
+@fields_of.register
 def _call_cancel(message: messages.CallCancel, now: float) -> list[object]:
     return [int(message_type.MessageType.CALL_CANCEL), message.call_id]
 
 
-@_fields.register
+@fields_of.register
 def _call_answered(message: messages.CallAnswered, now: float) -> list[object]:
     return [
         int(message_type.MessageType.CALL_ANSWERED),
@@ -83,7 +84,7 @@
     ]
 
 
-@_fields.register
+@fields_of.register
 def _call_refused(message: messages.CallRefused, now: float) -> list[object]:
     return [
         int(message_type.MessageType.CALL_REFUSED),
@@ -94,7 +95,7 @@
     ]
 
 
-@_fields.register
+@fields_of.register
 def _call_unknown(message: messages.CallUnknown, now: float) -> list[object]:
     return [
         int(message_type.MessageType.CALL_UNKNOWN),
@@ -103,12 +104,12 @@
     ]
 
 
-@_fields.register
+@fields_of.register
 def _draining(message: messages.Draining, now: float) -> list[object]:
     return [int(message_type.MessageType.DRAINING), message.instance]
 
 
-@_fields.register
+@fields_of.register
 def _suspected(message: messages.CrashSuspected, now: float) -> list[object]:
     return [
         int(message_type.MessageType.CRASH_SUSPECTED),
@@ -119,7 +120,7 @@
     ]
 
 
-@_fields.register
+@fields_of.register
 def _cleared(message: messages.SuspicionCleared, now: float) -> list[object]:
     return [
         int(message_type.MessageType.SUSPICION_CLEARED),
--- a/medlarquay/codec/message_type.py
+++ b/medlarquay/codec/message_type.py
@@ -17,3 +17,8 @@
     DRAINING = 7
     CRASH_SUSPECTED = 8
     SUSPICION_CLEARED = 9
+    SUBSCRIBE = 20
+    FETCH_ALL = 21
+    RECORDS = 22
+    PROBE = 23
+    HEARTBEAT = 24
--- a/medlarquay/daemon/node_settings.py
+++ b/medlarquay/daemon/node_settings.py
@@ -25,6 +25,9 @@
         Address of the local backend server.
     source_url : str
         Address of the configuration service.
+    seeds : tuple of (str, int)
+        Addresses of nodes that a starting node asks first; a node whose own
+        address is among them may read the source at once.
     """
 
     instance: ids.InstanceId
@@ -37,3 +40,4 @@
     backend_host: str
     backend_port: int
     source_url: str
+    seeds: tuple[tuple[str, int], ...] = ()
--- a/medlarquay/daemon/parse_arguments.py
+++ b/medlarquay/daemon/parse_arguments.py
@@ -25,6 +25,7 @@
     for flag in ('caller-port', 'peer-port', 'admin-port', 'backend-port'):
         _add(parser, flag, int)
     _add(parser, 'backend-host', str)
+    _add_seeds(parser)
     found = parser.parse_args(arguments)
     return node_settings.NodeSettings(
         instance=ids.InstanceId(found.instance),
@@ -37,6 +38,7 @@
         backend_host=found.backend_host,
         backend_port=found.backend_port,
         source_url=found.source_url,
+        seeds=tuple(found.seeds),
     )
 
 
@@ -54,3 +56,25 @@
         required=default is None,
         help=f'environment variable {variable}',
     )
+
+
+def _add_seeds(parser: argparse.ArgumentParser) -> None:
+    variable = f'{_PREFIX}SEEDS'
+    listed = os.environ.get(variable, '')
+    default = [_parse_seed(text) for text in listed.split(',') if text]
+    parser.add_argument(
+        '--seed',
+        dest='seeds',
+        type=_parse_seed,
+        action='append',
+        default=default,
+        metavar='HOST:PORT',
+        help=f'repeated; environment variable {variable}, comma separated',
+    )
+
+
+def _parse_seed(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(':')
+    if host and port.isdecimal():
+        return host, int(port)
+    raise argparse.ArgumentTypeError(f'{text!r} is not of the form host:port')
--- /dev/null
+++ b/medlarquay/daemon/surroundings.py
@@ -0,0 +1,36 @@
+"""What the tasks of the distribution use of the process around them."""
+
+import dataclasses
+import random
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from medlarquay.tasks import connector, source_fetcher
+
+__all__ = ('Surroundings',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Surroundings:
+    """What the tasks of the distribution use of the process around them.
+
+    Attributes
+    ----------
+    reactor : IReactorTime
+        Schedules timers.
+    clock : callable
+        Returns seconds on the monotonic clock.
+    links : Connector
+        Opens control links.
+    fetcher : SourceFetcher
+        Reads the source.
+    randomness : random.Random
+        Phases and jitter.
+    """
+
+    reactor: interfaces.IReactorTime
+    clock: Callable[[], float]
+    links: connector.Connector
+    fetcher: source_fetcher.SourceFetcher
+    randomness: random.Random
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -7,10 +7,22 @@
 from medlarquay.events.broadcast_reply import BroadcastReply
 from medlarquay.events.caller_gone import CallerGone
 from medlarquay.events.cancel_call import CancelCall
+from medlarquay.events.children_changed import ChildrenChanged
+from medlarquay.events.delta_ready import DeltaReady
+from medlarquay.events.delta_requested import DeltaRequested
 from medlarquay.events.documents_read import DocumentsRead
 from medlarquay.events.drain_requested import DrainRequested
 from medlarquay.events.freshness_confirmed import FreshnessConfirmed
+from medlarquay.events.freshness_received import FreshnessReceived
+from medlarquay.events.heartbeat_due import HeartbeatDue
 from medlarquay.events.link_closed import LinkClosed
+from medlarquay.events.parent_answered import ParentAnswered
+from medlarquay.events.parent_chosen import ParentChosen
+from medlarquay.events.parent_lost import ParentLost
+from medlarquay.events.peer_version import PeerVersion
+from medlarquay.events.reading_chosen import ReadingChosen
+from medlarquay.events.records_received import RecordsReceived
+from medlarquay.events.replica_changed import ReplicaChanged
 from medlarquay.events.request_received import RequestReceived
 from medlarquay.events.request_rejected import RequestRejected
 from medlarquay.events.run_call import RunCall
@@ -19,12 +31,25 @@
 from medlarquay.events.send_notice import SendNotice
 from medlarquay.events.send_reply import SendReply
 from medlarquay.events.snapshot_replaced import SnapshotReplaced
-from medlarquay.events.source_entry import SourceEntry
+from medlarquay.events.source_changed import SourceChanged
 from medlarquay.events.start_request import StartRequest
 from medlarquay.events.tick import Tick
 from medlarquay.events.work_finished import WorkFinished
 
 __all__ = (
+    'RecordsReceived',
+    'FreshnessReceived',
+    'PeerVersion',
+    'SourceChanged',
+    'ReplicaChanged',
+    'DeltaRequested',
+    'DeltaReady',
+    'HeartbeatDue',
+    'ParentChosen',
+    'ParentAnswered',
+    'ParentLost',
+    'ReadingChosen',
+    'ChildrenChanged',
     'WorkFinished',
     'FreshnessConfirmed',
     'BroadcastReply',
@@ -45,7 +70,6 @@
     'SendCancel',
     'SendReply',
     'SnapshotReplaced',
-    'SourceEntry',
     'StartRequest',
     'Tick',
 )
--- /dev/null
+++ b/medlarquay/events/children_changed.py
@@ -0,0 +1,18 @@
+"""The number of children that follow the node changed."""
+
+import dataclasses
+
+__all__ = ('ChildrenChanged',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class ChildrenChanged:
+    """The number of children that follow the node changed.
+
+    Attributes
+    ----------
+    count : int
+        Children that subscribed.
+    """
+
+    count: int
--- a/medlarquay/events/documents_read.py
+++ b/medlarquay/events/documents_read.py
@@ -2,8 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids
-from medlarquay.events import source_entry
+from medlarquay import ids, replica
 
 __all__ = ('DocumentsRead',)
 
@@ -14,17 +13,20 @@
 
     Attributes
     ----------
-    tree : str
-        Tree that was read: teams or instances.
+    tree : replica.SourceTree
+        Tree that was read.
+    after : ids.Revision
+        Entries newer than this revision were asked for.
     revision : ids.Revision
         Highest revision of the tree.
-    entries : tuple[source_entry.SourceEntry, ...]
+    entries : tuple[replica.SourceValue, ...]
         Entries newer than the revision asked for.
     asked_at : float
         When the read was sent, seconds on the monotonic clock.
     """
 
-    tree: str
+    tree: replica.SourceTree
+    after: ids.Revision
     revision: ids.Revision
-    entries: tuple[source_entry.SourceEntry, ...]
+    entries: tuple[replica.SourceValue, ...]
     asked_at: float
--- a/medlarquay/messages/heartbeat.py
+++ b/medlarquay/messages/heartbeat.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids
+from medlarquay import ids, replica
 
 __all__ = ('Heartbeat',)
 
@@ -17,16 +17,13 @@
         Nonce of the probe.
     age_ms : int | None
         Milliseconds since the source last confirmed the data; None if never.
-    tree_revision : ids.Revision
-        Tree revision that the sender holds.
-    list_revision : ids.Revision
-        List revision that the sender holds.
+    vector : replica.VersionVector
+        Revisions up to which the sender holds every record.
     digest : ids.Digest
         Digest over all of the sender's records.
     """
 
     nonce: int
     age_ms: int | None
-    tree_revision: ids.Revision
-    list_revision: ids.Revision
+    vector: replica.VersionVector
     digest: ids.Digest
--- a/medlarquay/messages/records.py
+++ b/medlarquay/messages/records.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids, replica
+from medlarquay import replica
 
 __all__ = ('Records',)
 
@@ -13,20 +13,8 @@
 
     Attributes
     ----------
-    teams : tuple[replica.TeamRecord, ...]
-        Changed team records.
-    instances : tuple[replica.InstanceRecord, ...]
-        Changed instance records.
-    tree_revision : ids.Revision
-        Tree revision that the sender holds.
-    list_revision : ids.Revision
-        List revision that the sender holds.
-    digest : ids.Digest
-        Digest over all of the sender's records.
+    delta : replica.Delta
+        Changed records.
     """
 
-    teams: tuple[replica.TeamRecord, ...]
-    instances: tuple[replica.InstanceRecord, ...]
-    tree_revision: ids.Revision
-    list_revision: ids.Revision
-    digest: ids.Digest
+    delta: replica.Delta
--- a/medlarquay/messages/subscribe.py
+++ b/medlarquay/messages/subscribe.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids
+from medlarquay import ids, replica
 
 __all__ = ('Subscribe',)
 
@@ -13,14 +13,11 @@
 
     Attributes
     ----------
-    tree_revision : ids.Revision
-        Highest revision of the settings tree held.
-    list_revision : ids.Revision
-        Highest revision of the instance list held.
+    vector : replica.VersionVector
+        Revisions up to which the sender holds every record.
     digest : ids.Digest
         Digest over all records held.
     """
 
-    tree_revision: ids.Revision
-    list_revision: ids.Revision
+    vector: replica.VersionVector
     digest: ids.Digest
--- a/medlarquay/replica/__init__.py
+++ b/medlarquay/replica/__init__.py
@@ -1,12 +1,40 @@
 """Records of the configuration and the rules by which they merge."""
 
+from medlarquay.replica.acceptance import check_record, record_of
+from medlarquay.replica.apply_source import apply_source
+from medlarquay.replica.change import Change
+from medlarquay.replica.delta import Delta
 from medlarquay.replica.documents import digest_of, parse_instance
-from medlarquay.replica.instance_record import InstanceRecord
+from medlarquay.replica.floor import FRESH_S, STARTUP_S, Floor
+from medlarquay.replica.freshness import Freshness
+from medlarquay.replica.instance_record import InstanceRecord, tombstone
+from medlarquay.replica.join import join_records
+from medlarquay.replica.replica import Replica
+from medlarquay.replica.source_tree import SourceTree
+from medlarquay.replica.source_value import SourceValue
+from medlarquay.replica.split import split_delta
 from medlarquay.replica.team_record import TeamRecord
+from medlarquay.replica.version_vector import VersionVector
 
 __all__ = (
-    'digest_of',
-    'parse_instance',
+    'FRESH_S',
+    'STARTUP_S',
+    'Change',
+    'Delta',
+    'Floor',
+    'Freshness',
     'InstanceRecord',
+    'Replica',
+    'SourceTree',
+    'SourceValue',
     'TeamRecord',
+    'VersionVector',
+    'apply_source',
+    'check_record',
+    'digest_of',
+    'join_records',
+    'parse_instance',
+    'record_of',
+    'split_delta',
+    'tombstone',
 )
--- a/medlarquay/replica/instance_record.py
+++ b/medlarquay/replica/instance_record.py
@@ -4,7 +4,7 @@
 
 from medlarquay import ids, states
 
-__all__ = ('InstanceRecord',)
+__all__ = ('InstanceRecord', 'tombstone')
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -51,3 +51,25 @@
     slots: int
     state: states.InstanceState
     deleted: bool = False
+
+
+def tombstone(
+    *,
+    instance: ids.InstanceId,
+    revision: ids.Revision,
+) -> InstanceRecord:
+    """Return the record of a deleted instance."""
+    return InstanceRecord(
+        instance=instance,
+        revision=revision,
+        team=ids.TeamName(''),
+        service=ids.ServiceName(''),
+        region=ids.RegionName(''),
+        data_centre=ids.DataCentreName(''),
+        host='',
+        caller_port=0,
+        peer_port=0,
+        slots=0,
+        state=states.InstanceState.LEAVING,
+        deleted=True,
+    )
--- /dev/null
+++ b/medlarquay/replica/record_set.py
@@ -0,0 +1,83 @@
+"""Records of one tree, indexed by key and by revision."""
+
+import bisect
+from collections.abc import Hashable, Iterator
+from typing import Generic, Protocol, TypeVar
+
+from medlarquay import ids
+from medlarquay.replica import record_token
+
+__all__ = ('RecordSet',)
+
+_MODULUS = 1 << 256
+# The index is rebuilt when most of its entries are superseded.
+_SLACK = 64
+
+
+class _Record(Protocol):
+    @property
+    def revision(self) -> ids.Revision:
+        """Revision of the record."""
+
+
+_Key = TypeVar('_Key', bound=Hashable)
+_Kind = TypeVar('_Kind', bound=_Record)
+
+
+class RecordSet(Generic[_Key, _Kind]):
+    """Records of one tree, indexed by key and by revision.
+
+    Notes
+    -----
+    The digest is the sum of the records' tokens modulo 2**256, so a change
+    costs one subtraction and one addition whatever the number of records.
+    """
+
+    def __init__(self) -> None:
+        self._records: dict[_Key, _Kind] = {}
+        self._index: list[tuple[ids.Revision, _Key]] = []
+        self._total = 0
+
+    def __len__(self) -> int:
+        """Return the number of records, tombstones included."""
+        return len(self._records)
+
+    def __iter__(self) -> Iterator[_Kind]:
+        """Iterate over the records."""
+        return iter(self._records.values())
+
+    @property
+    def total(self) -> int:
+        """Sum of the tokens of all records."""
+        return self._total
+
+    def get(self, key: _Key) -> _Kind | None:
+        """Return the record of one key."""
+        return self._records.get(key)
+
+    def put(self, key: _Key, record: _Kind) -> None:
+        """Replace the record of one key."""
+        held = self._records.get(key)
+        removed = 0 if held is None else record_token.token_of(held)
+        added = record_token.token_of(record)
+        self._total = (self._total - removed + added) % _MODULUS
+        self._records[key] = record
+        if held is None or held.revision != record.revision:
+            bisect.insort(self._index, (record.revision, key))
+        if len(self._index) > 2 * len(self._records) + _SLACK:
+            self._index = sorted(
+                (entry.revision, name) for name, entry in self._records.items()
+            )
+
+    def newer_than(self, revision: ids.Revision) -> tuple[_Kind, ...]:
+        """Return the records newer than a revision, in order of revision."""
+        start = bisect.bisect_right(
+            self._index,
+            revision,
+            key=lambda entry: entry[0],
+        )
+        return tuple(
+            self._records[key]
+            for indexed, key in self._index[start:]
+            if self._records[key].revision == indexed
+        )
--- /dev/null
+++ b/medlarquay/replica/replica.py
@@ -0,0 +1,184 @@
+"""All records that a node holds and the rules by which they change."""
+
+from collections.abc import Iterable, Iterator
+
+from medlarquay import errors, ids, settings, states
+from medlarquay.replica import (
+    acceptance,
+    change,
+    delta,
+    instance_record,
+    join,
+    record_set,
+    team_record,
+    version_vector,
+)
+
+__all__ = ('Replica',)
+
+_DIGEST_BYTES = 32
+_MODULUS = 1 << (8 * _DIGEST_BYTES)
+
+
+class Replica:
+    """All records that a node holds and the rules by which they change.
+
+    Records only ever move up by their join, and the version vector only
+    rises, so no order of messages can bring back an older version.
+    """
+
+    def __init__(self) -> None:
+        self._teams: record_set.RecordSet[
+            ids.TeamName, team_record.TeamRecord
+        ] = record_set.RecordSet()
+        self._instances: record_set.RecordSet[
+            ids.InstanceId, instance_record.InstanceRecord
+        ] = record_set.RecordSet()
+        self._documents: dict[ids.TeamName, settings.TeamDocument] = {}
+        self._vector = version_vector.VersionVector()
+
+    @property
+    def vector(self) -> version_vector.VersionVector:
+        """Revisions up to which every record is held."""
+        return self._vector
+
+    @property
+    def digest(self) -> ids.Digest:
+        """Digest over all records."""
+        total = (self._teams.total + self._instances.total) % _MODULUS
+        return ids.Digest(total.to_bytes(_DIGEST_BYTES, 'big'))
+
+    @property
+    def documents(self) -> Iterable[settings.TeamDocument]:
+        """Accepted documents."""
+        return self._documents.values()
+
+    @property
+    def teams(self) -> Iterator[team_record.TeamRecord]:
+        """Team records, deleted teams included."""
+        return iter(self._teams)
+
+    @property
+    def instances(self) -> tuple[instance_record.InstanceRecord, ...]:
+        """Instance records without tombstones."""
+        return tuple(entry for entry in self._instances if not entry.deleted)
+
+    def apply_delta(self, offered: delta.Delta) -> change.Change:
+        """Join a peer's records into the replica.
+
+        The vector rises only if the delta leaves no gap above the vector
+        held; records above a gap are joined all the same.
+        """
+        found = change.Change()
+        for record in offered.teams:
+            self._join_offered(record, found)
+        for entry in offered.instances:
+            self.join_instance(entry, found)
+        if self._vector.covers(offered.base):
+            self.raise_vector(offered.reached, found)
+        else:
+            found.note(states.ReplicaEvent.DELTA_GAP)
+        if offered.digest and self._differs(offered):
+            found.note(states.ReplicaEvent.DIGEST_MISMATCH)
+        return found
+
+    def raise_vector(
+        self,
+        reached: version_vector.VersionVector,
+        found: change.Change,
+    ) -> None:
+        """Note that every record up to a vector is held."""
+        if not self._vector.covers(reached):
+            self._vector = self._vector.join(reached)
+            found.vector = True
+
+    def join_team(
+        self,
+        offered: team_record.TeamRecord,
+        found: change.Change,
+    ) -> None:
+        """Join one validated team record."""
+        held = self._teams.get(offered.team)
+        merged = offered if held is None else _join(held, offered, found)
+        if merged is None or merged == held:
+            return
+        if merged.rejection and _is_newer(merged, held):
+            found.note(
+                states.ReplicaEvent.DOCUMENT_REJECTED,
+                f'teams/{merged.team}@{merged.revision}: {merged.rejection}',
+            )
+        self._teams.put(merged.team, merged)
+        found.teams = True
+        if held is None or held.accepted_revision != merged.accepted_revision:
+            self._bring_into_force(merged)
+
+    def join_instance(
+        self,
+        offered: instance_record.InstanceRecord,
+        found: change.Change,
+    ) -> None:
+        """Join one instance record."""
+        held = self._instances.get(offered.instance)
+        merged = offered if held is None else _join(held, offered, found)
+        if merged is None or merged == held:
+            return
+        self._instances.put(merged.instance, merged)
+        found.instances = True
+
+    def delta_after(self, base: version_vector.VersionVector) -> delta.Delta:
+        """Return all records newer than a version vector."""
+        return delta.Delta(
+            teams=self._teams.newer_than(base.tree_revision),
+            instances=self._instances.newer_than(base.list_revision),
+            base=base,
+            reached=self._vector,
+            digest=self.digest,
+        )
+
+    def _join_offered(
+        self,
+        record: team_record.TeamRecord,
+        found: change.Change,
+    ) -> None:
+        checked = acceptance.check_record(record)
+        if checked is None:
+            found.note(
+                states.ReplicaEvent.RECORD_INVALID,
+                f'teams/{record.team}@{record.revision}: inconsistent record',
+            )
+        else:
+            self.join_team(checked, found)
+
+    def _differs(self, offered: delta.Delta) -> bool:
+        # Digests of nodes at different vectors differ in any case.
+        same = self._vector == offered.reached
+        return same and self.digest != offered.digest
+
+    def _bring_into_force(self, record: team_record.TeamRecord) -> None:
+        document = acceptance.document_of(record)
+        if document is None:
+            self._documents.pop(record.team, None)
+        else:
+            self._documents[record.team] = document
+
+
+def _is_newer(
+    merged: team_record.TeamRecord,
+    held: team_record.TeamRecord | None,
+) -> bool:
+    return held is None or merged.revision > held.revision
+
+
+def _join(
+    held: join.Joinable,
+    offered: join.Joinable,
+    found: change.Change,
+) -> join.Joinable | None:
+    try:
+        merged = join.join_records(held, offered)
+    except errors.RevisionConflictError as conflict:
+        found.note(states.ReplicaEvent.REVISION_CONFLICT, str(conflict))
+        return None
+    if offered.revision < held.revision:
+        found.note(states.ReplicaEvent.RECORD_STALE)
+    return merged
--- a/medlarquay/replica/source_value.py
+++ b/medlarquay/replica/source_value.py
@@ -4,11 +4,11 @@
 
 from medlarquay import ids
 
-__all__ = ('SourceEntry',)
+__all__ = ('SourceValue',)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
-class SourceEntry:
+class SourceValue:
     """One value of the source.
 
     Attributes
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -1,44 +1,146 @@
 """The task that owns the configuration of the node."""
 
 import functools
+from collections.abc import Callable
 
-from medlarquay import errors, events, ids, replica, settings, snapshots
-from medlarquay.tasks import task
+from twisted.internet import interfaces
+
+from medlarquay import (
+    events,
+    replica,
+    snapshots,
+    states,
+    telemetry,
+)
+from medlarquay.tasks import alarm, task
 
 __all__ = ('Configuration',)
 
+_CHECK_S = 0.5
+#: A timer that fires this late means that the process was paused.
+PAUSED_S = 1
+
 
 class Configuration(task.Task):
-    """Owns the documents and instances held and builds the snapshot.
+    """Owns the replica, its freshness and the floor; builds the snapshot.
 
     Parameters
     ----------
     subscribers : tuple of Task
         Receive ``SnapshotReplaced``.
+    freshness_subscribers : tuple of Task
+        Receive ``FreshnessConfirmed``; its time is -inf after a pause, until
+        the freshness was checked again.
+    distribution : tuple of Task
+        Receive ``ReplicaChanged``, also before the node may serve.
+    floor : replica.Floor
+        Rule by which a starting node may begin to serve.
+    reactor : IReactorTime
+        Schedules the checks.
+    clock : callable
+        Returns seconds on the monotonic clock.
     """
 
-    def __init__(self, *, subscribers: tuple[task.Task, ...]) -> None:
+    def __init__(
+        self,
+        *,
+        subscribers: tuple[task.Task, ...],
+        freshness_subscribers: tuple[task.Task, ...],
+        floor: replica.Floor,
+        reactor: interfaces.IReactorTime,
+        clock: Callable[[], float],
+    ) -> None:
         super().__init__(name='configuration')
-        self.documents: dict[ids.TeamName, settings.TeamDocument] = {}
-        self.instances: dict[ids.InstanceId, replica.InstanceRecord] = {}
-        self.revisions = {'teams': 0, 'instances': 0}
+        self.replica = replica.Replica()
+        self.freshness = replica.Freshness()
+        self.floor = floor
+        self.counters = telemetry.Counters()
+        self.distribution: tuple[task.Task, ...] = ()
+        self.relay: task.Task | None = None
+        self.read_at: dict[replica.SourceTree, float] = {}
         self._subscribers = subscribers
+        self._freshness_subscribers = freshness_subscribers
+        self._clock = clock
+        self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
+        # Whether the replica holds what the last snapshot does not.
+        self._unpublished = False
 
     def receive(self, message: object) -> None:
         """Handle one message."""
         _handle(message, self)
 
-    def reject(self, failure: errors.MedlarquayError) -> None:
-        """Log the rejection of a document."""
-        self._log.warning('rejected a document: {}', failure)
-
-    def publish(self) -> None:
-        """Build the snapshot and give it to the subscribers."""
+    def start(self) -> None:
+        """Begin to check the freshness regularly."""
+        self._alarm.wake_at(self._clock() + _CHECK_S)
+
+    def check_time(self, tick: events.Tick) -> None:
+        """Expire the freshness after a pause and ask for the next check."""
+        if tick.late > PAUSED_S:
+            self._log.warning(
+                'process was paused for {:.1f} s; freshness expired',
+                tick.late,
+            )
+            self.read_at.clear()
+            self.freshness.expire(now=tick.now)
+            self._tell_freshness()
+        self._publish_when_allowed()
+        self._alarm.wake_at(tick.now + _CHECK_S)
+
+    def take_change(self, change: replica.Change) -> None:
+        """Count what was not applied and pass on what was."""
+        for note in change.notes:
+            self.counters.increment(note)
+        for reason in change.rejections:
+            self._log.warning('rejected a record: {}', reason)
+        if not change.anything:
+            return
+        self._unpublished = True
+        changed = events.ReplicaChanged(
+            vector=self.replica.vector,
+            digest=self.replica.digest,
+            instances=self.replica.instances if change.instances else None,
+        )
+        for receiver in self.distribution:
+            receiver.post(changed)
+        self._publish_when_allowed()
+
+    def confirm(self, *, confirmed_at: float, asked_at: float) -> None:
+        """Take a confirmation by the source."""
+        if self.freshness.confirm(
+            confirmed_at=confirmed_at,
+            asked_at=asked_at,
+        ):
+            self._publish_when_allowed()
+            self._tell_freshness()
+
+    def _tell_freshness(self) -> None:
+        told = events.FreshnessConfirmed(
+            confirmed_at=self.freshness.confirmed_at,
+        )
+        for subscriber in self._freshness_subscribers:
+            subscriber.post(told)
+
+    def _publish_when_allowed(self) -> None:
+        if self._unpublished and self.floor.may_serve(
+            held=self.replica.vector,
+            confirmed_at=self.freshness.confirmed_at,
+            now=self._clock(),
+        ):
+            self._unpublished = False
+            self._publish()
+
+    def _publish(self) -> None:
+        vector = self.replica.vector
         snapshot = snapshots.build_snapshot(
-            documents=self.documents.values(),
-            instances=self.instances.values(),
-            tree_revision=ids.Revision(self.revisions['teams']),
-            list_revision=ids.Revision(self.revisions['instances']),
+            documents=self.replica.documents,
+            instances=self.replica.instances,
+            tree_revision=vector.tree_revision,
+            list_revision=vector.list_revision,
+        )
+        self._log.info(
+            'in force: tree revision {}, list revision {}',
+            vector.tree_revision,
+            vector.list_revision,
         )
         for subscriber in self._subscribers:
             subscriber.post(events.SnapshotReplaced(snapshot=snapshot))
@@ -49,45 +151,72 @@
     raise TypeError(f'unexpected message {type(message).__name__}')
 
 
+@_handle.register
+def _tick(message: events.Tick, configuration: Configuration) -> None:
+    configuration.check_time(message)
+
+
 @_handle.register
 def _read(message: events.DocumentsRead, configuration: Configuration) -> None:
-    # A source that is behind answers with an older revision; it is ignored.
-    if message.revision <= configuration.revisions[message.tree]:
+    change = replica.apply_source(
+        configuration.replica,
+        tree=message.tree,
+        after=message.after,
+        revision=message.revision,
+        entries=message.entries,
+    )
+    configuration.take_change(change)
+    if states.ReplicaEvent.SOURCE_STALE in change.notes:
         return
-    for entry in message.entries:
-        if message.tree == 'teams':
-            _take_document(entry, configuration)
-        else:
-            _take_instance(entry, configuration)
-    configuration.revisions[message.tree] = message.revision
-    configuration.publish()
+    # Both trees have to be confirmed, so the older of the two reads counts.
+    configuration.read_at[message.tree] = message.asked_at
+    if len(configuration.read_at) == len(replica.SourceTree):
+        oldest = min(configuration.read_at.values())
+        configuration.confirm(confirmed_at=oldest, asked_at=oldest)
 
 
-def _take_document(
-    entry: events.SourceEntry,
+@_handle.register
+def _records(
+    message: events.RecordsReceived,
     configuration: Configuration,
 ) -> None:
-    team = ids.TeamName(entry.key)
-    if entry.content is None:
-        configuration.documents.pop(team, None)
-        return
-    try:
-        document = settings.parse_document(team=team, content=entry.content)
-    except errors.DocumentError as failure:
-        configuration.reject(failure)
-        return
-    configuration.documents[team] = document
+    change = configuration.replica.apply_delta(message.delta)
+    configuration.take_change(change)
+
 
+@_handle.register
+def _freshness(
+    message: events.FreshnessReceived,
+    configuration: Configuration,
+) -> None:
+    configuration.floor.answer(message.peer, message.vector)
+    # The confirmation is about what the peer holds.
+    if configuration.replica.vector.covers(message.vector):
+        configuration.confirm(
+            confirmed_at=message.confirmed_at,
+            asked_at=message.asked_at,
+        )
 
-def _take_instance(
-    entry: events.SourceEntry,
+
+@_handle.register
+def _version(
+    message: events.PeerVersion,
     configuration: Configuration,
 ) -> None:
-    if entry.content is None:
-        configuration.instances.pop(ids.InstanceId(entry.key), None)
-        return
-    record = replica.parse_instance(
-        content=entry.content,
-        revision=entry.revision,
-    )
-    configuration.instances[record.instance] = record
+    if message.vector is None:
+        configuration.floor.fail(message.peer)
+    else:
+        configuration.floor.answer(message.peer, message.vector)
+
+
+@_handle.register
+def _delta_requested(
+    message: events.DeltaRequested,
+    configuration: Configuration,
+) -> None:
+    if configuration.relay is not None:
+        configuration.relay.post(
+            events.DeltaReady(
+                delta=configuration.replica.delta_after(message.base),
+            ),
+        )
--- /dev/null
+++ b/medlarquay/tasks/connector.py
@@ -0,0 +1,59 @@
+"""Opening of control links to other nodes."""
+
+from typing import Protocol
+
+from twisted.internet import endpoints, interfaces
+
+from medlarquay import topology, transport
+from medlarquay.tasks import link_watcher
+
+__all__ = ('CONTROL_PATH', 'Connector', 'TcpConnector')
+
+CONTROL_PATH = '/control'
+
+_CONNECT_TIMEOUT_S = 1
+
+
+class Connector(Protocol):
+    """Opens control links; tests open them without sockets."""
+
+    def open(
+        self,
+        target: topology.Peer,
+        watcher: link_watcher.LinkWatcher,
+    ) -> None:
+        """Open a link to a peer."""
+
+
+class TcpConnector:
+    """Opens control links over TCP.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP
+        Opens the connections.
+    """
+
+    def __init__(self, *, reactor: interfaces.IReactorTCP) -> None:
+        self._reactor = reactor
+
+    def open(
+        self,
+        target: topology.Peer,
+        watcher: link_watcher.LinkWatcher,
+    ) -> None:
+        """Open a link to a peer."""
+        link = transport.Link.connecting(
+            path=CONTROL_PATH,
+            opened=watcher.opened,
+            received=lambda source, frame: watcher.received(frame),
+            closed=lambda source: watcher.closed(),
+        )
+        endpoint = endpoints.TCP4ClientEndpoint(
+            self._reactor,
+            target.host,
+            target.port,
+            timeout=_CONNECT_TIMEOUT_S,
+        )
+        connecting = endpoints.connectProtocol(endpoint, link)
+        connecting.addErrback(lambda failure: watcher.closed())
--- /dev/null
+++ b/medlarquay/tasks/followed.py
@@ -0,0 +1,97 @@
+"""State of the control link to one parent."""
+
+import dataclasses
+
+from medlarquay import messages, replica, states, topology
+from medlarquay.tasks import control_link
+
+__all__ = ('SILENT_S', 'Followed')
+
+#: A parent that answers no probe for this long counts as silent, in seconds.
+SILENT_S = 1.5
+# A parent may be behind or stale for this long, in seconds: its own parent
+# may just have failed.
+_USELESS_S = 2
+# Answers to older probes are of no use.
+_MAX_PROBES = 8
+_MS_PER_SECOND = 1000
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class Followed:
+    """State of the control link to one parent.
+
+    Attributes
+    ----------
+    parent : topology.Peer
+        Parent at the other end.
+    must_be_fresh : bool
+        Whether a parent without a recent confirmation is of no use.
+    silent_at : float
+        When the parent counts as silent, seconds on the monotonic clock.
+    useless_at : float
+        When the parent counts as behind or stale.
+    link : control_link.ControlLink or None
+        Open link.
+    probes : dict of int to float
+        When each unanswered probe was sent, by nonce.
+    fault : states.ParentFault
+        Reported if the link ends now.
+    refetched : bytes
+        Digest for which all records were requested; they are requested once
+        for each digest, because a conflict would not be resolved by more.
+    """
+
+    parent: topology.Peer
+    must_be_fresh: bool
+    silent_at: float
+    useless_at: float
+    link: control_link.ControlLink | None = None
+    probes: dict[int, float] = dataclasses.field(default_factory=dict)
+    fault: states.ParentFault = states.ParentFault.CLOSED
+    refetched: bytes = b''
+
+    @classmethod
+    def start(cls, parent: topology.Peer, *, now: float) -> 'Followed':
+        """Return the state of a link that is being opened."""
+        return cls(
+            parent=parent,
+            must_be_fresh=False,
+            silent_at=now + SILENT_S,
+            useless_at=now + SILENT_S + _USELESS_S,
+        )
+
+    def note_probe(self, nonce: int, *, now: float) -> None:
+        """Remember when a probe was sent."""
+        self.probes[nonce] = now
+        while len(self.probes) > _MAX_PROBES:
+            self.probes.pop(next(iter(self.probes)))
+
+    def expire(self, *, now: float) -> None:
+        """Forget what was observed before a pause of this process."""
+        self.probes.clear()
+        self.silent_at = now + SILENT_S
+        self.useless_at = now + SILENT_S + _USELESS_S
+
+    def take_heartbeat(
+        self,
+        heartbeat: messages.Heartbeat,
+        held: replica.VersionVector,
+        *,
+        now: float,
+    ) -> bool:
+        """Judge a heartbeat; return whether the parent is of use."""
+        self.silent_at = now + SILENT_S
+        age_ms = heartbeat.age_ms
+        fresh = (
+            age_ms is not None and age_ms <= replica.FRESH_S * _MS_PER_SECOND
+        )
+        if not heartbeat.vector.covers(held):
+            self.fault = states.ParentFault.BEHIND
+            return False
+        if self.must_be_fresh and not fresh:
+            self.fault = states.ParentFault.NOT_FRESH
+            return False
+        self.fault = states.ParentFault.CLOSED
+        self.useless_at = now + _USELESS_S
+        return True
--- /dev/null
+++ b/medlarquay/tasks/follower.py
@@ -0,0 +1,328 @@
+"""The task that follows a parent."""
+
+import functools
+import itertools
+import math
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from medlarquay import (
+    codec,
+    errors,
+    events,
+    ids,
+    messages,
+    replica,
+    states,
+    telemetry,
+)
+from medlarquay.tasks import (
+    alarm,
+    configuration,
+    connector,
+    control_link,
+    followed,
+    following,
+    link_watcher,
+    task,
+)
+
+__all__ = ('Follower',)
+
+#: Time between two probes, in seconds.
+PROBE_S = 0.5
+_MS_PER_SECOND = 1000
+
+
+class Follower(task.Task):
+    """Owns the control link to the parent, and to the next one on a change.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Schedules probes and deadlines.
+    links : Connector
+        Opens the links.
+    hello : Hello
+        First message on each link.
+    clock : callable
+        Returns seconds on the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTime,
+        links: connector.Connector,
+        hello: messages.Hello,
+        clock: Callable[[], float],
+    ) -> None:
+        super().__init__(name='follower')
+        self.configuration: task.Task | None = None
+        self.membership: task.Task | None = None
+        self.link_bytes = telemetry.LinkBytes()
+        self.vector = replica.VersionVector()
+        self.digest = ids.Digest(b'')
+        self.current: following.Following | None = None
+        self.next: following.Following | None = None
+        self._links = links
+        self._hello = hello
+        self._clock = clock
+        self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
+        self._nonces = itertools.count(1)
+
+    def receive(self, message: object) -> None:
+        """Handle one message."""
+        _handle(message, self)
+
+    def now(self) -> float:
+        """Return seconds on the monotonic clock."""
+        return self._clock()
+
+    def follow(self, message: events.ParentChosen) -> None:
+        """Follow another parent once it has answered."""
+        for held in (self.current, self.next):
+            if held is not None and held.state.parent == message.parent:
+                held.state.must_be_fresh = message.must_be_fresh
+        if message.parent is None:
+            self._drop(self.current)
+            self._drop(self.next)
+        elif _is_held(self.current, message):
+            self._drop(self.next)
+        elif not _is_held(self.next, message):
+            self._drop(self.next)
+            self._try(message)
+
+    def check_time(self, tick: events.Tick) -> None:
+        """Probe the parents and give up those that are of no use."""
+        for held in (self.current, self.next):
+            if held is not None:
+                _check_link(held, tick)
+        if self.current is not None or self.next is not None:
+            self._alarm.wake_at(tick.now + PROBE_S)
+
+    def write(self, link: following.Following, message: object) -> None:
+        """Send a message on one link."""
+        if link.state.link is not None:
+            frame = codec.encode(message, now=self._clock())
+            self.link_bytes.count_sent(link.state.parent.region, len(frame))
+            link.state.link.send(frame)
+
+    def introduce(self, link: following.Following) -> None:
+        """Introduce the node and ask for newer records."""
+        self.write(link, self._hello)
+        _ask(self, link)
+        link.machine.probe_due(self._clock())
+
+    def next_nonce(self) -> int:
+        """Return a new nonce."""
+        return next(self._nonces)
+
+    def promote(self, link: following.Following) -> None:
+        """Follow this parent instead of the previous one."""
+        self._drop(self.current)
+        self.current = link
+        self.next = None
+        self._log.info('following {}', link.state.parent.address)
+        if self.membership is not None:
+            self.membership.post(
+                events.ParentAnswered(parent=link.state.parent),
+            )
+
+    def finish(self, link: following.Following) -> None:
+        """Forget a link and report the loss unless it was dropped."""
+        if link is self.current:
+            self.current = None
+        elif link is self.next:
+            self.next = None
+        else:
+            return
+        self._log.warning(
+            'parent {} is not followed: {}',
+            link.state.parent.address,
+            link.state.fault.value,
+        )
+        if self.membership is not None:
+            self.membership.post(
+                events.ParentLost(
+                    parent=link.state.parent,
+                    reason=link.state.fault,
+                ),
+            )
+
+    def _drop(self, link: following.Following | None) -> None:
+        if link is None:
+            return
+        if link is self.current:
+            self.current = None
+        if link is self.next:
+            self.next = None
+        link.machine.ended()
+
+    def _try(self, message: events.ParentChosen) -> None:
+        if message.parent is None:
+            return
+        now = self._clock()
+        state = followed.Followed.start(message.parent, now=now)
+        state.must_be_fresh = message.must_be_fresh
+        link = following.Following(state=state, owner=self)
+        self.next = link
+        self._alarm.wake_at(now + PROBE_S)
+        self._links.open(
+            message.parent,
+            link_watcher.LinkWatcher(
+                opened=functools.partial(self._opened, link),
+                received=functools.partial(self._received, link),
+                closed=link.machine.ended,
+            ),
+        )
+
+    def _opened(
+        self,
+        link: following.Following,
+        opened: control_link.ControlLink,
+    ) -> None:
+        if link in {self.current, self.next}:
+            link.machine.opened(opened)
+        else:
+            # The choice changed while the link was being opened.
+            opened.abort()
+
+    def _received(self, link: following.Following, frame: bytes) -> None:
+        if link not in {self.current, self.next}:
+            return
+        parent = link.state.parent
+        self.link_bytes.count_received(parent.region, len(frame))
+        try:
+            message = codec.decode(
+                frame,
+                now=self._clock(),
+                peer=parent.address,
+            )
+        except errors.DecodeError as failure:
+            self._log.warning('closed a link: {}', failure)
+            link.state.fault = states.ParentFault.MALFORMED
+            link.machine.ended()
+            return
+        _take(message, self, link)
+
+
+def _is_held(
+    link: following.Following | None,
+    message: events.ParentChosen,
+) -> bool:
+    return link is not None and link.state.parent == message.parent
+
+
+def _ask(follower: Follower, link: following.Following) -> None:
+    follower.write(
+        link,
+        messages.Subscribe(vector=follower.vector, digest=follower.digest),
+    )
+
+
+def _check_link(link: following.Following, tick: events.Tick) -> None:
+    if tick.late > configuration.PAUSED_S:
+        link.state.expire(now=tick.now)
+    if tick.now >= link.state.silent_at:
+        link.state.fault = states.ParentFault.SILENT
+        link.machine.ended()
+    elif tick.now >= link.state.useless_at:
+        link.machine.ended()
+    else:
+        link.machine.probe_due(tick.now)
+
+
+@functools.singledispatch
+def _handle(message: object, follower: Follower) -> None:
+    raise TypeError(f'unexpected message {type(message).__name__}')
+
+
+@_handle.register
+def _chosen(message: events.ParentChosen, follower: Follower) -> None:
+    follower.follow(message)
+
+
+@_handle.register
+def _tick(message: events.Tick, follower: Follower) -> None:
+    follower.check_time(message)
+
+
+@_handle.register
+def _changed(message: events.ReplicaChanged, follower: Follower) -> None:
+    follower.vector = message.vector
+    follower.digest = message.digest
+
+
+@functools.singledispatch
+def _take(
+    message: object,
+    follower: Follower,
+    link: following.Following,
+) -> None:
+    link.state.fault = states.ParentFault.MALFORMED
+    link.machine.ended()
+
+
+@_take.register
+def _records(
+    message: messages.Records,
+    follower: Follower,
+    link: following.Following,
+) -> None:
+    if follower.configuration is not None:
+        follower.configuration.post(
+            events.RecordsReceived(
+                peer=link.state.parent.address,
+                delta=message.delta,
+            ),
+        )
+
+
+@_take.register
+def _heartbeat(
+    message: messages.Heartbeat,
+    follower: Follower,
+    link: following.Following,
+) -> None:
+    sent_at = link.state.probes.pop(message.nonce, None)
+    if sent_at is None:
+        # The probe was sent before a pause, or never.
+        return
+    now = follower.now()
+    if link.state.take_heartbeat(message, follower.vector, now=now):
+        link.machine.useful()
+    _resynchronize(message, follower, link)
+    if follower.configuration is not None:
+        follower.configuration.post(
+            events.FreshnessReceived(
+                peer=link.state.parent.address,
+                vector=message.vector,
+                asked_at=sent_at,
+                confirmed_at=_confirmed_at(message, sent_at),
+            ),
+        )
+
+
+def _resynchronize(
+    heartbeat: messages.Heartbeat,
+    follower: Follower,
+    link: following.Following,
+) -> None:
+    # A parent sends the records before the heartbeat, so whatever is still
+    # missing now was not sent.
+    if not follower.vector.covers(heartbeat.vector):
+        _ask(follower, link)
+        return
+    same = follower.vector == heartbeat.vector
+    known = heartbeat.digest in {follower.digest, link.state.refetched}
+    if same and not known:
+        link.state.refetched = heartbeat.digest
+        follower.write(link, messages.FetchAll())
+
+
+def _confirmed_at(heartbeat: messages.Heartbeat, sent_at: float) -> float:
+    if heartbeat.age_ms is None:
+        return -math.inf
+    return sent_at - heartbeat.age_ms / _MS_PER_SECOND
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -8,9 +8,10 @@
 from medlarquay import codec, errors, events, ids, messages, states, transport
 from medlarquay.tasks import outgoing_link, task
 
-__all__ = ('PeerLinks',)
+__all__ = ('CALL_PATH', 'PeerLinks')
 
-_PATH = '/calls'
+#: Path of the handshake of call links.
+CALL_PATH = '/calls'
 _CONNECT_TIMEOUT_S = 1
 
 
@@ -112,7 +113,7 @@
         outgoing = outgoing_link.OutgoingLink(instance=call.instance)
         self.outgoing[call.instance] = outgoing
         link = transport.Link.connecting(
-            path=_PATH,
+            path=CALL_PATH,
             opened=functools.partial(self._opened, outgoing),
             received=functools.partial(self._answered, outgoing),
             closed=functools.partial(self._lost, outgoing),
--- a/medlarquay/tasks/peer_listener.py
+++ b/medlarquay/tasks/peer_listener.py
@@ -1,9 +1,11 @@
 """Acceptance of links from other nodes."""
 
+from collections.abc import Mapping
+
 from twisted.internet import interfaces
 
 from medlarquay import transport
-from medlarquay.tasks import peer_links
+from medlarquay.tasks import link_acceptor
 
 __all__ = ('PeerListener',)
 
@@ -13,12 +15,16 @@
 
     Parameters
     ----------
-    calls : PeerLinks
-        Takes the links with path ``/calls``.
+    acceptors : mapping of str to LinkAcceptor
+        Tasks by the path of their links. A link with another path is closed.
     """
 
-    def __init__(self, *, calls: peer_links.PeerLinks) -> None:
-        self._calls = calls
+    def __init__(
+        self,
+        *,
+        acceptors: Mapping[str, link_acceptor.LinkAcceptor],
+    ) -> None:
+        self._acceptors = acceptors
 
     def listen(
         self,
@@ -33,7 +39,24 @@
 
     def _build(self) -> transport.Link:
         return transport.Link.accepting(
-            opened=self._calls.accept,
-            received=self._calls.receive_frame,
-            closed=self._calls.close_incoming,
+            opened=self._open,
+            received=self._receive,
+            closed=self._close,
         )
+
+    def _open(self, link: transport.Link) -> None:
+        acceptor = self._acceptors.get(link.path)
+        if acceptor is None:
+            link.abort()
+        else:
+            acceptor.accept(link)
+
+    def _receive(self, link: transport.Link, frame: bytes) -> None:
+        acceptor = self._acceptors.get(link.path)
+        if acceptor is not None:
+            acceptor.receive_frame(link, frame)
+
+    def _close(self, link: transport.Link) -> None:
+        acceptor = self._acceptors.get(link.path)
+        if acceptor is not None:
+            acceptor.close_incoming(link)
--- a/medlarquay/tasks/source_reader.py
+++ b/medlarquay/tasks/source_reader.py
@@ -1,20 +1,19 @@
 """The task that reads the configuration service."""
 
-import json
+import functools
+import random
 from collections.abc import Callable
 
-import treq
 from twisted.internet import defer, interfaces
-from twisted.internet import task as cooperation
 
-from medlarquay import events, ids
-from medlarquay.tasks import task
+from medlarquay import events, replica, states, topology
+from medlarquay.tasks import alarm, source_fetcher, task, tree_reader
 
 __all__ = ('SourceReader',)
 
+# The age of a confirmation counts from the sending of the watch. Twice this
+# wait and four levels of probes each 0.5 s stay below the bound of 5 s.
 _WAIT_MS = 1000
-_PAUSE_S = 0.5
-_TIMEOUT_S = 5
 
 
 class SourceReader(task.Task):
@@ -24,10 +23,10 @@
     ----------
     reactor : IReactorTime
         Schedules the reads.
-    base_url : str
-        Address of the configuration service.
-    configuration : Task
-        Receives ``DocumentsRead``.
+    fetcher : SourceFetcher
+        Reads the source.
+    randomness : random.Random
+        Gives the phase of a node without peers and the jitter.
     clock : callable
         Returns seconds on the monotonic clock.
     """
@@ -36,61 +35,144 @@
         self,
         *,
         reactor: interfaces.IReactorTime,
-        base_url: str,
-        configuration: task.Task,
+        fetcher: source_fetcher.SourceFetcher,
+        randomness: random.Random,
         clock: Callable[[], float],
     ) -> None:
         super().__init__(name='source')
-        self._reactor = reactor
-        self._base_url = base_url
-        self._configuration = configuration
+        self.configuration: task.Task | None = None
+        self.membership: task.Task | None = None
+        self.mode = states.ReadingMode.NONE
+        self.readers = {
+            tree: tree_reader.TreeReader(
+                tree=tree,
+                limiter=topology.SourceLimiter(randomness=randomness),
+                owner=self,
+            )
+            for tree in replica.SourceTree
+        }
+        self._fetcher = fetcher
         self._clock = clock
+        self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
+        self._reachable = True
 
     def receive(self, message: object) -> None:
-        """Pass documents on to the configuration."""
-        self._configuration.post(message)
-
-    def start(self) -> None:
-        """Watch both trees until the process ends."""
-        for tree in ('teams', 'instances'):
-            defer.ensureDeferred(self._watch(tree))
-
-    async def _watch(self, tree: str) -> None:
-        revision = 0
-        while True:
-            try:
-                revision = await self._read(tree, revision)
-            except Exception as failure:
-                # Any failure of the source is answered alike: read again.
-                self._log.warning('read of {} failed: {}', tree, failure)
-                await cooperation.deferLater(self._reactor, _PAUSE_S)
-
-    async def _read(self, tree: str, after: int) -> int:
-        asked_at = self._clock()
-        response = await treq.get(
-            f'{self._base_url}/v1/watch/{tree}',
-            params={'after': str(after), 'wait_ms': str(_WAIT_MS)},
-            timeout=_TIMEOUT_S,
+        """Handle one message."""
+        _handle(message, self)
+
+    def choose(self, mode: states.ReadingMode) -> None:
+        """Read both trees, the list only, or nothing."""
+        self.mode = mode
+        for reader in self.readers.values():
+            if self._is_read(reader):
+                reader.machine.choose(mode)
+            else:
+                reader.machine.stop()
+
+    def plan(self, reader: tree_reader.TreeReader) -> None:
+        """Schedule the next read of one tree."""
+        reader.due_at = reader.limiter.next_read(
+            self.mode,
+            now=self._clock(),
         )
-        answer = json.loads(await treq.content(response))
-        entries = tuple(
-            events.SourceEntry(
-                key=found['key'],
-                revision=ids.Revision(found['revision']),
-                content=_encoded(found['value']),
-            )
-            for found in answer['entries']
+        self._alarm.wake_at(reader.due_at)
+
+    def read(self, reader: tree_reader.TreeReader) -> None:
+        """Send a read of one tree."""
+        reader.limiter.sent(now=self._clock())
+        defer.ensureDeferred(self._read(reader))
+
+    def check_time(self, tick: events.Tick) -> None:
+        """Send the reads that are due."""
+        for reader in self.readers.values():
+            if reader.due_at is None:
+                continue
+            if tick.now >= reader.due_at:
+                reader.machine.due()
+            else:
+                self._alarm.wake_at(reader.due_at)
+
+    def finish(
+        self,
+        reader: tree_reader.TreeReader,
+        answer: events.DocumentsRead,
+    ) -> None:
+        """Pass an answer on."""
+        reader.limiter.succeeded()
+        if self.configuration is not None:
+            self.configuration.post(answer)
+        self._note(reachable=True)
+        reader.machine.ended()
+
+    def fail(
+        self,
+        reader: tree_reader.TreeReader,
+        failure: Exception,
+    ) -> None:
+        """Wait before the next read."""
+        self._log.warning(
+            'read of {} failed: {}',
+            reader.tree.value,
+            failure,
         )
-        self.post(
-            events.DocumentsRead(
-                tree=tree,
-                revision=ids.Revision(answer['revision']),
-                entries=entries,
+        reader.limiter.failed(now=self._clock())
+        self._note(reachable=False)
+        reader.machine.ended()
+
+    def _note(self, *, reachable: bool) -> None:
+        if reachable is self._reachable:
+            return
+        self._reachable = reachable
+        if self.membership is not None:
+            self.membership.post(events.SourceChanged(reachable=reachable))
+
+    def _is_read(self, reader: tree_reader.TreeReader) -> bool:
+        if self.mode is states.ReadingMode.ISOLATED:
+            # The list alone leads to the peers, which hold the documents.
+            return reader.tree is replica.SourceTree.INSTANCES
+        return self.mode is states.ReadingMode.READER
+
+    async def _read(self, reader: tree_reader.TreeReader) -> None:
+        asked_at = self._clock()
+        after = reader.held
+        isolated = self.mode is states.ReadingMode.ISOLATED
+        try:
+            answer = source_fetcher.parse_answer(
+                await self._fetcher.fetch(
+                    reader.tree,
+                    after=after,
+                    wait_ms=0 if isolated else _WAIT_MS,
+                ),
+                tree=reader.tree,
+                after=after,
                 asked_at=asked_at,
-            ),
-        )
-        return max(after, int(answer['revision']))
+            )
+        except Exception as failure:
+            # Any failure of the source is answered alike: read again later.
+            self.fail(reader, failure)
+        else:
+            self.finish(reader, answer)
+
+
+@functools.singledispatch
+def _handle(message: object, source: SourceReader) -> None:
+    raise TypeError(f'unexpected message {type(message).__name__}')
+
+
+@_handle.register
+def _chosen(message: events.ReadingChosen, source: SourceReader) -> None:
+    source.choose(message.mode)
+
+
+@_handle.register
+def _tick(message: events.Tick, source: SourceReader) -> None:
+    source.check_time(message)
 
 
-def _encoded(text: str | None) -> bytes | None:
-    return None if text is None else text.encode()
+@_handle.register
+def _changed(message: events.ReplicaChanged, source: SourceReader) -> None:
+    vector = message.vector
+    teams = source.readers[replica.SourceTree.TEAMS]
+    instances = source.readers[replica.SourceTree.INSTANCES]
+    teams.held = vector.tree_revision
+    instances.held = vector.list_revision
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -112,6 +112,10 @@
         self._engine.send_binary(frame)
         self._flush()
 
+    def close(self) -> None:
+        """Close the connection after what was sent."""
+        self.transport.loseConnection()
+
     def abort(self) -> None:
         """Close the connection without a closing handshake."""
         self.transport.abortConnection()
