--- a/medlarquay/tasks/relay.py
+++ b/medlarquay/tasks/relay.py
@@ -187,7 +187,7 @@
     def write_frame(self, found: child.Child, frame: bytes) -> None:
         """Send one frame to a child."""
         self.link_bytes.count_sent(found.region, len(frame))
-        found.link.send(frame)
+        found.link.send(frame, ordered=True)
 
 
 def _count(children: Iterable[child.Child]) -> int:
--- a/medlarquay/tasks/survey.py
+++ b/medlarquay/tasks/survey.py
@@ -147,7 +147,8 @@
 
     def _send(self, asked: surveyed.Surveyed, message: object) -> None:
         if asked.link is not None:
-            asked.link.send(codec.encode(message, now=self._clock()))
+            frame = codec.encode(message, now=self._clock())
+            asked.link.send(frame, ordered=True)
 
     def _received(self, address: str, frame: bytes) -> None:
         if address not in self._open:
