--- /dev/null
+++ b/medlarquay/codec/tests/test_control_fuzz.py
@@ -0,0 +1,167 @@
+"""No bytes from a peer crash or change a node."""
+
+import zlib
+
+import cbor2
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from medlarquay import codec, errors, ids, messages, replica, states
+
+_VECTOR = replica.VersionVector(
+    tree_revision=ids.Revision(7),
+    list_revision=ids.Revision(9),
+)
+_DIGEST = ids.Digest(bytes(range(32)))
+_RECORDS = messages.Records(
+    delta=replica.Delta(
+        teams=(
+            replica.record_of(
+                team=ids.TeamName('agency'),
+                revision=ids.Revision(7),
+                content=b'{"services": {}, "routes": []}',
+            ),
+            replica.record_of(
+                team=ids.TeamName('cooperative'),
+                revision=ids.Revision(6),
+                content=None,
+            ),
+        ),
+        instances=(
+            replica.InstanceRecord(
+                instance=ids.InstanceId('a'),
+                revision=ids.Revision(8),
+                team=ids.TeamName('agency'),
+                service=ids.ServiceName('digest-portal'),
+                region=ids.RegionName('Palermo'),
+                data_centre=ids.DataCentreName('p1'),
+                host='127.0.0.1',
+                caller_port=1,
+                peer_port=2,
+                slots=6,
+                state=states.InstanceState.LIVE,
+            ),
+            replica.tombstone(
+                instance=ids.InstanceId('b'),
+                revision=ids.Revision(9),
+            ),
+        ),
+        base=replica.VersionVector(),
+        reached=_VECTOR,
+        digest=_DIGEST,
+    ),
+)
+_MESSAGES = (
+    messages.Subscribe(vector=_VECTOR, digest=_DIGEST),
+    messages.FetchAll(),
+    _RECORDS,
+    messages.Probe(nonce=3),
+    messages.Heartbeat(nonce=3, age_ms=12, vector=_VECTOR, digest=_DIGEST),
+    messages.Heartbeat(nonce=3, age_ms=None, vector=_VECTOR, digest=_DIGEST),
+)
+_FRAMES = tuple(codec.encode(message, now=0) for message in _MESSAGES)
+_VALUES = strategies.recursive(
+    strategies.one_of(
+        strategies.none(),
+        strategies.booleans(),
+        strategies.integers(-(1 << 70), 1 << 70),
+        strategies.binary(max_size=40),
+        strategies.text(max_size=8),
+        strategies.floats(),
+    ),
+    lambda inner: strategies.lists(inner, max_size=8),
+    max_leaves=20,
+)
+
+
+def _feed(frame: bytes) -> None:
+    """Decode a frame and apply it; only typed errors may be raised."""
+    held = replica.Replica()
+    try:
+        message = codec.decode(frame, now=0, peer='fuzz')
+    except errors.DecodeError:
+        return
+    if isinstance(message, messages.Records):
+        held.apply_delta(message.delta)
+        for document in held.documents:
+            assert document.team in {found.team for found in held.teams}
+
+
+@pytest.mark.parametrize('message', _MESSAGES)
+def test_message_keeps_its_fields(message: object) -> None:
+    """Guards against a field lost or swapped between two nodes."""
+    frame = codec.encode(message, now=0)
+    assert codec.decode(frame, now=0, peer='test') == message
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+@hypothesis.given(strategies.binary(max_size=200))
+def test_any_bytes(frame: bytes) -> None:
+    """Guards against a crash on bytes that are no message."""
+    _feed(frame)
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+@hypothesis.given(
+    strategies.sampled_from(_FRAMES),
+    strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 1000),
+            strategies.integers(0, 255),
+        ),
+        max_size=4,
+    ),
+    strategies.integers(0, 1000),
+)
+def test_damaged_messages(
+    frame: bytes,
+    damage: list[tuple[int, int]],
+    length: int,
+) -> None:
+    """Guards against a crash on a damaged or truncated message."""
+    changed = bytearray(frame)
+    for place, value in damage:
+        changed[place % len(changed)] = value
+    _feed(bytes(changed[:length]))
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+@hypothesis.given(
+    strategies.integers(20, 24),
+    strategies.lists(_VALUES, max_size=8),
+)
+def test_fields_of_wrong_types(number: int, fields: list[object]) -> None:
+    """Guards against a field whose type is trusted."""
+    _feed(cbor2.dumps([number, *fields]))
+
+
+@hypothesis.settings(derandomize=True, deadline=None, max_examples=400)
+@hypothesis.given(_VALUES)
+def test_compressed_entries_of_wrong_types(entries: object) -> None:
+    """Guards against trusting what was compressed."""
+    packed = zlib.compress(cbor2.dumps(entries))
+    _feed(cbor2.dumps([22, [], packed, 0, 0, 0, 0, b'']))
+
+
+@pytest.mark.parametrize('malformed', [
+    # CBOR tags for a date, a pattern, a decimal, a shared value, an address.
+    b'\xc0\x61x', b'\xd8\x23\x61(', b'\xc4\x82\x1b' + b'\xff' * 8 + b'\x01',
+    b'\xd8\x1d\x01', b'\xd9\x01\x04\x41\x00', b'\x9b' + b'\xff' * 8,
+    b'\x81' * 100_000,
+])  # fmt: skip
+def test_malformed_tags(malformed: bytes) -> None:
+    """Guards against an error of another library that closes no link."""
+    _feed(malformed)
+    _feed(b'\x82\x16' + malformed)
+
+
+@pytest.mark.parametrize('documents', [1, 6])
+def test_decompressed_size_is_bounded(documents: int) -> None:
+    """Guards against a small message that fills the memory."""
+    size = (1 << 20) + 1 if documents == 1 else 1 << 20
+    packed = zlib.compress(bytes(size))
+    team = ['agency', 1, bytes(32), 1, packed, '']
+    frame = cbor2.dumps([22, [team] * documents, b'', 0, 0, 0, 0, b''])
+    with pytest.raises(errors.FrameTooLargeError):
+        codec.decode(frame, now=0, peer='test')
--- a/medlarquay/replica/split.py
+++ b/medlarquay/replica/split.py
@@ -8,7 +8,6 @@
     delta,
     instance_record,
     team_record,
-    version_vector,
 )
 
 __all__ = ('split_delta',)
@@ -20,26 +19,21 @@
 
 
 def split_delta(whole: delta.Delta) -> Iterator[delta.Delta]:
-    """Split a delta into parts, each of which is a delta in itself.
+    """Split a delta into parts to be sent in order on one link.
 
-    Records are in order of revision, so each part ends at the revision of its
-    last record and the next part begins there. Only the last part carries the
-    digest.
+    Only the last part raises the receiver's vector and carries the digest. A
+    part that ended at the revision of its last record would claim too much:
+    a record that was replaced since then is in a later part.
     """
     if _is_small(whole):
         yield whole
         return
-    base = whole.base
     for teams in _split_teams(whole.teams):
-        reached = dataclasses.replace(base, tree_revision=teams[-1].revision)
-        yield _part(base, reached, teams=teams)
-        base = reached
+        yield _part(whole, teams=teams)
     for first in range(0, len(whole.instances), _PART_INSTANCES):
         entries = whole.instances[first : first + _PART_INSTANCES]
-        reached = dataclasses.replace(base, list_revision=entries[-1].revision)
-        yield _part(base, reached, entries=entries)
-        base = reached
-    yield dataclasses.replace(whole, teams=(), instances=(), base=base)
+        yield _part(whole, entries=entries)
+    yield dataclasses.replace(whole, teams=(), instances=())
 
 
 def _is_small(whole: delta.Delta) -> bool:
@@ -48,8 +42,7 @@
 
 
 def _part(
-    base: version_vector.VersionVector,
-    reached: version_vector.VersionVector,
+    whole: delta.Delta,
     *,
     teams: tuple[team_record.TeamRecord, ...] = (),
     entries: tuple[instance_record.InstanceRecord, ...] = (),
@@ -57,8 +50,8 @@
     return delta.Delta(
         teams=teams,
         instances=entries,
-        base=base,
-        reached=base.join(reached),
+        base=whole.base,
+        reached=whole.base,
         digest=ids.Digest(b''),
     )
 
--- /dev/null
+++ b/medlarquay/replica/tests/test_joins.py
@@ -0,0 +1,176 @@
+"""Joins, acceptance, deltas, floor and freshness."""
+
+import dataclasses
+import itertools
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from medlarquay import errors, ids, replica
+
+_TEAM = ids.TeamName('agency')
+_REVISIONS = range(1, 8)
+
+
+def document(revision: int) -> bytes:
+    """Return a valid document that differs by revision."""
+    return json.dumps({
+        'services': {'digest-portal': {'queue_limit': revision}},
+        'routes': [
+            {'host': 'digest-portal.agency', 'service': 'digest-portal'},
+        ],
+    }).encode()
+
+
+def record(revision: int) -> replica.TeamRecord:
+    """Return the record at one revision; every third is rejected."""
+    content = b'{' if revision % 3 == 0 else document(revision)
+    return replica.record_of(
+        team=_TEAM,
+        revision=ids.Revision(revision),
+        content=None if revision == 5 else content,
+    )
+
+
+def _reachable() -> list[replica.TeamRecord]:
+    """Return all records that a node can hold."""
+    found = [record(revision) for revision in _REVISIONS]
+    for first, second in itertools.combinations(tuple(found), 2):
+        joined = replica.join_records(first, second)
+        if joined not in found:
+            found.append(joined)
+    return found
+
+
+_RECORDS = strategies.sampled_from(_reachable())
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(_RECORDS, _RECORDS, _RECORDS)
+def test_join_is_a_semilattice(
+    one: replica.TeamRecord,
+    other: replica.TeamRecord,
+    third: replica.TeamRecord,
+) -> None:
+    """Guards against a result that depends on the order of messages."""
+    join = replica.join_records
+    assert join(one, other) == join(other, one)
+    assert join(join(one, other), third) == join(one, join(other, third))
+    assert join(one, one) == one
+
+
+def test_conflict_keeps_the_first_content() -> None:
+    """Guards against two nodes swapping contents of one revision."""
+    held = replica.Replica()
+    vector = replica.VersionVector(tree_revision=ids.Revision(1))
+    for content in (document(1), document(2)):
+        offered = replica.record_of(
+            team=_TEAM,
+            revision=ids.Revision(1),
+            content=content,
+        )
+        change = held.apply_delta(
+            replica.Delta(
+                teams=(offered,),
+                instances=(),
+                base=replica.VersionVector(),
+                reached=vector,
+                digest=ids.Digest(b''),
+            ),
+        )
+    assert next(held.teams).content == document(1)
+    assert [note.value for note in change.notes] == ['revision_conflict']
+    with pytest.raises(errors.RevisionConflictError):
+        replica.join_records(next(held.teams), offered)
+
+
+def test_bad_document_blocks_no_other_team() -> None:
+    """Guards against one team's error holding back another team."""
+    held = replica.Replica()
+    entries = tuple(
+        replica.SourceValue(
+            key=key,
+            revision=ids.Revision(revision),
+            content=content,
+        )
+        for revision, key, content in (
+            (1, 'agency', document(1)),
+            (2, 'agency', b'[]'),
+            (3, 'cooperative', document(3).replace(b'agency', b'cooperative')),
+        )
+    )
+    change = replica.apply_source(
+        held,
+        tree=replica.SourceTree.TEAMS,
+        after=ids.Revision(0),
+        revision=ids.Revision(3),
+        entries=entries,
+    )
+    agency = next(found for found in held.teams if found.team == 'agency')
+    assert (agency.revision, agency.accepted_revision) == (2, 1)
+    assert agency.rejection
+    assert change.rejections
+    assert {found.team for found in held.documents} == {
+        'agency',
+        'cooperative',
+    }
+
+
+def test_peer_cannot_bring_a_bad_document_into_force() -> None:
+    """Guards against a faulty peer, which is validated like the source."""
+    content = b'{"services": 3}'
+    forged = dataclasses.replace(
+        record(1),
+        content=content,
+        digest=replica.digest_of(content),
+    )
+    checked = replica.check_record(forged)
+    assert checked is not None
+    assert (checked.content, checked.accepted_revision) == (b'', 0)
+    swapped = dataclasses.replace(record(1), content=document(2))
+    assert replica.check_record(swapped) is None
+
+
+def test_digest_does_not_depend_on_the_path() -> None:
+    """Guards against an incremental digest that drifts from the records."""
+    straight, winding = replica.Replica(), replica.Replica()
+    winding_change = replica.Change()
+    for revision in (1, 2, 4, 3, 7, 6):
+        winding.join_team(record(revision), winding_change)
+    straight.join_team(
+        replica.join_records(record(7), record(6)),
+        replica.Change(),
+    )
+    assert straight.digest == winding.digest
+    assert straight.digest != replica.Replica().digest
+
+
+def test_floor_waits_for_the_peers() -> None:
+    """Guards against serving an older version after a restart."""
+    floor = replica.Floor(peers=('a', 'b'), startup_deadline=3)
+    old = replica.VersionVector(tree_revision=ids.Revision(5))
+    new = replica.VersionVector(tree_revision=ids.Revision(7))
+    floor.answer('a', new)
+    assert not floor.may_serve(held=new, confirmed_at=1, now=1)
+    floor.fail('b')
+    assert not floor.may_serve(held=old, confirmed_at=1, now=1)
+    assert not floor.may_serve(held=new, confirmed_at=-6, now=1)
+    assert floor.may_serve(held=new, confirmed_at=-6, now=3)
+
+
+def test_unheard_node_does_not_serve() -> None:
+    """Guards against serving when cut off from peers and source."""
+    floor = replica.Floor(peers=('a',), startup_deadline=3)
+    floor.fail('a')
+    held = replica.VersionVector(tree_revision=ids.Revision(5))
+    assert not floor.may_serve(held=held, confirmed_at=float('-inf'), now=99)
+
+
+def test_answer_asked_for_before_a_pause_confirms_nothing() -> None:
+    """Guards against a delayed answer that makes old data look fresh."""
+    freshness = replica.Freshness()
+    freshness.expire(now=10)
+    assert not freshness.confirm(confirmed_at=9.5, asked_at=9.8)
+    assert freshness.confirm(confirmed_at=9.5, asked_at=10.2)
--- a/medlarquay/tasks/relay.py
+++ b/medlarquay/tasks/relay.py
@@ -251,7 +251,8 @@
         frame = codec.encode(records, now=relay.now())
         for found in takers:
             relay.write_frame(found, frame)
-            found.vector = part.reached
+    for found in takers:
+        found.vector = message.delta.reached
 
 
 @_handle.register
--- /dev/null
+++ b/medlarquay/testing/memory_source.py
@@ -0,0 +1,106 @@
+"""The configuration service without sockets."""
+
+import json
+
+from twisted.internet import defer, task
+
+from medlarquay import errors, ids, replica
+
+__all__ = ('MemorySource',)
+
+_MS_PER_SECOND = 1000
+
+
+class MemorySource:
+    """Read-and-watch service over two trees, on a simulated clock.
+
+    Parameters
+    ----------
+    clock : Clock
+        Simulated time.
+    """
+
+    def __init__(self, *, clock: task.Clock) -> None:
+        self.down = False
+        self.calls: list[float] = []
+        self._clock = clock
+        self._trees: dict[str, dict[str, tuple[int, str | None]]] = {
+            tree.value: {} for tree in replica.SourceTree
+        }
+        # What a stale replica of the service answers with.
+        self._frozen: dict[str, dict[str, tuple[int, str | None]]] | None = None
+        self._changed: list[defer.Deferred[None]] = []
+
+    def publish(self, tree: str, key: str, content: str | None) -> int:
+        """Publish one value; None deletes it."""
+        revision = self.revision_of(self._trees[tree]) + 1
+        self._trees[tree][key] = (revision, content)
+        waiting = self._changed
+        self._changed = []
+        for watch in waiting:
+            watch.callback(None)
+        return revision
+
+    def freeze(self) -> None:
+        """Remember the present values for a later stale period."""
+        self._frozen = {
+            tree: dict(values) for tree, values in self._trees.items()
+        }
+
+    def thaw(self) -> None:
+        """Answer with the newest values again."""
+        self._frozen = None
+
+    async def fetch(
+        self,
+        tree: replica.SourceTree,
+        *,
+        after: ids.Revision,
+        wait_ms: int,
+    ) -> bytes:
+        """Answer a read, or hold a watch until a change or its time."""
+        self.calls.append(self._clock.seconds())
+        if not self.down and not self._is_newer(tree, after) and wait_ms:
+            watch: defer.Deferred[None] = defer.Deferred()
+            self._changed.append(watch)
+            timer = self._clock.callLater(
+                wait_ms / _MS_PER_SECOND,
+                self._expire,
+                watch,
+            )
+            await watch
+            if timer.active():
+                timer.cancel()
+        if self.down:
+            raise errors.SourceError('source is down', step='read source')
+        return self._answer(tree, after)
+
+    def revision_of(self, values: dict[str, tuple[int, str | None]]) -> int:
+        """Return the highest revision of a tree."""
+        return max((revision for revision, _ in values.values()), default=0)
+
+    def _is_newer(self, tree: replica.SourceTree, after: int) -> bool:
+        return self.revision_of(self._visible(tree)) > after
+
+    def _visible(
+        self,
+        tree: replica.SourceTree,
+    ) -> dict[str, tuple[int, str | None]]:
+        return (self._frozen or self._trees)[tree.value]
+
+    def _expire(self, watch: defer.Deferred[None]) -> None:
+        if watch in self._changed:
+            self._changed.remove(watch)
+            watch.callback(None)
+
+    def _answer(self, tree: replica.SourceTree, after: int) -> bytes:
+        values = self._visible(tree)
+        entries = [
+            {'key': key, 'revision': revision, 'value': content}
+            for key, (revision, content) in values.items()
+            if revision > after
+        ]
+        return json.dumps({
+            'revision': self.revision_of(values),
+            'entries': entries,
+        }).encode()
--- /dev/null
+++ b/medlarquay/testing/simulated_node.py
@@ -0,0 +1,123 @@
+"""A node on a simulated network."""
+
+import random
+
+from twisted.internet import task
+
+from medlarquay import events, ids, messages, replica, snapshots, topology
+from medlarquay.daemon import distribution, surroundings
+from medlarquay.tasks import connector, source_fetcher
+from medlarquay.tasks import task as tasks
+
+__all__ = ('SimulatedNode',)
+
+
+class _Recorder(tasks.Task):
+    """Keeps the snapshots in force and the last confirmation."""
+
+    def __init__(self) -> None:
+        super().__init__(name='recorder')
+        self.snapshots: list[events.SnapshotReplaced] = []
+        self.confirmed_at = float('-inf')
+
+    def receive(self, message: object) -> None:
+        """Record one message."""
+        if isinstance(message, events.SnapshotReplaced):
+            self.snapshots.append(message)
+        elif isinstance(message, events.FreshnessConfirmed):
+            self.confirmed_at = message.confirmed_at
+
+
+class SimulatedNode:
+    """A node on a simulated network, with a clock of its own.
+
+    A paused node has a clock that stands still; it is advanced in one step
+    when the node resumes, as for a stopped process.
+
+    Parameters
+    ----------
+    own : Peer
+        The node.
+    seeds : tuple of Peer
+        Addresses from its settings.
+    links, fetcher : Connector, SourceFetcher
+        Its access to other nodes and to the source.
+    now : float
+        Time at which it starts.
+    randomness : random.Random
+        Phases and jitter.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: topology.Peer,
+        seeds: tuple[topology.Peer, ...],
+        links: connector.Connector,
+        fetcher: source_fetcher.SourceFetcher,
+        now: float,
+        randomness: random.Random,
+    ) -> None:
+        self.own = own
+        self.paused = False
+        self.clock = task.Clock()
+        self.clock.rightNow = now
+        self.recorder = _Recorder()
+        self.tasks = distribution.build_distribution(
+            own=own,
+            hello=messages.Hello(
+                instance=own.instance,
+                incarnation=ids.Incarnation('simulated'),
+                region=own.region,
+                data_centre=own.data_centre,
+            ),
+            seeds=seeds,
+            subscribers=(self.recorder,),
+            freshness_subscribers=(self.recorder,),
+            around=surroundings.Surroundings(
+                reactor=self.clock,
+                clock=self.clock.seconds,
+                links=links,
+                fetcher=fetcher,
+                randomness=randomness,
+            ),
+        )
+
+    @property
+    def revision(self) -> int:
+        """Tree revision in force; 0 if none."""
+        found = self.snapshot
+        return 0 if found is None else found.tree_revision
+
+    @property
+    def snapshot(self) -> snapshots.Snapshot | None:
+        """Configuration in force."""
+        if self.recorder.snapshots:
+            return self.recorder.snapshots[-1].snapshot
+        return None
+
+    @property
+    def vector(self) -> replica.VersionVector:
+        """What the node holds."""
+        return self.tasks.configuration.replica.vector
+
+    @property
+    def age(self) -> float:
+        """Seconds since the source confirmed the configuration."""
+        return self.clock.seconds() - self.recorder.confirmed_at
+
+    @property
+    def entry(self) -> dict[str, object]:
+        """Entry of the instance list."""
+        return {
+            'instance': self.own.instance,
+            'region': self.own.region,
+            'data_centre': self.own.data_centre,
+            'host': self.own.host,
+            'peer_port': self.own.port,
+            'team': 'agency',
+            'service': 'digest-portal',
+            'caller_port': 1,
+            'slots': 6,
+            'state': 'live',
+        }
--- a/medlarquay/topology/choose.py
+++ b/medlarquay/topology/choose.py
@@ -26,13 +26,11 @@
     """
     if not known.members:
         return _bootstrap(known)
-    before = known.members.before(known.own)
-    usable = [node for node in before if node.address not in known.suspects]
-    local = [
-        node for node in usable if node.data_centre == known.own.data_centre
-    ]
+    local = _usable(known.members.before_in_centre(known.own), known)
     if local:
         return _follow(_by_position(local, known.parent))
+    before = known.members.before(known.own)
+    usable = _usable(before, known)
     if usable:
         return _follow(usable[0])
     if len(before) > _MAX_SUSPECTED and not known.children:
@@ -40,6 +38,15 @@
     return _read(known)
 
 
+def _usable(
+    nodes: list[peer.Peer],
+    known: situation.Situation,
+) -> list[peer.Peer]:
+    if not known.suspects:
+        return nodes
+    return [node for node in nodes if node.address not in known.suspects]
+
+
 def _follow(parent: peer.Peer) -> choice.Choice:
     return choice.Choice(parent=parent, mode=states.ReadingMode.NONE)
 
--- a/medlarquay/topology/members.py
+++ b/medlarquay/topology/members.py
@@ -1,11 +1,14 @@
 """The nodes of the instance list in the distribution order."""
 
+import bisect
 from collections.abc import Iterable, Mapping
 
 from medlarquay import ids, replica, states
 from medlarquay.topology import peer, rank_value
 
-__all__ = ('Members',)
+__all__ = ('Members', 'order_of')
+
+_Place = tuple[ids.RegionName, ids.DataCentreName]
 
 
 class Members:
@@ -20,13 +23,16 @@
 
     def __init__(self, instances: Iterable[replica.InstanceRecord]) -> None:
         self._regions: dict[ids.RegionName, list[peer.Peer]] = {}
-        for entry in instances:
-            if entry.state is states.InstanceState.LIVE:
-                self._regions.setdefault(entry.region, []).append(
-                    _peer_of(entry),
-                )
-        for found in self._regions.values():
-            found.sort(key=order_of)
+        self._centres: dict[_Place, list[peer.Peer]] = {}
+        nodes = [
+            _peer_of(entry)
+            for entry in instances
+            if entry.state is states.InstanceState.LIVE
+        ]
+        for node in sorted(nodes, key=order_of):
+            self._regions.setdefault(node.region, []).append(node)
+            place = (node.region, node.data_centre)
+            self._centres.setdefault(place, []).append(node)
 
     def __bool__(self) -> bool:
         """Return whether any node is known."""
@@ -39,12 +45,12 @@
 
     def before(self, own: peer.Peer) -> list[peer.Peer]:
         """Return the nodes of the own region that precede the own node."""
-        limit = order_of(own)
-        return [
-            found
-            for found in self._regions.get(own.region, ())
-            if order_of(found) < limit
-        ]
+        return _preceding(self._regions.get(own.region, []), own)
+
+    def before_in_centre(self, own: peer.Peer) -> list[peer.Peer]:
+        """Return the nodes of the own data centre that precede it."""
+        place = (own.region, own.data_centre)
+        return _preceding(self._centres.get(place, []), own)
 
 
 def order_of(node: peer.Peer) -> tuple[int, str]:
@@ -55,6 +61,10 @@
     return rank_value.rank_value(node.instance), node.instance
 
 
+def _preceding(nodes: list[peer.Peer], own: peer.Peer) -> list[peer.Peer]:
+    return nodes[: bisect.bisect_left(nodes, order_of(own), key=order_of)]
+
+
 def _peer_of(entry: replica.InstanceRecord) -> peer.Peer:
     return peer.Peer(
         instance=entry.instance,
--- a/medlarquay/topology/peer.py
+++ b/medlarquay/topology/peer.py
@@ -23,6 +23,8 @@
         IP address of the node.
     port : int
         TCP port for other nodes.
+    address : str
+        Host and port, which identify the peer in suspicions and errors.
     """
 
     instance: ids.InstanceId
@@ -30,8 +32,8 @@
     data_centre: ids.DataCentreName
     host: str
     port: int
+    address: str = dataclasses.field(init=False, repr=False, compare=False)
 
-    @property
-    def address(self) -> str:
-        """Address, which identifies the peer in suspicions and errors."""
-        return f'{self.host}:{self.port}'
+    def __post_init__(self) -> None:
+        """Set the address, which is compared often."""
+        object.__setattr__(self, 'address', f'{self.host}:{self.port}')
--- /dev/null
+++ b/medlarquay/topology/tests/test_tree.py
@@ -0,0 +1,226 @@
+"""The tree of 8,000 nodes and the calls that it makes to the source."""
+
+import collections
+import random
+
+from medlarquay import ids, replica, states, topology
+
+_REGIONS = 4
+_CENTRES = 4
+_NODES = 500
+_FULL_CALLS = 200
+
+
+def _record(number: int) -> replica.InstanceRecord:
+    region, rest = divmod(number, _CENTRES * _NODES)
+    return replica.InstanceRecord(
+        instance=ids.InstanceId(f'instance-{number}'),
+        revision=ids.Revision(number + 1),
+        team=ids.TeamName('agency'),
+        service=ids.ServiceName('digest-portal'),
+        region=ids.RegionName(f'region-{region}'),
+        data_centre=ids.DataCentreName(f'{region}-{rest // _NODES}'),
+        host=f'10.0.{number // 250}.{number % 250}',
+        caller_port=1,
+        peer_port=2,
+        slots=1,
+        state=states.InstanceState.LIVE,
+    )
+
+
+_RECORDS = tuple(_record(n) for n in range(_REGIONS * _CENTRES * _NODES))
+
+
+def _peer(entry: replica.InstanceRecord) -> topology.Peer:
+    return topology.Peer(
+        instance=entry.instance,
+        region=entry.region,
+        data_centre=entry.data_centre,
+        host=entry.host,
+        port=entry.peer_port,
+    )
+
+
+def _choices(views: int, missing: float) -> dict[str, topology.Choice]:
+    """Let each node choose by one of several differing lists."""
+    randomness = random.Random(7)
+    lists = [
+        topology.Members(
+            entry for entry in _RECORDS if randomness.random() >= missing
+        )
+        for _ in range(views)
+    ]
+    return {
+        entry.instance: topology.choose(
+            topology.Situation(
+                own=_peer(entry),
+                seeds=(),
+                members=randomness.choice(lists),
+                suspects=frozenset(),
+            ),
+        )
+        for entry in _RECORDS
+    }
+
+
+def _depth(choices: dict[str, topology.Choice], instance: str) -> int:
+    """Count the steps to a reader; a cycle would not end."""
+    depth = 0
+    while True:
+        parent = choices[instance].parent
+        if parent is None:
+            return depth
+        mine = topology.rank_value(ids.InstanceId(instance))
+        assert topology.rank_value(parent.instance) < mine
+        instance = parent.instance
+        depth += 1
+
+
+def _children(choices: dict[str, topology.Choice]) -> int:
+    counts = collections.Counter(
+        choice.parent.instance
+        for choice in choices.values()
+        if choice.parent is not None
+    )
+    return max(counts.values())
+
+
+def _readers(choices: dict[str, topology.Choice]) -> int:
+    modes = [choice.mode for choice in choices.values()]
+    return modes.count(states.ReadingMode.READER)
+
+
+def test_tree_with_equal_lists() -> None:
+    """Guards against more levels, children or readers than planned."""
+    choices = _choices(views=1, missing=0)
+    assert max(_depth(choices, name) for name in choices) == 4
+    assert _children(choices) <= 11
+    assert _readers(choices) == 4
+
+
+def test_tree_with_differing_lists() -> None:
+    """Guards against cycles and overload when the lists of nodes differ."""
+    choices = _choices(views=20, missing=0.05)
+    assert max(_depth(choices, name) for name in choices) <= 6
+    assert _children(choices) <= 32
+    assert _readers(choices) <= 16
+
+
+def test_one_change_crosses_each_region_pair_once() -> None:
+    """Guards against paying twice for a link between regions."""
+    region_of = {entry.instance: entry.region for entry in _RECORDS}
+    choices = _choices(views=20, missing=0.05)
+    crossing = [
+        name
+        for name, choice in choices.items()
+        if choice.parent and choice.parent.region != region_of[name]
+    ]
+    assert not crossing
+    readers = collections.Counter(
+        region_of[name]
+        for name, choice in _choices(views=1, missing=0).items()
+        if choice.mode is states.ReadingMode.READER
+    )
+    assert set(readers.values()) == {1}
+
+
+def _peak_calls(modes: list[tuple[states.ReadingMode, int]]) -> int:
+    """Return the most calls in any second of two minutes."""
+    randomness = random.Random(11)
+    calls: collections.Counter[int] = collections.Counter()
+    for mode, trees in modes:
+        for _ in range(trees):
+            limiter = topology.SourceLimiter(randomness=randomness)
+            now = randomness.uniform(0, 0.2)
+            while now < 120:
+                now = limiter.next_read(mode, now=now)
+                calls[int(now)] += 1
+                limiter.sent(now=now)
+    return max(calls.values())
+
+
+def test_calls_in_the_steady_state() -> None:
+    """Guards against calls that grow with the number of nodes."""
+    modes = [
+        (choice.mode, 2)
+        for choice in _choices(views=1, missing=0).values()
+        if choice.mode is states.ReadingMode.READER
+    ]
+    assert _peak_calls(modes) <= 10
+
+
+def test_calls_after_all_nodes_restart() -> None:
+    """Guards against a storm of reads when all nodes start at once."""
+    seeds = tuple(_peer(entry) for entry in _RECORDS[:: _CENTRES * _NODES])
+    modes = []
+    for entry in _RECORDS:
+        choice = topology.choose(
+            topology.Situation(
+                own=_peer(entry),
+                seeds=seeds,
+                members=topology.Members(()),
+                suspects=frozenset(),
+            ),
+        )
+        trees = 2 if choice.mode is states.ReadingMode.READER else 1
+        modes.append((choice.mode, trees))
+    assert _peak_calls(modes) <= _FULL_CALLS
+
+
+def test_calls_when_every_node_is_cut_off() -> None:
+    """Guards against 8,000 nodes that all take themselves for readers."""
+    suspects = frozenset(_peer(entry).address for entry in _RECORDS)
+    members = topology.Members(_RECORDS)
+    modes = []
+    for entry in _RECORDS:
+        choice = topology.choose(
+            topology.Situation(
+                own=_peer(entry),
+                seeds=(),
+                members=members,
+                suspects=suspects,
+            ),
+        )
+        trees = 2 if choice.mode is states.ReadingMode.READER else 1
+        modes.append((choice.mode, trees))
+    assert _peak_calls(modes) <= _FULL_CALLS
+
+
+def test_suspicions_end() -> None:
+    """Guards against a healed partition that is never noticed."""
+    suspects = topology.Suspects(randomness=random.Random(1))
+    now: float = 0
+    for _ in range(10):
+        now = suspects.mark('10.0.0.1:2', now=now)
+        assert '10.0.0.1:2' not in suspects.current(now=now)
+    assert suspects.mark('10.0.0.1:2', now=now) - now <= 60
+
+
+def test_current_parent_is_kept_when_the_list_shifts() -> None:
+    """Guards against moving most links of a data centre on one change."""
+    own = _peer(_RECORDS[499])
+    before = topology.Members(_RECORDS)
+    first = topology.choose(
+        topology.Situation(
+            own=own, seeds=(), members=before, suspects=frozenset()
+        ),
+    )
+    lowest = before.before(own)
+    removed = next(
+        node
+        for node in lowest
+        if node.data_centre == own.data_centre and node != first.parent
+    )
+    after = topology.Members(
+        entry for entry in _RECORDS if entry.instance != removed.instance
+    )
+    second = topology.choose(
+        topology.Situation(
+            own=own,
+            seeds=(),
+            members=after,
+            suspects=frozenset(),
+            parent=first.parent,
+        ),
+    )
+    assert second.parent == first.parent
