--- a/medlarquay/daemon/node_settings.py
+++ b/medlarquay/daemon/node_settings.py
@@ -26,8 +26,9 @@
     source_url : str
         Address of the configuration service.
     seeds : tuple of (str, int)
-        Addresses of nodes that a starting node asks first; a node whose own
-        address is among them may read the source at once.
+        Addresses of nodes that a starting node asks first. Those of its own
+        region come first, so that a start sends little across regions. A node
+        whose own address is among them may read the source at once.
     """
 
     instance: ids.InstanceId
--- a/medlarquay/testing/memory_source.py
+++ b/medlarquay/testing/memory_source.py
@@ -22,13 +22,14 @@
 
     def __init__(self, *, clock: task.Clock) -> None:
         self.down = False
+        #: Whether to answer with the remembered values.
+        self.stale = False
         self.calls: list[float] = []
         self._clock = clock
         self._trees: dict[str, dict[str, tuple[int, str | None]]] = {
             tree.value: {} for tree in replica.SourceTree
         }
-        # What a stale replica of the service answers with.
-        self._frozen: dict[str, dict[str, tuple[int, str | None]]] | None = None
+        self._remembered = self._trees
         self._changed: list[defer.Deferred[None]] = []
 
     def publish(self, tree: str, key: str, content: str | None) -> int:
@@ -41,16 +42,12 @@
             watch.callback(None)
         return revision
 
-    def freeze(self) -> None:
+    def remember(self) -> None:
         """Remember the present values for a later stale period."""
-        self._frozen = {
+        self._remembered = {
             tree: dict(values) for tree, values in self._trees.items()
         }
 
-    def thaw(self) -> None:
-        """Answer with the newest values again."""
-        self._frozen = None
-
     async def fetch(
         self,
         tree: replica.SourceTree,
@@ -86,7 +83,8 @@
         self,
         tree: replica.SourceTree,
     ) -> dict[str, tuple[int, str | None]]:
-        return (self._frozen or self._trees)[tree.value]
+        trees = self._remembered if self.stale else self._trees
+        return trees[tree.value]
 
     def _expire(self, watch: defer.Deferred[None]) -> None:
         if watch in self._changed:
--- a/medlarquay/testing/simulated_mesh.py
+++ b/medlarquay/testing/simulated_mesh.py
@@ -46,10 +46,10 @@
     ) -> bytes:
         """Read the source unless cut off from it."""
         mesh = self._mesh
-        if mesh.is_cut(self._own.address, ''):
+        if mesh.is_cut_from_source(self._own.address):
             raise errors.SourceError('unreachable', step='read source')
         answer = await mesh.source.fetch(tree, after=after, wait_ms=wait_ms)
-        if mesh.is_cut(self._own.address, ''):
+        if mesh.is_cut_from_source(self._own.address):
             raise errors.SourceError('unreachable', step='read source')
         return answer
 
@@ -66,6 +66,8 @@
     def __init__(self, *, seed: int) -> None:
         self.clock = task.Clock()
         self.source = memory_source.MemorySource(clock=self.clock)
+        #: Nodes that reach all other nodes but not the source.
+        self.without_source: set[str] = set()
         self.nodes: dict[str, simulated_node.SimulatedNode] = {}
         self.crossings: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -132,6 +134,10 @@
         """Return whether a partition separates two addresses."""
         return (one in self._cut) is not (other in self._cut)
 
+    def is_cut_from_source(self, address: str) -> bool:
+        """Return whether a node cannot reach the source."""
+        return address in self._cut or address in self.without_source
+
     def advance(self, duration: float) -> None:
         """Let time pass and check the invariants at each step."""
         for _ in range(round(duration / _STEP_S)):
