--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -1,38 +1,52 @@
 """Composition of a node."""
 
-import secrets
+import random
 import time
-from collections.abc import Callable
 
 from twisted.internet import interfaces
 
-from medlarquay import admin, ids, messages, telemetry
-from medlarquay.daemon import build_owner, lifecycle, node_settings, signals
+from medlarquay import admin
+from medlarquay.daemon import (
+    build_owner,
+    distribution,
+    known_peers,
+    lifecycle,
+    node_settings,
+    observed_node,
+    signals,
+    surroundings,
+)
 from medlarquay.tasks import (
     caller_listener,
-    configuration,
+    connector,
     peer_links,
     peer_listener,
     router,
-    source_reader,
+    source_fetcher,
 )
 
 __all__ = ('start_node',)
 
-_INCARNATION_BYTES = 8
-
 
 def start_node(
     *,
     reactor: interfaces.IReactorCore,
     settings: node_settings.NodeSettings,
-) -> None:
-    """Build the tasks of a node, connect them and start them."""
+) -> distribution.Distribution:
+    """Build the tasks of a node, connect them and start them.
+
+    Returns
+    -------
+    Distribution
+        Tasks whose counters are measured.
+    """
     clock = time.monotonic
-    observed = _observe(settings, clock)
+    observed = observed_node.observe_node(settings, clock)
     operators = admin.Admin(node=observed)
     links = peer_links.PeerLinks(
-        reactor=reactor, hello=observed.hello, clock=clock
+        reactor=reactor,
+        hello=observed.hello,
+        clock=clock,
     )
     own = build_owner.build_owner(
         reactor=reactor,
@@ -62,22 +76,30 @@
     )
     own.lifecycle = life
     routing.lifecycle = life
-    # The lifecycle comes last, so that all others have the configuration when
-    # the node is announced as serving.
-    current = configuration.Configuration(
+    distributing = distribution.build_distribution(
+        own=known_peers.own_peer(settings),
+        hello=observed.hello,
+        seeds=known_peers.seed_peers(settings),
+        # The lifecycle comes last, so that all others have the configuration
+        # when the node is announced as serving.
         subscribers=(routing, own, operators, life),
+        freshness_subscribers=(own, operators),
+        around=surroundings.Surroundings(
+            reactor=reactor,
+            clock=clock,
+            links=connector.TcpConnector(reactor=reactor),
+            fetcher=source_fetcher.HttpFetcher(base_url=settings.source_url),
+            randomness=random.SystemRandom(),
+            counters=observed.counters,
+        ),
     )
-    reader = source_reader.SourceReader(
-        reactor=reactor,
-        base_url=settings.source_url,
-        configuration=current,
-        clock=clock,
-    )
-    peer_listener.PeerListener(calls=links).listen(
-        reactor,
-        host=settings.host,
-        port=settings.peer_port,
+    peers = peer_listener.PeerListener(
+        acceptors={
+            peer_links.CALL_PATH: links,
+            connector.CONTROL_PATH: distributing.relay,
+        },
     )
+    peers.listen(reactor, host=settings.host, port=settings.peer_port)
     callers.listen(reactor, host=settings.host, port=settings.caller_port)
     operators.listen(reactor, host=settings.host, port=settings.admin_port)
     reactor.callWhenRunning(
@@ -85,21 +107,5 @@
         reactor=reactor,
         target=life,
     )
-    reader.start()
-
-
-def _observe(
-    settings: node_settings.NodeSettings,
-    clock: Callable[[], float],
-) -> admin.ObservedNode:
-    return admin.ObservedNode(
-        hello=messages.Hello(
-            instance=settings.instance,
-            incarnation=ids.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
-            region=settings.region,
-            data_centre=settings.data_centre,
-        ),
-        counters=telemetry.Counters(),
-        records=telemetry.RecordLog(),
-        clock=clock,
-    )
+    distributing.start()
+    return distributing
--- a/medlarquay/ledger/decide.py
+++ b/medlarquay/ledger/decide.py
@@ -1,6 +1,7 @@
 """Decisions of the ledger."""
 
 import functools
+import math
 
 from medlarquay import events, ids, states
 from medlarquay.ledger import (
@@ -151,6 +152,10 @@
     now: float,
     wall: float,
 ) -> None:
+    if math.isinf(event.confirmed_at):
+        # The process was paused; the source has to confirm again.
+        book.paused = True
+        return
     earlier = book.confirmed_at
     if earlier is not None and event.confirmed_at <= earlier:
         return
