Measure the slopes of the control traffic

bench/capacity.py measures bytes and processor time of one change, probe and heartbeat and works out each role's control bytes and share of a core at the planned size.

--- /dev/null
+++ b/bench/capacity.py
@@ -0,0 +1,191 @@
+"""Slopes of the control traffic and what they give at the planned size.
+
+Prints one ``name=value`` per line: first the slopes measured in this
+process (bytes and microseconds of one message), then for each role the
+control bytes a second and the share of a core that follow from them.
+"""
+
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from bench import control_samples, planned_size
+from medlarquay import codec, messages, replica
+from medlarquay.tasks import follower
+from medlarquay.topology import choose
+
+__all__ = ('main',)
+
+_ROUNDS = 201
+_US_PER_SECOND = 1_000_000
+_PERCENT = 100
+_BYTES_PER_MB = 1 << 20
+# Headers of a WebSocket frame, masked, and of TCP and IPv4 with timestamps.
+_FRAME_OVERHEAD_BYTES = 8 + 52
+
+
+def main() -> None:
+    """Print the slopes and the figures of the roles."""
+    samples = control_samples.ControlSamples()
+    tracemalloc.start()
+    samples.fill()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    _print('replica_mb', used / _BYTES_PER_MB)
+    whole = _encode_whole(samples.held)
+    _print('whole_state_bytes', whole)
+    slopes = _measure(samples)
+    for name, value in slopes.items():
+        _print(name, value)
+    _print_roles(slopes)
+
+
+def _measure(samples: control_samples.ControlSamples) -> dict[str, float]:
+    base = samples.held.vector
+    samples.publish_teams((7,), timeout_ms=2500)
+    team = samples.held.delta_after(base)
+    base = samples.held.vector
+    samples.publish_instances(range(17, 18), state='leaving')
+    instance = samples.held.delta_after(base)
+    return {
+        **_measure_delta('team_change', team, samples),
+        **_measure_delta('instance_change', instance, samples),
+        **_measure_probe(samples.held),
+    }
+
+
+def _measure_delta(
+    name: str,
+    delta: replica.Delta,
+    samples: control_samples.ControlSamples,
+) -> dict[str, float]:
+    message = messages.Records(delta=delta)
+    frame = codec.encode(message, now=0)
+    return {
+        f'{name}_bytes': len(frame) + _FRAME_OVERHEAD_BYTES,
+        f'{name}_encode_us': _median_us(
+            lambda: codec.encode(message, now=0),
+        ),
+        f'{name}_decode_us': _median_us(
+            lambda: codec.decode(frame, now=0, peer='parent'),
+        ),
+        f'{name}_delta_us': _median_us(
+            lambda: samples.held.delta_after(delta.base),
+        ),
+    }
+
+
+def _measure_probe(held: replica.Replica) -> dict[str, float]:
+    probe = messages.Probe(nonce=1)
+    heartbeat = messages.Heartbeat(
+        nonce=1,
+        age_ms=900,
+        vector=held.vector,
+        digest=held.digest,
+    )
+    sent = codec.encode(probe, now=0)
+    answered = codec.encode(heartbeat, now=0)
+    return {
+        'probe_bytes': len(sent) + _FRAME_OVERHEAD_BYTES,
+        'heartbeat_bytes': len(answered) + _FRAME_OVERHEAD_BYTES,
+        'probe_us': _median_us(
+            lambda: (
+                codec.encode(probe, now=0),
+                codec.decode(answered, now=0, peer='parent'),
+            ),
+        ),
+        'heartbeat_us': _median_us(
+            lambda: (
+                codec.decode(sent, now=0, peer='child'),
+                codec.encode(heartbeat, now=0),
+            ),
+        ),
+    }
+
+
+def _encode_whole(held: replica.Replica) -> int:
+    delta = held.delta_after(replica.VersionVector())
+    return sum(
+        len(codec.encode(messages.Records(delta=part), now=0))
+        for part in replica.split_delta(delta)
+    )
+
+
+def _print_roles(slopes: dict[str, float]) -> None:
+    roles = {
+        'leaf': (1, 0),
+        'relay': (1, choose.FAN_OUT),
+        'reader': (0, choose.FAN_OUT + planned_size.REGIONS - 1),
+    }
+    for role, (parents, children) in roles.items():
+        rate = _bytes_per_second(slopes, parents=parents, children=children)
+        _print(f'{role}_control_bytes_per_second', rate)
+        _print(
+            f'{role}_codec_core_percent',
+            _core_percent(slopes, parents=parents, children=children),
+        )
+    _print(
+        'budget_control_bytes_per_second', planned_size.CONTROL_BYTES_PER_SECOND
+    )
+    _print('budget_control_core_percent', planned_size.CONTROL_CORE_PERCENT)
+
+
+def _bytes_per_second(
+    slopes: dict[str, float],
+    *,
+    parents: int,
+    children: int,
+) -> float:
+    """Return bytes sent and received, for links in both directions."""
+    links = parents + children
+    changes = (
+        slopes['team_change_bytes'] * planned_size.CHANGES_PER_SECOND
+        + slopes['instance_change_bytes']
+        * planned_size.INSTANCE_CHANGES_PER_SECOND
+    )
+    probes = (
+        slopes['probe_bytes'] + slopes['heartbeat_bytes']
+    ) / follower.PROBE_S
+    return links * (changes + probes)
+
+
+def _core_percent(
+    slopes: dict[str, float],
+    *,
+    parents: int,
+    children: int,
+) -> float:
+    changes = sum(
+        rate
+        * (
+            slopes[f'{name}_decode_us']
+            + slopes[f'{name}_delta_us']
+            + slopes[f'{name}_encode_us']
+        )
+        for name, rate in (
+            ('team_change', planned_size.CHANGES_PER_SECOND),
+            ('instance_change', planned_size.INSTANCE_CHANGES_PER_SECOND),
+        )
+    )
+    probes = (
+        parents * slopes['probe_us'] + children * slopes['heartbeat_us']
+    ) / follower.PROBE_S
+    return (changes + probes) / _US_PER_SECOND * _PERCENT
+
+
+def _median_us(run: Callable[[], object]) -> float:
+    spent = []
+    for _ in range(_ROUNDS):
+        begun_at = time.perf_counter()
+        run()
+        spent.append(time.perf_counter() - begun_at)
+    return statistics.median(spent) * _US_PER_SECOND
+
+
+def _print(name: str, value: float) -> None:
+    print(f'{name}={value:.2f}')
+
+
+if __name__ == '__main__':
+    main()
--- a/bench/main.py
+++ b/bench/main.py
@@ -11,6 +11,7 @@
 _BENCHMARKS = (
     'call_path',
     'footprint',
+    'capacity',
     'flood',
     'convergence',
     'admission_replay',
