--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,9 +11,8 @@
 from collections.abc import Callable
 
 from bench import control_samples, planned_size
-from medlarquay import codec, messages, replica
+from medlarquay import codec, messages, replica, topology
 from medlarquay.tasks import follower
-from medlarquay.topology import choose
 
 __all__ = ('main',)
 
@@ -115,8 +114,8 @@
 def _print_roles(slopes: dict[str, float]) -> None:
     roles = {
         'leaf': (1, 0),
-        'relay': (1, choose.FAN_OUT),
-        'reader': (0, choose.FAN_OUT + planned_size.REGIONS - 1),
+        'relay': (1, topology.FAN_OUT),
+        'reader': (0, topology.FAN_OUT + planned_size.REGIONS - 1),
     }
     for role, (parents, children) in roles.items():
         rate = _bytes_per_second(slopes, parents=parents, children=children)
