Bound the attempts that wait for one key

A caller that resent one key without end added a waiting attempt each time. Beyond 64 an attempt is answered unknown, because its request is under way.

--- a/medlarquay/tasks/owner_keys.py
+++ b/medlarquay/tasks/owner_keys.py
@@ -14,6 +14,10 @@
 
 __all__ = ('run_keyed',)
 
+# Attempts that wait for one key; bounds the memory of a caller that resends
+# without end.
+_MAX_WAITING = 64
+
 
 def run_keyed(
     job: owner_job.OwnerJob,
@@ -68,7 +72,18 @@
     owner: owner_base.OwnerBase,
 ) -> None:
     running = owner.jobs.find(decision.exchange)
-    if running is not None:
+    if running is None:
+        return
+    if len(running.callers) >= _MAX_WAITING:
+        # Not run would be wrong: the request of this key is under way.
+        owner.reply(
+            caller.link,
+            messages.CallUnknown(
+                call_id=caller.call_id,
+                reason=states.RefusalReason.QUEUE_FULL,
+            ),
+        )
+    else:
         owner.wake_at(caller.deadline)
         joined = dataclasses.replace(caller, replayed=True)
         owner.jobs.join(running, joined)
--- a/medlarquay/tasks/tests/test_owner_promises.py
+++ b/medlarquay/tasks/tests/test_owner_promises.py
@@ -169,6 +169,15 @@
     )
 
 
+def test_waiting_repeats_are_bounded() -> None:
+    """Guards against memory use by a caller that resends without end."""
+    bench = owner_bench.OwnerBench()
+    for number in range(1, 70):
+        bench.call(number, key='bound')
+    assert set(bench.told().values()) == {'unknown queue_full'}
+    assert len(bench.told()) == 69 - 64
+
+
 def test_every_refusal_is_counted() -> None:
     """Guards against refusals that operators cannot see."""
     bench = owner_bench.OwnerBench()
