Choose the owner by zone, wait and observations

The router took the backend servers in turn, so calls crossed regions while near servers were free and went to servers that had failed or were leaving.

Add medlarquay.routing: typed observations, ejection with a doubling period, and a choice by zone and the better of two random servers. A report of load is bounded by the latency that this ingress measured.

--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -5,12 +5,16 @@
 from medlarquay.events.backend_answered import BackendAnswered
 from medlarquay.events.backend_failed import BackendFailed
 from medlarquay.events.broadcast_reply import BroadcastReply
+from medlarquay.events.call_expired import CallExpired
 from medlarquay.events.caller_gone import CallerGone
 from medlarquay.events.cancel_call import CancelCall
 from medlarquay.events.documents_read import DocumentsRead
 from medlarquay.events.drain_requested import DrainRequested
 from medlarquay.events.freshness_confirmed import FreshnessConfirmed
 from medlarquay.events.link_closed import LinkClosed
+from medlarquay.events.open_link import OpenLink
+from medlarquay.events.peer_greeted import PeerGreeted
+from medlarquay.events.peer_lost import PeerLost
 from medlarquay.events.request_received import RequestReceived
 from medlarquay.events.request_rejected import RequestRejected
 from medlarquay.events.run_call import RunCall
@@ -25,6 +29,10 @@
 from medlarquay.events.work_finished import WorkFinished
 
 __all__ = (
+    'PeerLost',
+    'PeerGreeted',
+    'OpenLink',
+    'CallExpired',
     'WorkFinished',
     'FreshnessConfirmed',
     'BroadcastReply',
--- /dev/null
+++ b/medlarquay/routing/__init__.py
@@ -0,0 +1,40 @@
+"""Choice of the owner of a call, observations and retries; decisions only."""
+
+from medlarquay.routing.answer_observed import AnswerObserved
+from medlarquay.routing.any_owner_wanted import AnyOwnerWanted
+from medlarquay.routing.bound_owner_wanted import BoundOwnerWanted
+from medlarquay.routing.call_sent import CallSent
+from medlarquay.routing.call_withdrawn import CallWithdrawn
+from medlarquay.routing.candidates import Candidates, group_candidates
+from medlarquay.routing.choice_refused import ChoiceRefused
+from medlarquay.routing.choose import choose
+from medlarquay.routing.chooser import Chooser
+from medlarquay.routing.home_wanted import HomeWanted
+from medlarquay.routing.location import Location
+from medlarquay.routing.loss_observed import LossObserved
+from medlarquay.routing.observations import Observations
+from medlarquay.routing.observe import observe
+from medlarquay.routing.owner_chosen import OwnerChosen
+from medlarquay.routing.refusal_observed import RefusalObserved
+from medlarquay.routing.zone import Zone
+
+__all__ = (
+    'AnswerObserved',
+    'AnyOwnerWanted',
+    'BoundOwnerWanted',
+    'CallSent',
+    'CallWithdrawn',
+    'Candidates',
+    'ChoiceRefused',
+    'Chooser',
+    'HomeWanted',
+    'Location',
+    'LossObserved',
+    'Observations',
+    'OwnerChosen',
+    'RefusalObserved',
+    'Zone',
+    'choose',
+    'group_candidates',
+    'observe',
+)
--- /dev/null
+++ b/medlarquay/routing/any_owner_wanted.py
@@ -0,0 +1,24 @@
+"""A call that any owner of the service may take."""
+
+import dataclasses
+
+from medlarquay import ids
+from medlarquay.routing import candidates
+
+__all__ = ('AnyOwnerWanted',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnyOwnerWanted:
+    """A call that any owner of the service may take.
+
+    Attributes
+    ----------
+    candidates : Candidates
+        Live backend servers of the service.
+    excluded : tuple of InstanceId
+        Owners that earlier attempts of this call went to.
+    """
+
+    candidates: candidates.Candidates
+    excluded: tuple[ids.InstanceId, ...] = ()
--- /dev/null
+++ b/medlarquay/routing/call_sent.py
@@ -0,0 +1,20 @@
+"""A call was sent to an owner."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('CallSent',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallSent:
+    """A call was sent to an owner.
+
+    Attributes
+    ----------
+    instance : InstanceId
+        Owner.
+    """
+
+    instance: ids.InstanceId
--- /dev/null
+++ b/medlarquay/routing/candidates.py
@@ -0,0 +1,54 @@
+"""The live backend servers of a service, grouped by distance."""
+
+import dataclasses
+from collections.abc import Iterable
+
+from medlarquay import ids, replica, states
+from medlarquay.routing import location, zone
+
+__all__ = ('Candidates', 'group_candidates')
+
+_Group = tuple[replica.InstanceRecord, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Candidates:
+    """The live backend servers of a service, grouped by distance.
+
+    Built once for each service and snapshot, so that a call does not compare
+    the names of regions again.
+
+    Attributes
+    ----------
+    zones : tuple of (Zone, tuple of InstanceRecord)
+        Live backend servers, nearest zone first; no group is empty.
+    live : frozenset of InstanceId
+        The same instances.
+    """
+
+    zones: tuple[tuple[zone.Zone, _Group], ...]
+    live: frozenset[ids.InstanceId]
+
+
+def group_candidates(
+    backends: Iterable[replica.InstanceRecord],
+    *,
+    place: location.Location,
+) -> Candidates:
+    """Group the live backend servers of a service by distance."""
+    groups: dict[zone.Zone, list[replica.InstanceRecord]] = {
+        distance: [] for distance in zone.Zone
+    }
+    for backend in backends:
+        if backend.state is states.InstanceState.LIVE:
+            groups[place.zone_of(backend)].append(backend)
+    return Candidates(
+        zones=tuple(
+            (distance, tuple(group))
+            for distance, group in groups.items()
+            if group
+        ),
+        live=frozenset(
+            member.instance for group in groups.values() for member in group
+        ),
+    )
--- /dev/null
+++ b/medlarquay/routing/choose.py
@@ -0,0 +1,99 @@
+"""Choice of the owner of a call."""
+
+import functools
+from collections.abc import Iterable
+
+from medlarquay import ids, keys, replica, states
+from medlarquay.routing import (
+    any_owner_wanted,
+    bound_owner_wanted,
+    choice_refused,
+    chooser,
+    home_wanted,
+    owner_chosen,
+    pick,
+)
+
+__all__ = ('choose',)
+
+_Choice = owner_chosen.OwnerChosen | choice_refused.ChoiceRefused
+
+
+@functools.singledispatch
+def choose(wanted: object, state: chooser.Chooser, now: float) -> _Choice:
+    """Choose the owner of a call.
+
+    Parameters
+    ----------
+    wanted : AnyOwnerWanted, BoundOwnerWanted or HomeWanted
+        What the call allows.
+    state : Chooser
+        Observations, own instance and source of random numbers.
+    now : float
+        Seconds on the monotonic clock.
+
+    Returns
+    -------
+    OwnerChosen or ChoiceRefused
+    """
+    raise TypeError(f'unexpected wish {type(wanted).__name__}')
+
+
+@choose.register
+def _any(
+    wanted: any_owner_wanted.AnyOwnerWanted,
+    state: chooser.Chooser,
+    now: float,
+) -> _Choice:
+    chosen = pick.pick_owner(wanted, state, now)
+    if chosen is None:
+        return choice_refused.ChoiceRefused(
+            reason=states.RefusalReason.NO_BACKEND,
+        )
+    return owner_chosen.OwnerChosen(backend=chosen)
+
+
+@choose.register
+def _bound(
+    wanted: bound_owner_wanted.BoundOwnerWanted,
+    state: chooser.Chooser,
+    now: float,
+) -> _Choice:
+    # Leaving and draining owners are not passed over: only they can replay
+    # the recorded answer, and they refuse new work themselves.
+    known = wanted.incarnation
+    replaced = known is not None and known != wanted.key.incarnation
+    found = _find(wanted.backends, wanted.key.instance)
+    if found is None or replaced:
+        return choice_refused.ChoiceRefused(
+            reason=states.RefusalReason.KEY_HOME_LOST,
+        )
+    return owner_chosen.OwnerChosen(backend=found)
+
+
+@choose.register
+def _home(
+    wanted: home_wanted.HomeWanted,
+    state: chooser.Chooser,
+    now: float,
+) -> _Choice:
+    home = keys.home_of(
+        wanted.key.text,
+        (backend.instance for backend in wanted.backends),
+    )
+    found = None if home is None else _find(wanted.backends, home)
+    if found is None:
+        return choice_refused.ChoiceRefused(
+            reason=states.RefusalReason.NO_BACKEND,
+        )
+    return owner_chosen.OwnerChosen(backend=found)
+
+
+def _find(
+    backends: Iterable[replica.InstanceRecord],
+    instance: ids.InstanceId,
+) -> replica.InstanceRecord | None:
+    for backend in backends:
+        if backend.instance == instance:
+            return backend
+    return None
--- /dev/null
+++ b/medlarquay/routing/expected_wait.py
@@ -0,0 +1,99 @@
+"""Expected wait of a new call at a backend server."""
+
+import dataclasses
+
+from medlarquay import replica
+from medlarquay.routing import observation
+
+__all__ = ('Estimate', 'estimate')
+
+# A report is believed less the older it is, and not at all after this time.
+_LOAD_LIFE_S = 1.0
+# Service time assumed before anything is known.
+_DEFAULT_SERVICE_S = 0.01
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Estimate:
+    """Expected wait of a new call at a backend server.
+
+    Attributes
+    ----------
+    wait : float
+        Seconds.
+    free : bool
+        Whether a slot is expected to be free.
+    share : float
+        Calls of this ingress in flight for each slot; decides between
+        servers that would start the call at once.
+    """
+
+    wait: float
+    free: bool
+    share: float
+
+
+def estimate(
+    backend: replica.InstanceRecord,
+    found: observation.Observation | None,
+    *,
+    now: float,
+) -> Estimate:
+    """Estimate the wait of a new call.
+
+    Parameters
+    ----------
+    backend : InstanceRecord
+        Backend server; its slots are the upper limit of any report.
+    found : Observation or None
+        What this ingress observed of it.
+    now : float
+        Seconds on the monotonic clock.
+
+    Notes
+    -----
+    The ingress counts its own calls in flight exactly. What a report adds
+    to them is the work of other ingresses, and the wait that it stands for
+    is bounded by the latency that this ingress measured: answers that took
+    5 ms in all cannot have waited longer. So a wrong report changes the
+    order between near equals, and cannot move work to another region.
+    """
+    if found is None:
+        return Estimate(wait=0, free=True, share=0)
+    slots = max(1, backend.slots)
+    service = _service_time(found)
+    own = found.in_flight + 1 - slots
+    own_wait = max(0, own) * service / slots
+    reported = _reported_wait(found, slots, now)
+    if found.latency is not None:
+        reported = min(reported, found.latency)
+    return Estimate(
+        wait=max(own_wait, reported),
+        free=own <= 0 and reported <= 0 and found.full_until <= now,
+        share=found.in_flight / slots,
+    )
+
+
+def _service_time(found: observation.Observation) -> float:
+    if found.latency is not None:
+        return found.latency
+    if found.load is not None and found.load.service_time > 0:
+        return found.load.service_time
+    return _DEFAULT_SERVICE_S
+
+
+def _reported_wait(
+    found: observation.Observation,
+    slots: int,
+    now: float,
+) -> float:
+    load = found.load
+    if load is None:
+        return 0
+    belief = 1 - (now - found.load_at) / _LOAD_LIFE_S
+    if belief <= 0:
+        return 0
+    usable = min(max(1, load.slots), slots)
+    others = max(0, load.running + load.queued - found.in_flight_at_load)
+    excess = others * belief + found.in_flight + 1 - usable
+    return max(0, excess) * _service_time(found) / usable
--- /dev/null
+++ b/medlarquay/routing/loss_observed.py
@@ -0,0 +1,20 @@
+"""A call broke or timed out after it was sent."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('LossObserved',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class LossObserved:
+    """A call broke or timed out after it was sent.
+
+    Attributes
+    ----------
+    instance : InstanceId
+        Owner.
+    """
+
+    instance: ids.InstanceId
--- /dev/null
+++ b/medlarquay/routing/pick.py
@@ -0,0 +1,148 @@
+"""Selection among the live backend servers of a service."""
+
+from medlarquay import replica
+from medlarquay.routing import (
+    any_owner_wanted,
+    chooser,
+    expected_wait,
+    link_cost,
+    observation,
+)
+
+__all__ = ('pick_owner',)
+
+_Backends = list[replica.InstanceRecord]
+
+
+def pick_owner(
+    wanted: any_owner_wanted.AnyOwnerWanted,
+    state: chooser.Chooser,
+    now: float,
+) -> replica.InstanceRecord | None:
+    """Pick an owner by zone, expected wait and two random choices.
+
+    Returns
+    -------
+    InstanceRecord or None
+        None if no live backend server may take new work.
+
+    Notes
+    -----
+    The nearest zone with a free slot ends the search. A zone without one
+    still competes by its expected wait plus the round trip, so a short
+    queue near by beats a free slot 60 ms away.
+    """
+    use_ejected = _too_many_ejected(wanted, state, now)
+    best: replica.InstanceRecord | None = None
+    best_cost = float('inf')
+    for zone, members in wanted.candidates.zones:
+        usable = _usable(wanted, state, members, now, use_ejected=use_ejected)
+        if not usable:
+            continue
+        picked, waiting = _pick_in_zone(usable, state, now)
+        cost = waiting.wait + link_cost.ROUND_TRIP_S[zone]
+        if cost < best_cost:
+            best = picked
+            best_cost = cost
+        if waiting.free:
+            break
+    return best
+
+
+def _too_many_ejected(
+    wanted: any_owner_wanted.AnyOwnerWanted,
+    state: chooser.Chooser,
+    now: float,
+) -> bool:
+    if state.observations.ejected_until <= now:
+        return False
+    seen = state.observations.by_instance
+    live = wanted.candidates.live
+    ejected = sum(
+        seen[instance].ejected_until > now
+        for instance in live
+        if instance in seen
+    )
+    return ejected * 2 > len(live)
+
+
+def _usable(
+    wanted: any_owner_wanted.AnyOwnerWanted,
+    state: chooser.Chooser,
+    members: tuple[replica.InstanceRecord, ...],
+    now: float,
+    *,
+    use_ejected: bool,
+) -> _Backends:
+    seen = state.observations.by_instance
+    # No ejection ends after infinity, so all of them are ignored.
+    ejected_after = float('inf') if use_ejected else now
+    return [
+        backend
+        for backend in members
+        if backend.instance not in wanted.excluded
+        and _accepts(seen.get(backend.instance), now, ejected_after)
+    ]
+
+
+def _accepts(
+    found: observation.Observation | None,
+    now: float,
+    ejected_after: float,
+) -> bool:
+    if found is None:
+        return True
+    return found.draining_until <= now and found.ejected_until <= ejected_after
+
+
+def _pick_in_zone(
+    usable: _Backends,
+    state: chooser.Chooser,
+    now: float,
+) -> tuple[replica.InstanceRecord, expected_wait.Estimate]:
+    own = _own_if_free(usable, state, now)
+    if own is not None:
+        return own
+    first, first_wait = _draw(usable, state, now)
+    if len(usable) == 1:
+        return first, first_wait
+    # The second draw leaves the first one out, so they always differ.
+    rest = [backend for backend in usable if backend is not first]
+    second, second_wait = _draw(rest, state, now)
+    if _order(second_wait) < _order(first_wait):
+        return second, second_wait
+    return first, first_wait
+
+
+def _own_if_free(
+    usable: _Backends,
+    state: chooser.Chooser,
+    now: float,
+) -> tuple[replica.InstanceRecord, expected_wait.Estimate] | None:
+    for backend in usable:
+        if backend.instance == state.instance:
+            own = _estimate(backend, state, now)
+            return (backend, own) if own.free else None
+    return None
+
+
+def _draw(
+    usable: _Backends,
+    state: chooser.Chooser,
+    now: float,
+) -> tuple[replica.InstanceRecord, expected_wait.Estimate]:
+    drawn = usable[int(state.random.random() * len(usable))]
+    return drawn, _estimate(drawn, state, now)
+
+
+def _estimate(
+    backend: replica.InstanceRecord,
+    state: chooser.Chooser,
+    now: float,
+) -> expected_wait.Estimate:
+    found = state.observations.by_instance.get(backend.instance)
+    return expected_wait.estimate(backend, found, now=now)
+
+
+def _order(waiting: expected_wait.Estimate) -> tuple[bool, float, float]:
+    return not waiting.free, waiting.wait, waiting.share
--- /dev/null
+++ b/medlarquay/routing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the choice of owner and of retries."""
--- /dev/null
+++ b/medlarquay/routing/tests/fleet.py
@@ -0,0 +1,61 @@
+"""Backend servers and choosers for the tests of routing."""
+
+import random
+
+from medlarquay import ids, replica, routing, states
+
+__all__ = ('PLACE', 'backend', 'chooser', 'pick')
+
+PLACE = routing.Location(
+    instance=ids.InstanceId('a1'),
+    region=ids.RegionName('north'),
+    data_centre=ids.DataCentreName('a'),
+)
+
+
+def backend(
+    name: str,
+    *,
+    region: str = 'north',
+    state: states.InstanceState = states.InstanceState.LIVE,
+) -> replica.InstanceRecord:
+    """Return a backend server; its data centre is its first letter."""
+    return replica.InstanceRecord(
+        instance=ids.InstanceId(name),
+        revision=ids.Revision(1),
+        team=ids.TeamName('team'),
+        service=ids.ServiceName('desk'),
+        region=ids.RegionName(region),
+        data_centre=ids.DataCentreName(name[0]),
+        host='127.0.0.1',
+        caller_port=1,
+        peer_port=2,
+        slots=2,
+        state=state,
+    )
+
+
+def chooser(*, seed: int = 1) -> routing.Chooser:
+    """Return a chooser that has observed nothing."""
+    return routing.Chooser(
+        instance=PLACE.instance,
+        observations=routing.Observations(),
+        random=random.Random(seed),
+    )
+
+
+def pick(
+    state: routing.Chooser,
+    *backends: replica.InstanceRecord,
+    now: float = 0,
+    excluded: tuple[ids.InstanceId, ...] = (),
+) -> str | None:
+    """Return the name of the chosen owner."""
+    wanted = routing.AnyOwnerWanted(
+        candidates=routing.group_candidates(backends, place=PLACE),
+        excluded=excluded,
+    )
+    found = routing.choose(wanted, state, now)
+    if isinstance(found, routing.OwnerChosen):
+        return found.backend.instance
+    return None
--- /dev/null
+++ b/medlarquay/routing/tests/test_choose.py
@@ -0,0 +1,241 @@
+"""Choice of the owner by zone, wait and state."""
+
+import collections
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from medlarquay import events, ids, messages, routing, states
+from medlarquay.routing.tests import fleet
+
+_LOCAL = (fleet.backend('a2'), fleet.backend('a3'), fleet.backend('a4'))
+_NEAR = fleet.backend('b1')
+_FAR = fleet.backend('c1', region='south')
+_LIE = messages.LoadState(slots=0, running=9999, queued=9999, service_time=99)
+
+
+def _fill(state: routing.Chooser, name: str, calls: int) -> None:
+    for _ in range(calls):
+        routing.observe(
+            routing.CallSent(instance=ids.InstanceId(name)),
+            state.observations,
+            0,
+        )
+
+
+def _answer(
+    state: routing.Chooser,
+    name: str,
+    load: messages.LoadState | None,
+    now: float = 0,
+) -> None:
+    routing.observe(
+        routing.AnswerObserved(
+            instance=ids.InstanceId(name),
+            latency=0.005,
+            load=load,
+        ),
+        state.observations,
+        now,
+    )
+
+
+def _refuse(
+    state: routing.Chooser,
+    name: str,
+    reason: states.RefusalReason,
+    now: float = 0,
+) -> None:
+    routing.observe(
+        routing.RefusalObserved(
+            instance=ids.InstanceId(name),
+            reason=reason,
+            load=None,
+        ),
+        state.observations,
+        now,
+    )
+
+
+def _lose(state: routing.Chooser, name: str, now: float, times: int) -> None:
+    for _ in range(times):
+        routing.observe(
+            routing.LossObserved(instance=ids.InstanceId(name)),
+            state.observations,
+            now,
+        )
+
+
+def test_nearest_zone_with_a_free_slot_is_used() -> None:
+    """Guards against paying for a link while a near server is free."""
+    state = fleet.chooser()
+    for _ in range(50):
+        assert fleet.pick(state, _FAR, _NEAR, *_LOCAL) in {'a2', 'a3', 'a4'}
+    assert fleet.pick(state, _FAR, _NEAR) == 'b1'
+
+
+def test_spill_over_weighs_the_link_against_the_wait() -> None:
+    """Guards against a 60 ms detour around a wait of a few milliseconds."""
+    state = fleet.chooser()
+    _answer(state, 'a2', None)
+    _fill(state, 'a2', 2)
+    assert fleet.pick(state, _LOCAL[0], _NEAR) == 'b1'
+    assert fleet.pick(state, _LOCAL[0], _FAR) == 'a2'
+    _fill(state, 'a2', 60)
+    assert fleet.pick(state, _LOCAL[0], _FAR) == 'c1'
+
+
+def test_own_server_is_preferred_only_with_a_free_slot() -> None:
+    """Guards against an ingress that overloads the server beside it."""
+    state = fleet.chooser()
+    own = fleet.backend('a1')
+    assert {fleet.pick(state, own, *_LOCAL) for _ in range(30)} == {'a1'}
+    _fill(state, 'a1', 2)
+    assert fleet.pick(state, own, *_LOCAL) != 'a1'
+
+
+def test_calls_spread_by_two_choices() -> None:
+    """Guards against a herd of calls on one server."""
+    state = fleet.chooser()
+    counts: collections.Counter[str | None] = collections.Counter()
+    for _ in range(60):
+        found = fleet.pick(state, *_LOCAL)
+        _fill(state, str(found), 1)
+        counts[found] += 1
+    assert max(counts.values()) - min(counts.values()) <= 2
+
+
+def test_leaving_and_draining_servers_get_no_new_work() -> None:
+    """Guards against work lost on a backend server that is stopping."""
+    state = fleet.chooser()
+    leaving = fleet.backend('a5', state=states.InstanceState.LEAVING)
+    routing.observe(
+        messages.Draining(instance=ids.InstanceId('a2')),
+        state.observations,
+        0,
+    )
+    _refuse(state, 'a3', states.RefusalReason.DRAINING)
+    found = {fleet.pick(state, leaving, *_LOCAL, now=30) for _ in range(50)}
+    assert found == {'a4'}
+    assert fleet.pick(state, leaving, _LOCAL[0], now=30) is None
+
+
+def test_a_new_run_ends_the_draining_of_the_earlier_one() -> None:
+    """Guards against a restarted node that stays without work."""
+    state = fleet.chooser()
+    routing.observe(
+        messages.Draining(instance=ids.InstanceId('a2')),
+        state.observations,
+        0,
+    )
+    routing.observe(
+        events.PeerGreeted(
+            instance=ids.InstanceId('a2'),
+            incarnation=ids.Incarnation('2'),
+        ),
+        state.observations,
+        1,
+    )
+    assert fleet.pick(state, _LOCAL[0], now=1) == 'a2'
+
+
+def test_ejection_doubles_and_ends_with_an_answer() -> None:
+    """Guards against a broken server that is tried again too often."""
+    state = fleet.chooser()
+    _lose(state, 'a2', 0, 2)
+    assert {fleet.pick(state, *_LOCAL) for _ in range(50)} >= {'a2'}
+    now = 0
+    for period in (1, 2, 4):
+        _lose(state, 'a2', now, 3)
+        assert {
+            fleet.pick(state, *_LOCAL, now=now + period - 0.1)
+            for _ in range(50)
+        } == {'a3', 'a4'}
+        now += period
+        assert 'a2' in {fleet.pick(state, *_LOCAL, now=now) for _ in range(50)}
+    _answer(state, 'a2', None, now)
+    _lose(state, 'a2', now, 2)
+    assert 'a2' in {fleet.pick(state, *_LOCAL, now=now) for _ in range(50)}
+
+
+@pytest.mark.parametrize('ejected', [2, 3])
+def test_all_are_used_when_over_half_are_ejected(ejected: int) -> None:
+    """Guards against a fault of this ingress that empties a service."""
+    state = fleet.chooser()
+    for backend in _LOCAL[:ejected]:
+        _lose(state, backend.instance, 0, 3)
+    found = {fleet.pick(state, *_LOCAL, now=0.5) for _ in range(50)}
+    assert found == {'a2', 'a3', 'a4'}
+
+
+def test_a_lying_load_signal_moves_no_call_to_another_region() -> None:
+    """Guards against a bad load signal that empties a service."""
+    state = fleet.chooser()
+    for backend in _LOCAL:
+        _answer(state, backend.instance, _LIE)
+    found = {fleet.pick(state, _FAR, *_LOCAL) for _ in range(50)}
+    assert found == {'a2', 'a3', 'a4'}
+    # One liar among honest servers keeps its place when those are busy.
+    _fill(state, 'a3', 9)
+    _fill(state, 'a4', 9)
+    assert 'a2' in {fleet.pick(state, *_LOCAL) for _ in range(50)}
+
+
+def test_an_old_report_is_not_believed() -> None:
+    """Guards against a server avoided because of a load long gone."""
+    state = fleet.chooser()
+    for backend in _LOCAL[1:]:
+        _answer(state, backend.instance, _LIE, 0)
+    pair = _LOCAL[:2]
+    assert {fleet.pick(state, *pair, now=0.1) for _ in range(50)} == {'a2'}
+    assert len({fleet.pick(state, *pair, now=1.1) for _ in range(50)}) == 2
+
+
+def test_a_refusal_for_load_counts_before_any_report() -> None:
+    """Guards against a report of free slots that hides refusals."""
+    state = fleet.chooser()
+    idle = messages.LoadState(slots=2, running=0, queued=0, service_time=0.01)
+    _answer(state, 'a2', idle)
+    _refuse(state, 'a2', states.RefusalReason.QUEUE_FULL)
+    assert {fleet.pick(state, *_LOCAL) for _ in range(50)} == {'a3', 'a4'}
+
+
+def test_observations_are_dropped_after_a_pause() -> None:
+    """Guards against decisions on what was true before a pause."""
+    state = fleet.chooser()
+    _fill(state, 'a2', 5)
+    _lose(state, 'a2', 0, 3)
+    seen = state.observations
+    routing.observe(events.Tick(now=0.5, late=0.9), seen, 0.5)
+    assert seen.of(ids.InstanceId('a2')).ejected_until == 1
+    routing.observe(events.Tick(now=0.5, late=1.1), seen, 0.5)
+    kept = seen.of(ids.InstanceId('a2'))
+    assert (kept.ejected_until, kept.in_flight) == (0, 2)
+
+
+@settings(derandomize=True, max_examples=200, deadline=None)
+@given(
+    history=st.lists(
+        st.tuples(st.sampled_from(['a2', 'b1']), st.integers(0, 4)),
+        max_size=40,
+    ),
+    seed=st.integers(0, 99),
+)
+def test_a_service_is_never_empty(
+    history: list[tuple[str, int]],
+    seed: int,
+) -> None:
+    """Guards against any history but draining that leaves no owner."""
+    state = fleet.chooser(seed=seed)
+    for step, (name, kind) in enumerate(history):
+        now = step / 100
+        if kind == 0:
+            _fill(state, name, 3)
+        elif kind == 1:
+            _answer(state, name, _LIE, now)
+        elif kind == 2:
+            _refuse(state, name, states.RefusalReason.SHED, now)
+        else:
+            _lose(state, name, now, 3)
+    assert fleet.pick(state, _NEAR, _LOCAL[0], now=0.4) is not None
