Decide retries by proof, budget and deadline

No failed call was attempted again, also when the owner had proved that it was not run. A plain policy of three retries at each hop would multiply over a chain of calls.

--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -2,6 +2,7 @@
 
 from medlarquay.routing.answer_observed import AnswerObserved
 from medlarquay.routing.any_owner_wanted import AnyOwnerWanted
+from medlarquay.routing.attempt import Attempt
 from medlarquay.routing.bound_owner_wanted import BoundOwnerWanted
 from medlarquay.routing.call_sent import CallSent
 from medlarquay.routing.call_withdrawn import CallWithdrawn
@@ -9,6 +10,8 @@
 from medlarquay.routing.choice_refused import ChoiceRefused
 from medlarquay.routing.choose import choose
 from medlarquay.routing.chooser import Chooser
+from medlarquay.routing.decide_retry import decide_retry
+from medlarquay.routing.expected_time import expected_time
 from medlarquay.routing.home_wanted import HomeWanted
 from medlarquay.routing.location import Location
 from medlarquay.routing.loss_observed import LossObserved
@@ -16,9 +19,18 @@
 from medlarquay.routing.observe import observe
 from medlarquay.routing.owner_chosen import OwnerChosen
 from medlarquay.routing.refusal_observed import RefusalObserved
+from medlarquay.routing.retry_budget import RetryBudget
+from medlarquay.routing.retry_denied import RetryDenied
+from medlarquay.routing.retry_granted import RetryGranted
 from medlarquay.routing.zone import Zone
 
 __all__ = (
+    'RetryGranted',
+    'RetryDenied',
+    'RetryBudget',
+    'expected_time',
+    'decide_retry',
+    'Attempt',
     'AnswerObserved',
     'AnyOwnerWanted',
     'BoundOwnerWanted',
--- /dev/null
+++ b/medlarquay/routing/attempt.py
@@ -0,0 +1,36 @@
+"""What the decision about a retry depends on besides the failure."""
+
+import dataclasses
+
+__all__ = ('Attempt',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Attempt:
+    """What the decision about a retry depends on besides the failure.
+
+    Attributes
+    ----------
+    idempotent : bool
+        Whether the request may run more than once.
+    keyed : bool
+        Whether a key ties the request to one owner.
+    retries : int
+        Retries of this request so far.
+    deadline : float
+        Deadline of the request, seconds on the monotonic clock.
+    expected_time : float
+        Expected time of another attempt in seconds.
+    other_backend : bool
+        Whether another backend server may be sent the request.
+    newer_snapshot : bool
+        Whether the snapshot was replaced since the owner was chosen.
+    """
+
+    idempotent: bool
+    keyed: bool
+    retries: int
+    deadline: float
+    expected_time: float
+    other_backend: bool
+    newer_snapshot: bool
--- /dev/null
+++ b/medlarquay/routing/decide_retry.py
@@ -0,0 +1,137 @@
+"""Decision whether a failed request is attempted again."""
+
+import functools
+from types import MappingProxyType
+
+from medlarquay import messages, states
+from medlarquay.routing import (
+    attempt,
+    retry_budget,
+    retry_denied,
+    retry_granted,
+)
+
+__all__ = ('decide_retry',)
+
+_Decision = retry_granted.RetryGranted | retry_denied.RetryDenied
+
+# Keeps one request from using the budget of ten others.
+_MAX_RETRIES = 2
+
+# Refusals that another backend server may not repeat. All refusals prove
+# that the request was not run; the rest would be refused anywhere.
+_RETRYABLE = MappingProxyType({
+    states.RefusalReason.OWNER_UNREACHABLE: (
+        states.RetryReason.OWNER_UNREACHABLE
+    ),
+    states.RefusalReason.DRAINING: states.RetryReason.REFUSED_DRAINING,
+    states.RefusalReason.NO_CONFIGURATION: states.RetryReason.REFUSED_NOT_READY,
+    states.RefusalReason.QUEUE_FULL: states.RetryReason.REFUSED_FOR_LOAD,
+    states.RefusalReason.DEADLINE_UNREACHABLE: (
+        states.RetryReason.REFUSED_FOR_LOAD
+    ),
+    states.RefusalReason.SHED: states.RetryReason.REFUSED_FOR_LOAD,
+    states.RefusalReason.COLD_START: states.RetryReason.REFUSED_FOR_LOAD,
+    states.RefusalReason.BACKEND_DOWN: states.RetryReason.REFUSED_BACKEND_DOWN,
+    states.RefusalReason.NOT_HOME: states.RetryReason.REFUSED_NOT_HOME,
+})
+
+
+@functools.singledispatch
+def decide_retry(
+    failure: object,
+    tried: attempt.Attempt,
+    budget: retry_budget.RetryBudget,
+    now: float,
+) -> _Decision:
+    """Decide whether a failed request is attempted again.
+
+    Parameters
+    ----------
+    failure : CallRefused, CallUnknown or CallAnswered
+        Result of the attempt.
+    tried : Attempt
+        What is known of the request.
+    budget : RetryBudget
+        A token is taken when the retry is granted.
+    now : float
+        Seconds on the monotonic clock.
+
+    Returns
+    -------
+    RetryGranted or RetryDenied
+    """
+    raise TypeError(f'unexpected failure {type(failure).__name__}')
+
+
+@decide_retry.register
+def _refused(
+    failure: messages.CallRefused,
+    tried: attempt.Attempt,
+    budget: retry_budget.RetryBudget,
+    now: float,
+) -> _Decision:
+    if not failure.retry_allowed:
+        return _deny(states.RetryDenial.MARKED_FINAL)
+    reason = _RETRYABLE.get(failure.reason)
+    if reason is None:
+        return _deny(states.RetryDenial.NOT_RETRYABLE)
+    if not _has_target(failure.reason, tried):
+        return _deny(states.RetryDenial.NO_OTHER_BACKEND)
+    return _grant(reason, tried, budget, now)
+
+
+@decide_retry.register
+def _unknown(
+    failure: messages.CallUnknown,
+    tried: attempt.Attempt,
+    budget: retry_budget.RetryBudget,
+    now: float,
+) -> _Decision:
+    if not tried.idempotent:
+        return _deny(states.RetryDenial.NOT_PROVED_UNRUN)
+    if failure.reason is states.RefusalReason.ANSWER_TOO_LARGE:
+        # Another backend server would send the same answer.
+        return _deny(states.RetryDenial.NOT_RETRYABLE)
+    if not tried.other_backend:
+        return _deny(states.RetryDenial.NO_OTHER_BACKEND)
+    return _grant(states.RetryReason.OUTCOME_UNKNOWN, tried, budget, now)
+
+
+@decide_retry.register
+def _answered(
+    failure: messages.CallAnswered,
+    tried: attempt.Attempt,
+    budget: retry_budget.RetryBudget,
+    now: float,
+) -> _Decision:
+    # The request ran; its answer is passed on whatever its status.
+    if failure.retry_allowed:
+        return _deny(states.RetryDenial.NOT_RETRYABLE)
+    return _deny(states.RetryDenial.MARKED_FINAL)
+
+
+def _has_target(
+    reason: states.RefusalReason,
+    tried: attempt.Attempt,
+) -> bool:
+    if reason is states.RefusalReason.NOT_HOME:
+        return tried.newer_snapshot and not tried.retries
+    return tried.other_backend and not tried.keyed
+
+
+def _grant(
+    reason: states.RetryReason,
+    tried: attempt.Attempt,
+    budget: retry_budget.RetryBudget,
+    now: float,
+) -> _Decision:
+    if now + tried.expected_time >= tried.deadline:
+        return _deny(states.RetryDenial.DEADLINE_TOO_CLOSE)
+    if tried.retries >= _MAX_RETRIES or not budget.take():
+        return _deny(states.RetryDenial.BUDGET_EXHAUSTED)
+    return retry_granted.RetryGranted(reason=reason)
+
+
+def _deny(denial: states.RetryDenial) -> retry_denied.RetryDenied:
+    return retry_denied.RetryDenied(denial=denial)
--- /dev/null
+++ b/medlarquay/routing/expected_time.py
@@ -0,0 +1,22 @@
+"""Expected time of a call at a backend server."""
+
+from medlarquay import replica
+from medlarquay.routing import chooser, expected_wait
+
+__all__ = ('expected_time',)
+
+# Time assumed for a backend server that has not answered yet.
+_DEFAULT_S = 0.005
+
+
+def expected_time(
+    backend: replica.InstanceRecord,
+    state: chooser.Chooser,
+    now: float,
+) -> float:
+    """Return the expected seconds until an answer, waiting included."""
+    found = state.observations.by_instance.get(backend.instance)
+    waiting = expected_wait.estimate(backend, found, now=now)
+    if found is None or found.latency is None:
+        return waiting.wait + _DEFAULT_S
+    return waiting.wait + found.latency
--- /dev/null
+++ b/medlarquay/routing/tests/test_retries.py
@@ -0,0 +1,128 @@
+"""Retries: which failures, for which requests, and how many."""
+
+import dataclasses
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from medlarquay import ids, messages, routing, states
+
+_CALL = ids.CallId(1)
+_TRIED = routing.Attempt(
+    idempotent=False,
+    keyed=False,
+    retries=0,
+    deadline=10,
+    expected_time=0.1,
+    other_backend=True,
+    newer_snapshot=False,
+)
+_SHED = messages.CallRefused(call_id=_CALL, reason=states.RefusalReason.SHED)
+_UNKNOWN = messages.CallUnknown(
+    call_id=_CALL,
+    reason=states.RefusalReason.OWNER_LOST,
+)
+
+
+def _decide(
+    failure: object,
+    *,
+    tenths: int = 10,
+    now: float = 0,
+    **changes: object,
+) -> states.RetryReason | states.RetryDenial:
+    found = routing.decide_retry(
+        failure,
+        dataclasses.replace(_TRIED, **changes),
+        routing.RetryBudget(tenths=tenths),
+        now,
+    )
+    if isinstance(found, routing.RetryGranted):
+        return found.reason
+    return found.denial
+
+
+def _refusal(reason: states.RefusalReason) -> messages.CallRefused:
+    return messages.CallRefused(call_id=_CALL, reason=reason)
+
+
+def test_unknown_outcomes_are_retried_for_idempotent_requests_only() -> None:
+    """Guards against a second run of an approval."""
+    denied = states.RetryDenial.NOT_PROVED_UNRUN
+    assert _decide(_UNKNOWN) is denied
+    granted = states.RetryReason.OUTCOME_UNKNOWN
+    assert _decide(_UNKNOWN, idempotent=True) is granted
+
+
+@pytest.mark.parametrize(
+    ('changes', 'denial'),
+    [
+        ({'tenths': 9}, states.RetryDenial.BUDGET_EXHAUSTED),
+        ({'retries': 2}, states.RetryDenial.BUDGET_EXHAUSTED),
+        ({'now': 9.95}, states.RetryDenial.DEADLINE_TOO_CLOSE),
+        ({'other_backend': False}, states.RetryDenial.NO_OTHER_BACKEND),
+        ({'keyed': True}, states.RetryDenial.NO_OTHER_BACKEND),
+    ],
+)
+def test_a_retry_needs_all_its_conditions(
+    changes: dict[str, object],
+    denial: states.RetryDenial,
+) -> None:
+    """Guards against retries past the deadline, the budget or the key."""
+    assert _decide(_SHED) is states.RetryReason.REFUSED_FOR_LOAD
+    assert _decide(_SHED, **changes) is denial
+
+
+def test_a_final_failure_is_not_retried_upstream() -> None:
+    """Guards against retries that multiply over a chain of calls."""
+    final = dataclasses.replace(_SHED, retry_allowed=False)
+    assert _decide(final) is states.RetryDenial.MARKED_FINAL
+
+
+def test_not_home_is_retried_once_after_a_newer_snapshot() -> None:
+    """Guards against a key that moves while the snapshots disagree."""
+    refused = _refusal(states.RefusalReason.NOT_HOME)
+    denied = states.RetryDenial.NO_OTHER_BACKEND
+    assert _decide(refused, keyed=True) is denied
+    assert (
+        _decide(refused, keyed=True, newer_snapshot=True)
+        is states.RetryReason.REFUSED_NOT_HOME
+    )
+    again = _decide(refused, keyed=True, newer_snapshot=True, retries=1)
+    assert again is denied
+
+
+def test_refusals_that_hold_everywhere_are_not_retried() -> None:
+    """Guards against a poison request that is sent to every server."""
+    for reason in (
+        states.RefusalReason.QUARANTINED,
+        states.RefusalReason.DEADLINE_PASSED,
+        states.RefusalReason.KEY_REUSED,
+        states.RefusalReason.KEY_HOME_LOST,
+    ):
+        assert _decide(_refusal(reason)) is states.RetryDenial.NOT_RETRYABLE
+
+
+@settings(derandomize=True, max_examples=100, deadline=None)
+@given(st.lists(st.booleans(), max_size=300))
+def test_retries_never_exceed_a_tenth_of_first_attempts(
+    failing: list[bool],
+) -> None:
+    """Guards against a retry storm, whatever the order of failures."""
+    budget = routing.RetryBudget()
+    retries = 0
+    for attempts, failed in enumerate(failing, start=1):
+        budget.count_first_attempt()
+        if failed:
+            found = routing.decide_retry(_SHED, _TRIED, budget, 0)
+            retries += isinstance(found, routing.RetryGranted)
+        assert retries * 10 <= attempts
+
+
+def test_the_burst_is_bounded() -> None:
+    """Guards against a quiet day that pays for a storm."""
+    budget = routing.RetryBudget()
+    for _ in range(10000):
+        budget.count_first_attempt()
+    assert sum(budget.take() for _ in range(100)) == 10
--- a/medlarquay/states/retry_reason.py
+++ b/medlarquay/states/retry_reason.py
@@ -12,4 +12,6 @@
     REFUSED_DRAINING = 'refused_draining'
     REFUSED_FOR_LOAD = 'refused_for_load'
     REFUSED_BACKEND_DOWN = 'refused_backend_down'
+    REFUSED_NOT_READY = 'refused_not_ready'
+    REFUSED_NOT_HOME = 'refused_not_home'
     OUTCOME_UNKNOWN = 'outcome_unknown'
