--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -1,11 +1,12 @@
 """Composition of a node."""
 
+import random
 import secrets
 import time
 
 from twisted.internet import interfaces
 
-from medlarquay import ids, messages
+from medlarquay import ids, ingress, messages, telemetry
 from medlarquay.daemon import node_settings
 from medlarquay.tasks import (
     backend,
@@ -21,6 +22,7 @@
 __all__ = ('start_node',)
 
 _INCARNATION_BYTES = 8
+_SEED_BITS = 64
 
 
 def start_node(
@@ -36,7 +38,13 @@
         region=settings.region,
         data_centre=settings.data_centre,
     )
-    links = peer_links.PeerLinks(reactor=reactor, hello=hello, clock=clock)
+    counters = telemetry.Counters()
+    links = peer_links.PeerLinks(
+        reactor=reactor,
+        hello=hello,
+        clock=clock,
+        counters=counters,
+    )
     own = owner.Owner(links=links, clock=clock)
     own.backend = backend.Backend(
         reactor=reactor,
@@ -45,11 +53,18 @@
         port=settings.backend_port,
     )
     routing = router.Router(
-        instance=settings.instance,
+        hello=hello,
         links=links,
         owner=own,
         clock=clock,
+        reporter=ingress.CallReporter(
+            counters=counters,
+            records=telemetry.RecordLog(),
+            wall_clock=time.time,
+        ),
+        random=random.Random(secrets.randbits(_SEED_BITS)),
     )
+    routing.start(reactor=reactor)
     own.router = routing
     links.router = routing
     links.owner = own
--- a/medlarquay/events/send_cancel.py
+++ b/medlarquay/events/send_cancel.py
@@ -1,4 +1,4 @@
-"""Tell the owner that the caller has gone."""
+"""Tell the owner that nobody waits for a call."""
 
 import dataclasses
 
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class SendCancel:
-    """Tell the owner that the caller has gone.
+    """Tell the owner that nobody waits for a call.
 
     Attributes
     ----------
@@ -17,7 +17,10 @@
         Owner.
     call_id : ids.CallId
         Call to cancel.
+    expired : bool
+        Whether the owner let the deadline of the call pass in silence.
     """
 
     instance: ids.InstanceId
     call_id: ids.CallId
+    expired: bool = False
--- /dev/null
+++ b/medlarquay/ingress/__init__.py
@@ -0,0 +1,37 @@
+"""Parts of the ingress: calls under way, answers, keys and reports."""
+
+from medlarquay.ingress.answers import (
+    answer,
+    refusal,
+    refusal_outcome,
+    unknown,
+)
+from medlarquay.ingress.call_reporter import CallReporter
+from medlarquay.ingress.call_request import call_request
+from medlarquay.ingress.call_sender import CallSender
+from medlarquay.ingress.ingress_call import IngressCall
+from medlarquay.ingress.ingress_calls import IngressCalls
+from medlarquay.ingress.key_desk import KeyDesk
+from medlarquay.ingress.key_wanted import KeyWanted
+from medlarquay.ingress.known_runs import KnownRuns
+from medlarquay.ingress.open_call import open_call
+from medlarquay.ingress.routing_table import RoutingTable
+from medlarquay.ingress.wanted_owner import wanted_owner
+
+__all__ = (
+    'CallReporter',
+    'CallSender',
+    'IngressCall',
+    'IngressCalls',
+    'KeyDesk',
+    'KeyWanted',
+    'KnownRuns',
+    'RoutingTable',
+    'answer',
+    'call_request',
+    'open_call',
+    'refusal',
+    'refusal_outcome',
+    'unknown',
+    'wanted_owner',
+)
--- /dev/null
+++ b/medlarquay/ingress/call_sender.py
@@ -0,0 +1,79 @@
+"""Sending of calls to the owners on this and on other nodes."""
+
+from medlarquay import events, ids, messages, replica
+from medlarquay.tasks import task
+
+__all__ = ('CallSender',)
+
+# The ingress of the owner's own node.
+_LOCAL = ids.LinkId(0)
+
+
+class CallSender:
+    """Sends calls to the local owner directly and to others over links.
+
+    Parameters
+    ----------
+    instance : InstanceId
+        Instance of this node.
+    links, owner : Task
+        Take calls for other nodes and for the local backend server.
+    """
+
+    def __init__(
+        self,
+        *,
+        instance: ids.InstanceId,
+        links: task.Task,
+        owner: task.Task,
+    ) -> None:
+        self._instance = instance
+        self._links = links
+        self._owner = owner
+
+    def send(
+        self,
+        backend: replica.InstanceRecord,
+        request: messages.CallRequest,
+    ) -> None:
+        """Send a call to the owner of a backend server."""
+        if backend.instance == self._instance:
+            self._owner.post(events.RunCall(link=_LOCAL, request=request))
+            return
+        self._links.post(
+            events.SendCall(
+                instance=backend.instance,
+                host=backend.host,
+                port=backend.peer_port,
+                request=request,
+            ),
+        )
+
+    def cancel(
+        self,
+        instance: ids.InstanceId,
+        call_id: ids.CallId,
+        *,
+        expired: bool = False,
+    ) -> None:
+        """Tell an owner that nobody waits for a call."""
+        if instance == self._instance:
+            self._owner.post(events.CancelCall(link=_LOCAL, call_id=call_id))
+            return
+        self._links.post(
+            events.SendCancel(
+                instance=instance,
+                call_id=call_id,
+                expired=expired,
+            ),
+        )
+
+    def open_link(self, backend: replica.InstanceRecord) -> None:
+        """Open the link to the owner of a backend server."""
+        self._links.post(
+            events.OpenLink(
+                instance=backend.instance,
+                host=backend.host,
+                port=backend.peer_port,
+            ),
+        )
--- /dev/null
+++ b/medlarquay/ingress/key_desk.py
@@ -0,0 +1,133 @@
+"""Issue of request keys."""
+
+from collections.abc import Callable
+
+from medlarquay import events, ids, keys, routing, states
+from medlarquay.ingress import (
+    answers,
+    call_reporter,
+    call_sender,
+    key_wait,
+    key_wanted,
+    known_runs,
+    routing_table,
+)
+
+__all__ = ('KeyDesk',)
+
+# Longer than the time to connect, so that a lost link is reported first.
+_WAIT_S = 1.5
+
+
+class KeyDesk:
+    """Issues keys bound to an owner, and waits for its run if need be.
+
+    Parameters
+    ----------
+    runs : KnownRuns
+        Runs of owners and the callers that wait for one.
+    table : RoutingTable
+        Snapshot in force.
+    sender : CallSender
+        Opens links.
+    reporter : CallReporter
+        Counts and records refusals.
+    answer : callable
+        Receives ``AnswerReady``.
+    """
+
+    def __init__(
+        self,
+        *,
+        runs: known_runs.KnownRuns,
+        table: routing_table.RoutingTable,
+        sender: call_sender.CallSender,
+        reporter: call_reporter.CallReporter,
+        answer: Callable[[events.AnswerReady], None],
+    ) -> None:
+        self._runs = runs
+        self._table = table
+        self._sender = sender
+        self._reporter = reporter
+        self._answer = answer
+
+    def request(
+        self,
+        wanted: key_wanted.KeyWanted,
+        chooser: routing.Chooser,
+        now: float,
+    ) -> None:
+        """Choose an owner and issue a key bound to it."""
+        found = routing.choose(
+            routing.AnyOwnerWanted(
+                candidates=self._table.candidates(wanted.service),
+            ),
+            chooser,
+            now,
+        )
+        if isinstance(found, routing.ChoiceRefused):
+            self._refuse(wanted.message, found.reason)
+            return
+        instance = found.backend.instance
+        if self._issue(wanted.message, instance):
+            return
+        self._runs.wait(
+            key_wait.KeyWait(
+                message=wanted.message,
+                service=wanted.service,
+                instance=instance,
+                deadline=now + _WAIT_S,
+            ),
+        )
+        self._sender.open_link(found.backend)
+
+    def greet(self, message: events.PeerGreeted) -> None:
+        """Keep the run of an owner and issue the keys that wait for it."""
+        self._runs.learn(message.instance, message.incarnation)
+        for wait in self._runs.take(message.instance):
+            self._issue(wait.message, wait.instance)
+
+    def lose(self, message: events.PeerLost, chooser: routing.Chooser) -> None:
+        """Forget the run of an owner; fall back to the own instance."""
+        self._runs.forget(message.instance)
+        for wait in self._runs.take(message.instance):
+            self._fall_back(wait, chooser.instance)
+
+    def expire(self, now: float) -> None:
+        """Refuse the callers that waited too long."""
+        for wait in self._runs.take_expired(now):
+            self._refuse(
+                wait.message,
+                states.RefusalReason.OWNER_UNREACHABLE,
+            )
+
+    def _fall_back(
+        self,
+        wait: key_wait.KeyWait,
+        own: ids.InstanceId,
+    ) -> None:
+        if own in self._table.candidates(wait.service).live:
+            self._issue(wait.message, own)
+            return
+        self._refuse(wait.message, states.RefusalReason.OWNER_UNREACHABLE)
+
+    def _issue(
+        self,
+        message: events.RequestReceived,
+        instance: ids.InstanceId,
+    ) -> bool:
+        incarnation = self._runs.run_of(instance)
+        if incarnation is None:
+            return False
+        key = keys.issue_key(instance=instance, incarnation=incarnation)
+        self._answer(answers.issued_key(caller=message.caller, key=key))
+        return True
+
+    def _refuse(
+        self,
+        message: events.RequestReceived,
+        reason: states.RefusalReason,
+    ) -> None:
+        answer = answers.refusal(caller=message.caller, reason=reason)
+        self._reporter.turned_away(message, answer, reason)
+        self._answer(answer)
--- /dev/null
+++ b/medlarquay/ingress/key_wanted.py
@@ -0,0 +1,23 @@
+"""A caller asks for a new request key."""
+
+import dataclasses
+
+from medlarquay import events, snapshots
+
+__all__ = ('KeyWanted',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class KeyWanted:
+    """A caller asks for a new request key.
+
+    Attributes
+    ----------
+    message : RequestReceived
+        Request for the key.
+    service : Service
+        Service that the key is for.
+    """
+
+    message: events.RequestReceived
+    service: snapshots.Service
--- /dev/null
+++ b/medlarquay/ingress/known_runs.py
@@ -0,0 +1,71 @@
+"""Which run of each owner this ingress has a link to."""
+
+from medlarquay import ids, messages
+from medlarquay.ingress import key_wait
+
+__all__ = ('KnownRuns',)
+
+
+class KnownRuns:
+    """Knows the runs of owners, and who waits to learn one.
+
+    Parameters
+    ----------
+    hello : Hello
+        Instance and run of this node.
+    """
+
+    def __init__(self, *, hello: messages.Hello) -> None:
+        self._own = hello.instance
+        self._runs = {hello.instance: hello.incarnation}
+        self._waits: tuple[key_wait.KeyWait, ...] = ()
+
+    def __len__(self) -> int:
+        """Return how many callers wait."""
+        return len(self._waits)
+
+    def run_of(self, instance: ids.InstanceId) -> ids.Incarnation | None:
+        """Return the run of an owner, if known."""
+        return self._runs.get(instance)
+
+    def learn(
+        self,
+        instance: ids.InstanceId,
+        incarnation: ids.Incarnation,
+    ) -> None:
+        """Keep the run that greeted on a new link."""
+        if instance != self._own:
+            self._runs[instance] = incarnation
+
+    def forget(self, instance: ids.InstanceId) -> None:
+        """Forget the run of an owner whose link was lost."""
+        if instance != self._own:
+            self._runs.pop(instance, None)
+
+    def wait(self, wait: key_wait.KeyWait) -> None:
+        """Let a caller wait for the run of an owner."""
+        self._waits = (*self._waits, wait)
+
+    def withdraw(self, caller: ids.CallerId) -> None:
+        """Forget a caller that closed its connection."""
+        self._waits = tuple(
+            wait for wait in self._waits if wait.message.caller != caller
+        )
+
+    def take(self, instance: ids.InstanceId) -> tuple[key_wait.KeyWait, ...]:
+        """Return the callers that wait for an owner; they wait no more."""
+        found = tuple(wait for wait in self._waits if wait.instance == instance)
+        self._keep_except(found)
+        return found
+
+    def take_expired(self, now: float) -> tuple[key_wait.KeyWait, ...]:
+        """Return the callers past their deadline; they wait no more."""
+        found = tuple(wait for wait in self._waits if wait.deadline <= now)
+        self._keep_except(found)
+        return found
+
+    def _keep_except(self, found: tuple[key_wait.KeyWait, ...]) -> None:
+        if found:
+            self._waits = tuple(
+                wait for wait in self._waits if wait not in found
+            )
--- /dev/null
+++ b/medlarquay/ingress/open_call.py
@@ -0,0 +1,94 @@
+"""Reading of a request that arrived at the ingress."""
+
+from medlarquay import events, routing, snapshots, states
+from medlarquay.ingress import ingress_call, key_wanted, routing_table
+
+__all__ = ('open_call',)
+
+_Opened = (
+    ingress_call.IngressCall | key_wanted.KeyWanted | routing.ChoiceRefused
+)
+
+# The owner's deadline comes first, so that its reason, which knows more, is
+# what the caller is told; it needs up to 60 ms between two regions.
+_GRACE_S = 0.1
+_HOST = b'host'
+_POST = b'POST'
+
+
+def open_call(
+    message: events.RequestReceived,
+    table: routing_table.RoutingTable,
+    now: float,
+) -> _Opened:
+    """Find out what a request wants.
+
+    Parameters
+    ----------
+    message : RequestReceived
+        Request.
+    table : RoutingTable
+        Snapshot in force.
+    now : float
+        Seconds on the monotonic clock.
+
+    Returns
+    -------
+    IngressCall, KeyWanted or ChoiceRefused
+    """
+    snapshot = table.snapshot
+    if snapshot is None:
+        return _refuse(states.RefusalReason.NO_CONFIGURATION)
+    if message.target.partition(b'?')[0] == routing.KEY_PATH:
+        return _open_key(message, snapshot, _host(message))
+    return _open_route(message, snapshot, now)
+
+
+def _open_route(
+    message: events.RequestReceived,
+    snapshot: snapshots.Snapshot,
+    now: float,
+) -> _Opened:
+    host = _host(message)
+    route = snapshots.match_route(snapshot, host=host, target=message.target)
+    if route is None:
+        return _refuse(states.RefusalReason.NO_ROUTE)
+    parameters = routing.read_parameters(message, route, now)
+    if isinstance(parameters, routing.ChoiceRefused):
+        return parameters
+    if parameters.deadline <= now:
+        return _refuse(states.RefusalReason.DEADLINE_PASSED)
+    return ingress_call.IngressCall(
+        message=message,
+        route=route,
+        parameters=parameters,
+        deadline=parameters.deadline + _GRACE_S,
+    )
+
+
+def _open_key(
+    message: events.RequestReceived,
+    snapshot: snapshots.Snapshot,
+    host: bytes,
+) -> _Opened:
+    service = None
+    if message.method == _POST:
+        service = routing.service_for_key(
+            snapshot,
+            host=host,
+            target=message.target,
+        )
+    if service is None:
+        return _refuse(states.RefusalReason.NO_ROUTE)
+    return key_wanted.KeyWanted(message=message, service=service)
+
+
+def _host(message: events.RequestReceived) -> bytes:
+    for name, content in message.headers:
+        if name == _HOST:
+            return content.partition(b':')[0].lower()
+    return b''
+
+
+def _refuse(reason: states.RefusalReason) -> routing.ChoiceRefused:
+    return routing.ChoiceRefused(reason=reason)
--- /dev/null
+++ b/medlarquay/ingress/wanted_owner.py
@@ -0,0 +1,74 @@
+"""Which owners the key of a call allows."""
+
+import functools
+import types
+
+from medlarquay import keys, routing
+from medlarquay.ingress import ingress_call, known_runs, routing_table
+
+__all__ = ('wanted_owner',)
+
+_Wanted = routing.AnyOwnerWanted | routing.BoundOwnerWanted | routing.HomeWanted
+
+
+@functools.singledispatch
+def wanted_owner(
+    key: object,
+    call: ingress_call.IngressCall,
+    table: routing_table.RoutingTable,
+    runs: known_runs.KnownRuns,
+) -> _Wanted:
+    """Return what the choice of an owner must respect.
+
+    Parameters
+    ----------
+    key : BoundKey, PlainKey or None
+        Key of the call.
+    call : IngressCall
+        Call.
+    table : RoutingTable
+        Snapshot in force, which may be newer than that of the call.
+    runs : KnownRuns
+        Runs of owners.
+    """
+    raise TypeError(f'unexpected key {type(key).__name__}')
+
+
+@wanted_owner.register(types.NoneType)
+def _none(
+    key: None,
+    call: ingress_call.IngressCall,
+    table: routing_table.RoutingTable,
+    runs: known_runs.KnownRuns,
+) -> _Wanted:
+    return routing.AnyOwnerWanted(
+        candidates=table.candidates(call.route.service),
+        excluded=call.tried,
+    )
+
+
+@wanted_owner.register
+def _bound(
+    key: keys.BoundKey,
+    call: ingress_call.IngressCall,
+    table: routing_table.RoutingTable,
+    runs: known_runs.KnownRuns,
+) -> _Wanted:
+    return routing.BoundOwnerWanted(
+        key=key,
+        backends=table.current(call.route.service).backends,
+        incarnation=runs.run_of(key.instance),
+    )
+
+
+@wanted_owner.register
+def _plain(
+    key: keys.PlainKey,
+    call: ingress_call.IngressCall,
+    table: routing_table.RoutingTable,
+    runs: known_runs.KnownRuns,
+) -> _Wanted:
+    return routing.HomeWanted(
+        key=key,
+        backends=table.current(call.route.service).backends,
+    )
--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -4,6 +4,7 @@
 from medlarquay.routing.any_owner_wanted import AnyOwnerWanted
 from medlarquay.routing.attempt import Attempt
 from medlarquay.routing.bound_owner_wanted import BoundOwnerWanted
+from medlarquay.routing.call_parameters import CallParameters
 from medlarquay.routing.call_sent import CallSent
 from medlarquay.routing.call_withdrawn import CallWithdrawn
 from medlarquay.routing.candidates import Candidates, group_candidates
@@ -18,13 +19,19 @@
 from medlarquay.routing.observations import Observations
 from medlarquay.routing.observe import observe
 from medlarquay.routing.owner_chosen import OwnerChosen
+from medlarquay.routing.read_parameters import read_parameters
 from medlarquay.routing.refusal_observed import RefusalObserved
 from medlarquay.routing.retry_budget import RetryBudget
 from medlarquay.routing.retry_denied import RetryDenied
 from medlarquay.routing.retry_granted import RetryGranted
+from medlarquay.routing.service_for_key import KEY_PATH, service_for_key
 from medlarquay.routing.zone import Zone
 
 __all__ = (
+    'KEY_PATH',
+    'service_for_key',
+    'read_parameters',
+    'CallParameters',
     'RetryGranted',
     'RetryDenied',
     'RetryBudget',
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -1,5 +1,6 @@
 """Enumerated states and reasons."""
 
+from medlarquay.states.dropped_message import DroppedMessage
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
@@ -11,6 +12,7 @@
 from medlarquay.states.retry_reason import RetryReason
 
 __all__ = (
+    'DroppedMessage',
     'RecordSide',
     'NodePart',
     'InstanceState',
--- a/medlarquay/states/refusal_reason.py
+++ b/medlarquay/states/refusal_reason.py
@@ -11,6 +11,7 @@
     MALFORMED = 'malformed'
     HEADER_TOO_LARGE = 'header_too_large'
     BODY_TOO_LARGE = 'body_too_large'
+    REQUEST_TOO_SLOW = 'request_too_slow'
     NO_ROUTE = 'no_route'
     NO_CONFIGURATION = 'no_configuration'
     NO_BACKEND = 'no_backend'
--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -21,12 +21,16 @@
         Calls to send once the link is open.
     notices : list of object
         Messages without an answer to send once the link is open.
-    sent : set of CallId
-        Calls sent and not yet answered.
+    sent : dict of CallId to float
+        Calls sent and not yet answered, with the time of sending in seconds
+        on the monotonic clock.
+    heard_at : float
+        Time of the last frame received, seconds on the monotonic clock.
     """
 
     instance: ids.InstanceId
     link: transport.Link | None = None
     waiting: list[events.SendCall] = dataclasses.field(default_factory=list)
     notices: list[object] = dataclasses.field(default_factory=list)
-    sent: set[ids.CallId] = dataclasses.field(default_factory=set)
+    sent: dict[ids.CallId, float] = dataclasses.field(default_factory=dict)
+    heard_at: float = 0
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -5,13 +5,29 @@
 
 from twisted.internet import endpoints, interfaces
 
-from medlarquay import codec, errors, events, ids, messages, states, transport
+from medlarquay import (
+    codec,
+    errors,
+    events,
+    ids,
+    messages,
+    states,
+    telemetry,
+    transport,
+)
 from medlarquay.tasks import outgoing_link, task
 
 __all__ = ('PeerLinks',)
 
 _PATH = '/calls'
 _CONNECT_TIMEOUT_S = 1
+# A link that stayed silent this long while a call on it expired is taken for
+# cut off: closing it makes later calls fail before they are sent, which
+# proves that they were not run.
+_SILENCE_S = 1
+
+_Result = messages.CallAnswered | messages.CallRefused | messages.CallUnknown
+_Target = events.SendCall | events.SendNotice | events.OpenLink
 
 
 class PeerLinks(task.Task):
@@ -25,6 +41,8 @@
         First message on each link.
     clock : callable
         Returns seconds on the monotonic clock.
+    counters : Counters
+        Counts dropped messages.
     """
 
     def __init__(
@@ -33,6 +51,7 @@
         reactor: interfaces.IReactorTCP,
         hello: messages.Hello,
         clock: Callable[[], float],
+        counters: telemetry.Counters,
     ) -> None:
         super().__init__(name='links')
         self.router: task.Task | None = None
@@ -43,6 +62,7 @@
         self._reactor = reactor
         self._hello = hello
         self._clock = clock
+        self._counters = counters
         self._last = 0
 
     def receive(self, message: object) -> None:
@@ -50,11 +70,12 @@
         _handle(message, self)
 
     def accept(self, link: transport.Link) -> None:
-        """Take over an incoming link after its handshake."""
+        """Take over an incoming link; tell the ingress which run this is."""
         self._last += 1
         number = ids.LinkId(self._last)
         self.incoming[number] = link
         self._numbers[link] = number
+        self.send(link, self._hello)
 
     def receive_frame(self, link: transport.Link, frame: bytes) -> None:
         """Decode a frame of an incoming link and pass it to the owner."""
@@ -89,7 +110,7 @@
 
     def link_to(
         self,
-        target: events.SendCall | events.SendNotice,
+        target: _Target,
     ) -> outgoing_link.OutgoingLink:
         """Return the link to an owner; open it if there is none."""
         found = self.outgoing.get(target.instance)
@@ -100,14 +121,47 @@
         outgoing: outgoing_link.OutgoingLink,
         call: events.SendCall,
     ) -> None:
-        """Send a call on an open link."""
-        if outgoing.link is not None:
-            outgoing.sent.add(call.request.call_id)
+        """Send a call on an open link, unless its deadline has passed."""
+        now = self._clock()
+        if call.request.deadline <= now:
+            # The call waited for the link, or the process was paused.
+            self.refuse(call, states.RefusalReason.DEADLINE_PASSED)
+        elif outgoing.link is not None:
+            outgoing.sent[call.request.call_id] = now
             self.send(outgoing.link, call.request)
 
+    def refuse(
+        self,
+        call: events.SendCall,
+        reason: states.RefusalReason,
+    ) -> None:
+        """Tell the router that a call was not sent."""
+        if self.router is not None:
+            self.router.post(
+                messages.CallRefused(
+                    call_id=call.request.call_id,
+                    reason=reason,
+                ),
+            )
+
+    def abort_if_silent(self, outgoing: outgoing_link.OutgoingLink) -> None:
+        """Close a link on which nothing has been received for too long."""
+        silent_since = self._clock() - _SILENCE_S
+        oldest = min(outgoing.sent.values(), default=float('inf'))
+        if outgoing.link is None or oldest > silent_since:
+            return
+        if outgoing.heard_at <= silent_since:
+            self._log.warning(
+                'closed the silent link to instance {}',
+                outgoing.instance,
+            )
+            # Later calls open a new link instead of waiting for this one.
+            self.outgoing.pop(outgoing.instance, None)
+            outgoing.link.abort()
+
     def _connect(
         self,
-        call: events.SendCall | events.SendNotice,
+        call: _Target,
     ) -> outgoing_link.OutgoingLink:
         outgoing = outgoing_link.OutgoingLink(instance=call.instance)
         self.outgoing[call.instance] = outgoing
@@ -132,8 +186,32 @@
         outgoing: outgoing_link.OutgoingLink,
         link: transport.Link,
     ) -> None:
-        outgoing.link = link
+        # Calls wait for the greeting of the other side, which follows the
+        # handshake at once: an address may by now belong to another instance.
         self.send(link, self._hello)
+
+    def _greeted(
+        self,
+        outgoing: outgoing_link.OutgoingLink,
+        link: transport.Link,
+        message: messages.Hello,
+    ) -> None:
+        if message.instance != outgoing.instance:
+            self._log.warning(
+                'closed the link to instance {}; instance {} answered',
+                outgoing.instance,
+                message.instance,
+            )
+            link.abort()
+            return
+        if self.router is not None:
+            self.router.post(
+                events.PeerGreeted(
+                    instance=message.instance,
+                    incarnation=message.incarnation,
+                ),
+            )
+        outgoing.link = link
         waiting = outgoing.waiting
         outgoing.waiting = []
         for notice in outgoing.notices:
@@ -148,17 +226,27 @@
         link: transport.Link,
         frame: bytes,
     ) -> None:
+        outgoing.heard_at = self._clock()
         message = self._decode(link, frame)
         if self.router is None or message is None:
             return
-        if isinstance(message, messages.Draining):
-            self.router.post(message)
-            return
-        call_id = getattr(message, 'call_id', None)
-        # An answer to a call that is no longer waited for is dropped here,
-        # so it can never reach another caller.
-        if call_id in outgoing.sent:
-            outgoing.sent.discard(call_id)
+        if isinstance(message, messages.Hello):
+            self._greeted(outgoing, link, message)
+        elif isinstance(message, messages.Draining):
+            self.router.post(messages.Draining(instance=outgoing.instance))
+        elif isinstance(message, _Result):
+            self._take_result(outgoing, message)
+
+    def _take_result(
+        self,
+        outgoing: outgoing_link.OutgoingLink,
+        message: _Result,
+    ) -> None:
+        # A result of a call that this link does not wait for is dropped
+        # here, so it can never reach another caller.
+        if outgoing.sent.pop(message.call_id, None) is None:
+            self._counters.increment(states.DroppedMessage.NO_CALL_ON_LINK)
+        elif self.router is not None:
             self.router.post(message)
 
     def _lost(
@@ -170,14 +258,10 @@
             self.outgoing.pop(outgoing.instance)
         if self.router is None:
             return
+        # Calls still waiting were never sent, which proves them not run.
         for call in outgoing.waiting:
-            self.router.post(
-                messages.CallRefused(
-                    call_id=call.request.call_id,
-                    reason=states.RefusalReason.OWNER_UNREACHABLE,
-                ),
-            )
-        for call_id in sorted(outgoing.sent):
+            self.refuse(call, states.RefusalReason.OWNER_UNREACHABLE)
+        for call_id in outgoing.sent:
             self.router.post(
                 messages.CallUnknown(
                     call_id=call_id,
@@ -186,6 +270,7 @@
             )
         outgoing.waiting = []
         outgoing.sent.clear()
+        self.router.post(events.PeerLost(instance=outgoing.instance))
 
     def _decode(self, link: transport.Link, frame: bytes) -> object | None:
         try:
@@ -215,17 +300,23 @@
     outgoing = owner.outgoing.get(message.instance)
     if outgoing is None:
         return
-    outgoing.waiting = [
-        call
-        for call in outgoing.waiting
-        if call.request.call_id != message.call_id
-    ]
-    if outgoing.link is not None and message.call_id in outgoing.sent:
-        outgoing.sent.discard(message.call_id)
-        owner.send(
-            outgoing.link,
-            messages.CallCancel(call_id=message.call_id),
-        )
+    for call in outgoing.waiting:
+        if call.request.call_id == message.call_id:
+            outgoing.waiting.remove(call)
+            if message.expired:
+                owner.refuse(call, states.RefusalReason.OWNER_UNREACHABLE)
+            return
+    if outgoing.link is None or message.call_id not in outgoing.sent:
+        return
+    owner.send(outgoing.link, messages.CallCancel(call_id=message.call_id))
+    if message.expired:
+        owner.abort_if_silent(outgoing)
+    outgoing.sent.pop(message.call_id, None)
+
+
+@_handle.register
+def _open_link(message: events.OpenLink, owner: PeerLinks) -> None:
+    owner.link_to(message)
 
 
 @_handle.register
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -1,14 +1,26 @@
 """The task that routes the requests of callers at the ingress."""
 
+import dataclasses
 import functools
+import random as random_module
 from collections.abc import Callable
 
-from medlarquay import events, ids, messages, snapshots, states
-from medlarquay.tasks import answers, ingress_call, task
+from twisted.internet import interfaces
+
+from medlarquay import events, ids, ingress, keys, messages, routing, states
+from medlarquay.tasks import alarm, task
 
 __all__ = ('Router',)
 
-_MS_PER_SECOND = 1000
+# A pause is noticed by a late timer also while no call is under way.
+_HOUSEKEEPING_S = 1.0
+
+_Failure = messages.CallRefused | messages.CallUnknown
+# The caller set the deadline, so its passing says nothing about the owner.
+_NOT_A_FAULT = frozenset((
+    states.RefusalReason.DEADLINE_PASSED,
+    states.RefusalReason.CANCELLED,
+))
 
 
 class Router(task.Task):
@@ -16,62 +28,250 @@
 
     Parameters
     ----------
-    instance : InstanceId
-        Instance of this node.
+    hello : Hello
+        Instance, run, region and data centre of this node.
     links, owner : Task
         Take calls for other nodes and for the local backend server.
     clock : callable
         Returns seconds on the monotonic clock.
+    reporter : CallReporter
+        Counts and records what callers were told.
+    random : Random
+        Source of random numbers for the choice of owners.
     """
 
     def __init__(
         self,
         *,
-        instance: ids.InstanceId,
+        hello: messages.Hello,
         links: task.Task,
         owner: task.Task,
         clock: Callable[[], float],
+        reporter: ingress.CallReporter,
+        random: random_module.Random,
     ) -> None:
         super().__init__(name='router')
         self.listener: task.Task | None = None
-        self.snapshot: snapshots.Snapshot | None = None
-        self.calls: dict[ids.CallId, ingress_call.IngressCall] = {}
-        self.by_caller: dict[ids.CallerId, ids.CallId] = {}
-        self.instance = instance
-        self.links = links
-        self.owner = owner
+        self.lifecycle: task.Task | None = None
+        self.alarm: alarm.Alarm | None = None
+        self.calls = ingress.IngressCalls()
+        self.runs = ingress.KnownRuns(hello=hello)
+        self.chooser = routing.Chooser(
+            instance=hello.instance,
+            observations=routing.Observations(),
+            random=random,
+        )
+        self.table = ingress.RoutingTable(
+            place=routing.Location(
+                instance=hello.instance,
+                region=hello.region,
+                data_centre=hello.data_centre,
+            ),
+        )
+        self.sender = ingress.CallSender(
+            instance=hello.instance,
+            links=links,
+            owner=owner,
+        )
+        self.desk = ingress.KeyDesk(
+            runs=self.runs,
+            table=self.table,
+            sender=self.sender,
+            reporter=reporter,
+            answer=self.answer,
+        )
+        self.budget = routing.RetryBudget()
+        self.draining = False
         self.clock = clock
-        self._last = 0
+        self.reporter = reporter
+
+    def start(self, *, reactor: interfaces.IReactorTime) -> None:
+        """Begin to watch the deadlines of calls."""
+        self.alarm = alarm.Alarm(
+            reactor=reactor,
+            clock=self.clock,
+            target=self,
+        )
+        self.wake()
 
     def receive(self, message: object) -> None:
         """Handle one message."""
         _handle(message, self)
+        if self.draining:
+            self._report_if_finished()
+
+    def observe(self, event: object) -> None:
+        """Update the observations of owners."""
+        routing.observe(event, self.chooser.observations, self.clock())
 
-    def next_call(self) -> ids.CallId:
-        """Return a new call number."""
-        self._last += 1
-        return ids.CallId(self._last)
+    def turn_away(
+        self,
+        message: events.RequestReceived | events.RequestRejected,
+        reason: states.RefusalReason,
+    ) -> None:
+        """Refuse a request that did not become a call."""
+        answer = ingress.refusal(caller=message.caller, reason=reason)
+        self.reporter.turned_away(message, answer, reason)
+        self.answer(answer)
+
+    def attempt(self, call: ingress.IngressCall) -> None:
+        """Choose an owner and send it the call."""
+        now = self.clock()
+        wanted = ingress.wanted_owner(
+            call.parameters.key,
+            call,
+            self.table,
+            self.runs,
+        )
+        found = routing.choose(wanted, self.chooser, now)
+        if isinstance(found, routing.ChoiceRefused):
+            self.tell_refusal(call, found.reason, final=False)
+            return
+        call.instance = found.backend.instance
+        call.tried = (*call.tried, call.instance)
+        call.generation = self.table.generation
+        call.sent_at = now
+        self.calls.add(call)
+        self.observe(routing.CallSent(instance=call.instance))
+        if self.alarm is not None:
+            self.alarm.wake_at(call.deadline)
+        self.sender.send(found.backend, ingress.call_request(call))
 
-    def finish(self, call_id: ids.CallId) -> ids.CallerId | None:
-        """Forget a call; return its caller if it still waits."""
-        call = self.calls.pop(call_id, None)
+    def finish(self, call_id: ids.CallId) -> ingress.IngressCall | None:
+        """Forget an attempt; count a result that belongs to none."""
+        call = self.calls.finish(call_id)
         if call is None:
-            return None
-        self.by_caller.pop(call.caller, None)
-        return call.caller
+            self.reporter.count(states.DroppedMessage.NO_CALL_AT_INGRESS)
+        return call
+
+    def fail(self, call: ingress.IngressCall, failure: _Failure) -> None:
+        """Attempt a failed call again, or tell its caller."""
+        now = self.clock()
+        decision = routing.decide_retry(
+            failure,
+            self._tried(call, now),
+            self.budget,
+            now,
+        )
+        _conclude(decision, failure, call, self)
+
+    def tell_refusal(
+        self,
+        call: ingress.IngressCall,
+        reason: states.RefusalReason,
+        *,
+        final: bool,
+    ) -> None:
+        """Tell the caller of a call that it was not run."""
+        unreachable = reason is states.RefusalReason.OWNER_UNREACHABLE
+        if unreachable and isinstance(call.parameters.key, keys.BoundKey):
+            reason = states.RefusalReason.KEY_HOME_LOST
+        answer = ingress.refusal(
+            caller=call.caller,
+            reason=reason,
+            keyed=call.parameters.key is not None,
+            final=final,
+        )
+        outcome = ingress.refusal_outcome(reason)
+        self.reporter.told(call, answer, outcome, reason)
+        self.answer(answer)
 
-    def refuse(
+    def tell_unknown(
         self,
-        caller: ids.CallerId,
+        call: ingress.IngressCall,
         reason: states.RefusalReason,
     ) -> None:
-        """Tell a caller that its request was not run."""
-        self.answer(answers.refusal(caller=caller, reason=reason))
+        """Tell the caller of a call that its outcome is not known."""
+        answer = ingress.unknown(caller=call.caller, reason=reason)
+        self.reporter.told(call, answer, states.Outcome.UNKNOWN, reason)
+        self.answer(answer)
 
     def answer(self, message: events.AnswerReady) -> None:
         """Give the listener an answer."""
         if self.listener is not None:
-            self.listener.post(message)
+            close = message.close or self.draining
+            self.listener.post(dataclasses.replace(message, close=close))
+
+    def wake(self) -> None:
+        """Ask for the next tick."""
+        if self.alarm is not None:
+            self.alarm.wake_at(
+                min(
+                    self.calls.next_deadline(),
+                    self.clock() + _HOUSEKEEPING_S,
+                ),
+            )
+
+    def _tried(
+        self,
+        call: ingress.IngressCall,
+        now: float,
+    ) -> routing.Attempt:
+        other = routing.choose(
+            routing.AnyOwnerWanted(
+                candidates=self.table.candidates(call.route.service),
+                excluded=call.tried,
+            ),
+            self.chooser,
+            now,
+        )
+        chosen = isinstance(other, routing.OwnerChosen)
+        return routing.Attempt(
+            idempotent=call.parameters.idempotent,
+            keyed=call.parameters.key is not None,
+            retries=len(call.tried) - 1,
+            deadline=call.parameters.deadline,
+            expected_time=(
+                routing.expected_time(other.backend, self.chooser, now)
+                if isinstance(other, routing.OwnerChosen)
+                else 0
+            ),
+            other_backend=chosen,
+            newer_snapshot=self.table.generation > call.generation,
+        )
+
+    def _report_if_finished(self) -> None:
+        if len(self.calls) or len(self.runs) or self.lifecycle is None:
+            return
+        lifecycle = self.lifecycle
+        # Reported once; refusing a request after that is not work.
+        self.lifecycle = None
+        lifecycle.post(events.WorkFinished(part=states.NodePart.ROUTER))
+
+
+@functools.singledispatch
+def _conclude(
+    decision: object,
+    failure: _Failure,
+    call: ingress.IngressCall,
+    router: Router,
+) -> None:
+    raise TypeError(f'unexpected decision {type(decision).__name__}')
+
+
+@_conclude.register
+def _retry(
+    decision: routing.RetryGranted,
+    failure: _Failure,
+    call: ingress.IngressCall,
+    router: Router,
+) -> None:
+    router.reporter.count(decision.reason)
+    router.attempt(call)
+
+
+@_conclude.register
+def _give_up(
+    decision: routing.RetryDenied,
+    failure: _Failure,
+    call: ingress.IngressCall,
+    router: Router,
+) -> None:
+    router.reporter.count(decision.denial)
+    if isinstance(failure, messages.CallRefused):
+        router.tell_refusal(call, failure.reason, final=True)
+    else:
+        router.tell_unknown(call, failure.reason)
 
 
 @functools.singledispatch
@@ -81,103 +281,121 @@
 
 @_handle.register
 def _replaced(message: events.SnapshotReplaced, router: Router) -> None:
-    router.snapshot = message.snapshot
+    router.table.replace(message.snapshot)
+    router.chooser.observations.forget_except(router.table.instances())
+    router.wake()
 
 
 @_handle.register
 def _rejected(message: events.RequestRejected, router: Router) -> None:
-    router.refuse(message.caller, message.reason)
+    router.turn_away(message, message.reason)
 
 
 @_handle.register
 def _received(message: events.RequestReceived, router: Router) -> None:
-    if router.snapshot is None:
-        router.refuse(message.caller, states.RefusalReason.NO_CONFIGURATION)
+    if router.draining:
+        router.turn_away(message, states.RefusalReason.DRAINING)
         return
-    host = dict(message.headers).get(b'host', b'').partition(b':')[0]
-    route = snapshots.match_route(
-        router.snapshot,
-        host=host,
-        target=message.target,
-    )
-    if route is None:
-        router.refuse(message.caller, states.RefusalReason.NO_ROUTE)
-    elif route.service.backends:
-        _forward(message, route, router)
+    now = router.clock()
+    opened = ingress.open_call(message, router.table, now)
+    if isinstance(opened, routing.ChoiceRefused):
+        router.turn_away(message, opened.reason)
+    elif isinstance(opened, ingress.KeyWanted):
+        router.desk.request(opened, router.chooser, now)
     else:
-        router.refuse(message.caller, states.RefusalReason.NO_BACKEND)
+        router.budget.count_first_attempt()
+        router.attempt(opened)
 
 
-def _forward(
-    message: events.RequestReceived,
-    route: snapshots.Route,
-    router: Router,
-) -> None:
-    backends = route.service.backends
-    call_id = router.next_call()
-    backend = backends[call_id % len(backends)]
-    router.calls[call_id] = ingress_call.IngressCall(
-        caller=message.caller,
-        instance=backend.instance,
+@_handle.register
+def _gone(message: events.CallerGone, router: Router) -> None:
+    router.runs.withdraw(message.caller)
+    call = router.calls.finish_caller(message.caller)
+    if call is not None:
+        router.observe(routing.CallWithdrawn(instance=call.instance))
+        router.sender.cancel(call.instance, call.call_id)
+
+
+@_handle.register
+def _answered(message: messages.CallAnswered, router: Router) -> None:
+    call = router.finish(message.call_id)
+    if call is None:
+        return
+    router.observe(
+        routing.AnswerObserved(
+            instance=call.instance,
+            latency=router.clock() - call.sent_at,
+            load=message.load,
+        ),
     )
-    router.by_caller[message.caller] = call_id
-    request = messages.CallRequest(
-        call_id=call_id,
-        team=route.service.team,
-        service=route.service.parameters.name,
-        method=message.method,
-        target=message.target,
-        headers=answers.forwarded_headers(message.headers),
-        body=message.body,
-        rank=route.parameters.rank,
-        idempotent=message.method in route.idempotent_methods,
-        deadline=router.clock() + route.parameters.timeout_ms / _MS_PER_SECOND,
+    answer = ingress.answer(caller=call.caller, message=message)
+    router.reporter.told(call, answer, states.Outcome.RUN, None)
+    router.answer(answer)
+
+
+@_handle.register
+def _refused(message: messages.CallRefused, router: Router) -> None:
+    call = router.finish(message.call_id)
+    if call is None:
+        return
+    router.observe(
+        routing.RefusalObserved(
+            instance=call.instance,
+            reason=message.reason,
+            load=message.load,
+        ),
     )
-    if backend.instance == router.instance:
-        router.owner.post(events.RunCall(link=ids.LinkId(0), request=request))
-    else:
-        router.links.post(
-            events.SendCall(
-                instance=backend.instance,
-                host=backend.host,
-                port=backend.peer_port,
-                request=request,
-            ),
-        )
+    router.fail(call, message)
 
 
 @_handle.register
-def _gone(message: events.CallerGone, router: Router) -> None:
-    call_id = router.by_caller.pop(message.caller, None)
-    if call_id is None:
+def _unknown(message: messages.CallUnknown, router: Router) -> None:
+    call = router.finish(message.call_id)
+    if call is None:
         return
-    call = router.calls.pop(call_id)
-    if call.instance == router.instance:
-        router.owner.post(
-            events.CancelCall(link=ids.LinkId(0), call_id=call_id),
-        )
+    if message.reason in _NOT_A_FAULT:
+        router.observe(routing.CallWithdrawn(instance=call.instance))
     else:
-        router.links.post(
-            events.SendCancel(instance=call.instance, call_id=call_id),
-        )
+        router.observe(routing.LossObserved(instance=call.instance))
+    router.fail(call, message)
 
 
 @_handle.register
-def _answered(message: messages.CallAnswered, router: Router) -> None:
-    caller = router.finish(message.call_id)
-    if caller is not None:
-        router.answer(answers.answer(caller=caller, message=message))
+def _expired(message: events.CallExpired, router: Router) -> None:
+    call = router.calls.finish(message.call_id)
+    if call is not None:
+        router.observe(routing.LossObserved(instance=call.instance))
+        router.tell_unknown(call, states.RefusalReason.DEADLINE_PASSED)
 
 
 @_handle.register
-def _refused(message: messages.CallRefused, router: Router) -> None:
-    caller = router.finish(message.call_id)
-    if caller is not None:
-        router.refuse(caller, message.reason)
+def _ticked(message: events.Tick, router: Router) -> None:
+    router.observe(message)
+    for call in router.calls.expired(message.now):
+        # A call that was not sent yet is refused before it expires below.
+        router.sender.cancel(call.instance, call.call_id, expired=True)
+        router.post(events.CallExpired(call_id=call.call_id))
+    router.desk.expire(message.now)
+    router.wake()
 
 
 @_handle.register
-def _unknown(message: messages.CallUnknown, router: Router) -> None:
-    caller = router.finish(message.call_id)
-    if caller is not None:
-        router.answer(answers.unknown(caller=caller, reason=message.reason))
+def _greeted(message: events.PeerGreeted, router: Router) -> None:
+    router.observe(message)
+    router.desk.greet(message)
+
+
+@_handle.register
+def _peer_lost(message: events.PeerLost, router: Router) -> None:
+    router.observe(message)
+    router.desk.lose(message, router.chooser)
+
+
+@_handle.register
+def _peer_drains(message: messages.Draining, router: Router) -> None:
+    router.observe(message)
+
+
+@_handle.register
+def _drain(message: events.DrainRequested, router: Router) -> None:
+    router.draining = True
--- /dev/null
+++ b/medlarquay/tasks/tests/ingress_bench.py
@@ -0,0 +1,231 @@
+"""A router between recording fakes."""
+
+import random
+from collections.abc import Iterable
+from typing import TypeVar
+
+from twisted.internet import task as twisted_task
+
+from medlarquay import (
+    events,
+    ids,
+    ingress,
+    messages,
+    replica,
+    settings,
+    snapshots,
+    states,
+    telemetry,
+)
+from medlarquay.tasks import router, task
+
+__all__ = ('IngressBench', 'Recorder', 'backend', 'only')
+
+_Kind = TypeVar('_Kind')
+
+_TEAM = ids.TeamName('team')
+_SERVICE = ids.ServiceName('desk')
+_REGION = ids.RegionName('north')
+_DATA_CENTRE = ids.DataCentreName('a')
+
+
+def only(found: Iterable[_Kind]) -> _Kind:
+    """Return the only member; fail if there is none or more."""
+    members = tuple(found)
+    assert len(members) == 1
+    return members[0]
+
+
+class Recorder(task.Task):
+    """Keeps the messages that it receives."""
+
+    def __init__(self) -> None:
+        super().__init__(name='recorder')
+        self.messages: list[object] = []
+
+    def receive(self, message: object) -> None:
+        """Keep one message."""
+        self.messages.append(message)
+
+    def take(self) -> list[object]:
+        """Return the messages received since the last call."""
+        found = self.messages
+        self.messages = []
+        return found
+
+
+def backend(
+    name: str,
+    state: states.InstanceState = states.InstanceState.LIVE,
+) -> replica.InstanceRecord:
+    """Return a backend server; its data centre is its first letter."""
+    return replica.InstanceRecord(
+        instance=ids.InstanceId(name),
+        revision=ids.Revision(1),
+        team=_TEAM,
+        service=_SERVICE,
+        region=_REGION,
+        data_centre=ids.DataCentreName(name[0]),
+        host='127.0.0.1',
+        caller_port=1,
+        peer_port=2,
+        slots=2,
+        state=state,
+    )
+
+
+class IngressBench:
+    """A router of instance ``a0`` between recording fakes."""
+
+    def __init__(self, *backends: replica.InstanceRecord) -> None:
+        self.clock = twisted_task.Clock()
+        self.links = Recorder()
+        self.owner = Recorder()
+        self.listener = Recorder()
+        self.lifecycle = Recorder()
+        self.counters = telemetry.Counters()
+        self.records = telemetry.RecordLog()
+        self.router = router.Router(
+            hello=messages.Hello(
+                instance=ids.InstanceId('a0'),
+                incarnation=ids.Incarnation('own'),
+                region=_REGION,
+                data_centre=_DATA_CENTRE,
+            ),
+            links=self.links,
+            owner=self.owner,
+            clock=self.clock.seconds,
+            reporter=ingress.CallReporter(
+                counters=self.counters,
+                records=self.records,
+                wall_clock=lambda: 1000,
+            ),
+            random=random.Random(1),
+        )
+        self.router.start(reactor=self.clock)
+        self.router.listener = self.listener
+        self.router.lifecycle = self.lifecycle
+        # Enough tokens for any test; the budget has tests of its own.
+        self.router.budget.tenths = 100
+        if backends:
+            self.configure(*backends)
+
+    def configure(self, *backends: replica.InstanceRecord) -> None:
+        """Replace the snapshot."""
+        document = settings.TeamDocument(
+            team=_TEAM,
+            services=(
+                settings.ServiceSettings(
+                    name=_SERVICE,
+                    floors=(),
+                    queue_limit=8,
+                    cold_start_ms=0,
+                ),
+            ),
+            routes=(
+                settings.RouteSettings(
+                    host='desk.team',
+                    path_prefix='/',
+                    service=_SERVICE,
+                    rank=states.Rank.NORMAL,
+                    timeout_ms=2000,
+                    idempotent_methods=('GET',),
+                ),
+            ),
+        )
+        self.router.post(
+            events.SnapshotReplaced(
+                snapshot=snapshots.build_snapshot(
+                    documents=[document],
+                    instances=backends,
+                    tree_revision=ids.Revision(1),
+                    list_revision=ids.Revision(1),
+                ),
+            ),
+        )
+
+    def request(
+        self,
+        caller: int,
+        method: bytes = b'GET',
+        target: bytes = b'/x',
+        **fields: str,
+    ) -> None:
+        """Let a caller send a request; fields are header fields."""
+        headers = tuple(
+            (name.replace('_', '-').encode(), content.encode())
+            for name, content in fields.items()
+        )
+        self.router.post(
+            events.RequestReceived(
+                caller=ids.CallerId(caller),
+                method=method,
+                target=target,
+                headers=((b'host', b'desk.team'), *headers),
+                body=b'',
+            ),
+        )
+
+    def sent(self) -> list[events.SendCall]:
+        """Return the calls sent to other nodes since the last look."""
+        return [
+            message
+            for message in self.links.take()
+            if isinstance(message, events.SendCall)
+        ]
+
+    def send(self, caller: int, **fields: str) -> events.SendCall:
+        """Let a caller post a request; return the call that carries it."""
+        self.request(caller, b'POST', **fields)
+        call = only(self.sent())
+        return call
+
+    def told(self) -> list[events.AnswerReady]:
+        """Return the answers to callers since the last look."""
+        return [
+            message
+            for message in self.listener.take()
+            if isinstance(message, events.AnswerReady)
+        ]
+
+    def fields(self) -> dict[str, str]:
+        """Return status and system fields of the only answer."""
+        answer = only(self.told())
+        return {
+            'status': str(answer.status),
+            **{
+                name.decode().removeprefix('medlarquay-'): content.decode()
+                for name, content in answer.headers
+            },
+        }
+
+    def answer(self, call_id: ids.CallId, body: bytes = b'') -> None:
+        """Let the owner answer a call."""
+        self.router.post(
+            messages.CallAnswered(
+                call_id=call_id,
+                status=200,
+                headers=(),
+                body=body,
+            ),
+        )
+
+    def refuse(
+        self,
+        call_id: ids.CallId,
+        reason: states.RefusalReason,
+        **changes: bool,
+    ) -> None:
+        """Let the owner refuse a call."""
+        self.router.post(
+            messages.CallRefused(call_id=call_id, reason=reason, **changes),
+        )
+
+    def lose(self, call_id: ids.CallId) -> None:
+        """Let the link of a sent call break."""
+        self.router.post(
+            messages.CallUnknown(
+                call_id=call_id,
+                reason=states.RefusalReason.OWNER_LOST,
+            ),
+        )
--- /dev/null
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -0,0 +1,263 @@
+"""Call links between nodes with a reactor in memory."""
+
+import pytest
+from twisted.internet import error, testing
+from twisted.python import failure
+
+from medlarquay import (
+    codec,
+    events,
+    ids,
+    messages,
+    states,
+    telemetry,
+    transport,
+)
+from medlarquay.tasks import peer_links
+from medlarquay.tasks.tests import ingress_bench
+from medlarquay.testing import memory_transport
+
+_LOST = failure.Failure(error.ConnectionLost())
+
+
+class _Far:
+    """The accepting side of a link, in memory."""
+
+    def __init__(self, bench: '_Bench', name: str) -> None:
+        self.received: list[object] = []
+        self._bench = bench
+        self._hello = messages.Hello(
+            instance=ids.InstanceId(name),
+            incarnation=ids.Incarnation('run1'),
+            region=ids.RegionName('north'),
+            data_centre=ids.DataCentreName('a'),
+        )
+        self.link = transport.Link.accepting(
+            opened=lambda link: self.send(self._hello),
+            received=self._receive,
+            closed=lambda link: None,
+        )
+        self.wire = memory_transport.MemoryTransport()
+        self.link.makeConnection(self.wire)
+
+    def send(self, message: object) -> None:
+        """Send one message to the near side."""
+        self.link.send(codec.encode(message, now=self._bench.now))
+
+    def _receive(self, link: transport.Link, frame: bytes) -> None:
+        self.received.append(
+            codec.decode(frame, now=self._bench.now, peer='test'),
+        )
+
+
+class _Bench:
+    """Call links of one node to far sides in memory."""
+
+    def __init__(self) -> None:
+        self.now = 100.0
+        self.reactor = testing.MemoryReactorClock()
+        self.router = ingress_bench.Recorder()
+        self.counters = telemetry.Counters()
+        self.links = peer_links.PeerLinks(
+            reactor=self.reactor,
+            hello=messages.Hello(
+                instance=ids.InstanceId('a0'),
+                incarnation=ids.Incarnation('own'),
+                region=ids.RegionName('north'),
+                data_centre=ids.DataCentreName('a'),
+            ),
+            clock=lambda: self.now,
+            counters=self.counters,
+        )
+        self.links.router = self.router
+        self.near: list[transport.Link] = []
+        self.wires: list[memory_transport.MemoryTransport] = []
+
+    def call(self, instance: str, number: int) -> None:
+        """Send a call to an instance."""
+        request = messages.CallRequest(
+            call_id=ids.CallId(number),
+            team=ids.TeamName('team'),
+            service=ids.ServiceName('desk'),
+            method=b'POST',
+            target=b'/',
+            headers=(),
+            body=b'',
+            rank=states.Rank.NORMAL,
+            idempotent=False,
+            deadline=self.now + 5,
+        )
+        self.links.post(
+            events.SendCall(
+                instance=ids.InstanceId(instance),
+                host='127.0.0.1',
+                port=1,
+                request=request,
+            ),
+        )
+
+    def connect(self) -> None:
+        """Let the latest connection attempt succeed."""
+        factory = self.reactor.tcpClients[-1][2]
+        wire = memory_transport.MemoryTransport()
+        protocol = factory.buildProtocol(None)
+        protocol.makeConnection(wire)
+        self.near.append(protocol)
+        self.wires.append(wire)
+
+    def pump(self, far: _Far, position: int = -1) -> None:
+        """Carry the bytes written on both sides."""
+        near, wire = self.near[position], self.wires[position]
+        for _ in range(4):
+            sent = wire.value()
+            wire.clear()
+            far.link.dataReceived(sent)
+            answered = far.wire.value()
+            far.wire.clear()
+            near.dataReceived(answered)
+
+    def results(self) -> list[object]:
+        """Return the results that reached the router."""
+        kinds = (
+            messages.CallAnswered,
+            messages.CallRefused,
+            messages.CallUnknown,
+        )
+        return [
+            message
+            for message in self.router.take()
+            if isinstance(message, kinds)
+        ]
+
+
+@pytest.fixture
+def bench() -> _Bench:
+    """Return links without any connection."""
+    return _Bench()
+
+
+def _answered(number: int) -> messages.CallAnswered:
+    return messages.CallAnswered(
+        call_id=ids.CallId(number),
+        status=200,
+        headers=(),
+        body=b'%d' % number,
+    )
+
+
+def test_an_answer_counts_only_on_the_link_of_its_call(bench: _Bench) -> None:
+    """Guards against an answer that crosses from another link or repeats."""
+    fars = []
+    for number, name in enumerate(('a1', 'a2'), start=1):
+        bench.call(name, number)
+        bench.connect()
+        fars.append(_Far(bench, name))
+        bench.pump(fars[-1])
+    fars[0].send(_answered(2))
+    fars[0].send(_answered(1))
+    fars[0].send(_answered(1))
+    bench.pump(fars[0], 0)
+    assert bench.results() == [_answered(1)]
+    dropped = states.DroppedMessage.NO_CALL_ON_LINK
+    assert bench.counters.counts[dropped] == 2
+
+
+def test_no_call_is_sent_to_an_address_of_another_instance(
+    bench: _Bench,
+) -> None:
+    """Guards against an order run by a server of another service."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'z9')
+    bench.pump(far)
+    assert bench.wires[0].disconnecting
+    bench.near[0].connectionLost(_LOST)
+    assert [type(message) for message in far.received] == [messages.Hello]
+    refused = ingress_bench.only(bench.results())
+    assert refused.reason is states.RefusalReason.OWNER_UNREACHABLE
+
+
+def test_the_run_of_the_owner_is_learned(bench: _Bench) -> None:
+    """Guards against keys bound to a run that is not known."""
+    bench.links.post(
+        events.OpenLink(
+            instance=ids.InstanceId('a1'),
+            host='127.0.0.1',
+            port=1,
+        ),
+    )
+    bench.connect()
+    bench.pump(_Far(bench, 'a1'))
+    greeted = ingress_bench.only(bench.router.take())
+    assert greeted == events.PeerGreeted(
+        instance=ids.InstanceId('a1'),
+        incarnation=ids.Incarnation('run1'),
+    )
+
+
+def test_a_lost_link_proves_not_run_only_for_calls_not_sent(
+    bench: _Bench,
+) -> None:
+    """Guards against a sent order that is reported as not run."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.near[0].connectionLost(_LOST)
+    bench.call('a1', 2)
+    bench.connect()
+    bench.pump(_Far(bench, 'a1'))
+    bench.near[1].connectionLost(_LOST)
+    assert [type(message) for message in bench.results()] == [
+        messages.CallRefused,
+        messages.CallUnknown,
+    ]
+
+
+def test_a_call_that_waited_past_its_deadline_is_not_sent(
+    bench: _Bench,
+) -> None:
+    """Guards against work sent after a pause without a deadline check."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.now += 6
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    refused = ingress_bench.only(bench.results())
+    assert refused.reason is states.RefusalReason.DEADLINE_PASSED
+    assert [type(message) for message in far.received] == [messages.Hello]
+
+
+def test_an_expired_call_that_was_not_sent_is_proved_not_run(
+    bench: _Bench,
+) -> None:
+    """Guards against unknown told for a call that never left the node."""
+    bench.call('a1', 1)
+    bench.links.post(
+        events.SendCancel(
+            instance=ids.InstanceId('a1'),
+            call_id=ids.CallId(1),
+            expired=True,
+        ),
+    )
+    refused = ingress_bench.only(bench.results())
+    assert refused.reason is states.RefusalReason.OWNER_UNREACHABLE
+
+
+@pytest.mark.parametrize(('silent', 'closed'), [(5, True), (0.5, False)])
+def test_a_silent_link_is_closed(
+    bench: _Bench,
+    silent: float,
+    closed: bool,
+) -> None:
+    """Guards against orders that vanish in a partitioned data centre."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.pump(_Far(bench, 'a1'))
+    bench.now += silent
+    bench.links.post(
+        events.SendCancel(
+            instance=ids.InstanceId('a1'),
+            call_id=ids.CallId(1),
+            expired=True,
+        ),
+    )
+    assert bench.wires[0].disconnecting is closed
--- /dev/null
+++ b/medlarquay/tasks/tests/test_router.py
@@ -0,0 +1,411 @@
+"""What callers are told by the router, whatever the owners do."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from medlarquay import events, ids, keys, messages, states
+from medlarquay.tasks.tests import ingress_bench
+
+_PAIR = (ingress_bench.backend('a1'), ingress_bench.backend('a2'))
+_LATE = states.DroppedMessage.NO_CALL_AT_INGRESS
+
+
+@pytest.fixture
+def bench() -> ingress_bench.IngressBench:
+    """Return a router with two backend servers on other nodes."""
+    return ingress_bench.IngressBench(*_PAIR)
+
+
+def _key(instance: str, incarnation: str) -> str:
+    return keys.issue_key(
+        instance=ids.InstanceId(instance),
+        incarnation=ids.Incarnation(incarnation),
+    )
+
+
+def test_answers_reach_only_their_own_callers(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against crossed, late and duplicated answers."""
+    first, second = bench.send(1), bench.send(2)
+    bench.answer(second.request.call_id, b'two')
+    bench.answer(second.request.call_id, b'two')
+    bench.answer(first.request.call_id, b'one')
+    found = [(answer.caller, answer.body) for answer in bench.told()]
+    assert found == [(2, b'two'), (1, b'one')]
+    assert bench.counters.counts[_LATE] == 1
+
+
+def test_a_late_answer_of_an_earlier_attempt_is_dropped(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against two answers to one request after a retry."""
+    bench.request(1)
+    first = ingress_bench.only(bench.sent())
+    bench.lose(first.request.call_id)
+    second = ingress_bench.only(bench.sent())
+    assert second.instance != first.instance
+    bench.answer(first.request.call_id, b'late')
+    assert not bench.told()
+    bench.answer(second.request.call_id, b'good')
+    assert [answer.body for answer in bench.told()] == [b'good']
+
+
+@settings(derandomize=True, max_examples=60, deadline=None)
+@given(
+    results=st.lists(st.tuples(st.integers(1, 9), st.integers(0, 2))),
+    gone=st.sets(st.integers(1, 4)),
+)
+def test_each_caller_is_told_once(
+    results: list[tuple[int, int]],
+    gone: set[int],
+) -> None:
+    """Guards against any order of results that mixes callers up."""
+    bench = ingress_bench.IngressBench(*_PAIR)
+    owners = {
+        bench.send(caller).request.call_id: caller for caller in range(1, 5)
+    }
+    for caller in gone:
+        bench.router.post(events.CallerGone(caller=ids.CallerId(caller)))
+    told = []
+    for number, kind in results:
+        call_id = ids.CallId(number)
+        if kind == 0:
+            bench.answer(call_id, b'%d' % owners.get(call_id, 0))
+        elif kind == 1:
+            bench.lose(call_id)
+        else:
+            bench.refuse(call_id, states.RefusalReason.QUARANTINED)
+        told.extend(bench.told())
+    callers = [answer.caller for answer in told]
+    assert len(callers) == len(set(callers))
+    assert not gone.intersection(callers)
+    for answer in told:
+        assert answer.body in {b'', b'%d' % answer.caller}
+
+
+def test_a_post_lost_after_sending_is_unknown_and_not_retried(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against an approval that runs twice."""
+    call = bench.send(1)
+    bench.lose(call.request.call_id)
+    assert not bench.sent()
+    found = bench.fields()
+    assert (found['status'], found['outcome']) == ('502', 'unknown')
+    assert found['reason'] == 'owner_lost'
+    record = ingress_bench.only(bench.records)
+    assert record.outcome is states.Outcome.UNKNOWN
+
+
+def test_a_refused_post_is_retried_on_another_server(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a failed order although nothing had run."""
+    first = bench.send(1)
+    bench.refuse(first.request.call_id, states.RefusalReason.DRAINING)
+    second = ingress_bench.only(bench.sent())
+    assert second.instance != first.instance
+    bench.refuse(second.request.call_id, states.RefusalReason.DRAINING)
+    found = bench.fields()
+    assert (found['outcome'], found['retry']) == ('not-run', 'no')
+    counts = bench.counters.counts
+    assert counts[states.RetryReason.REFUSED_DRAINING] == 1
+    assert counts[states.RetryDenial.NO_OTHER_BACKEND] == 1
+
+
+def test_a_final_answer_is_obeyed_and_passed_on(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against retries at each hop of a chain."""
+    call = bench.send(1)
+    bench.refuse(
+        call.request.call_id,
+        states.RefusalReason.SHED,
+        retry_allowed=False,
+    )
+    assert bench.fields()['retry'] == 'no'
+    assert not bench.sent()
+    call = bench.send(2)
+    bench.router.post(
+        messages.CallAnswered(
+            call_id=call.request.call_id,
+            status=503,
+            headers=(
+                (b'medlarquay-retry', b'no'),
+                (b'medlarquay-outcome', b'not-run'),
+            ),
+            body=b'',
+        ),
+    )
+    found = bench.fields()
+    assert (found['retry'], found['outcome']) == ('no', 'run')
+
+
+def test_the_owner_deadline_comes_before_that_of_the_ingress(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against unknown told where the owner would prove not run."""
+    call = bench.send(1, request_timeout_ms='500')
+    assert call.request.deadline == pytest.approx(0.5)
+    bench.clock.advance(0.51)
+    assert not bench.told()
+    bench.refuse(call.request.call_id, states.RefusalReason.DEADLINE_PASSED)
+    found = bench.fields()
+    assert (found['status'], found['outcome']) == ('504', 'not-run')
+
+
+def test_a_silent_owner_is_cancelled_and_told_as_unknown(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a caller that hangs on a partitioned owner."""
+    call = bench.send(1, request_timeout_ms='500')
+    bench.clock.advance(0.61)
+    found = bench.fields()
+    assert (found['status'], found['outcome']) == ('502', 'unknown')
+    cancel = ingress_bench.only(bench.links.take())
+    assert cancel == events.SendCancel(
+        instance=call.instance,
+        call_id=call.request.call_id,
+        expired=True,
+    )
+    bench.answer(call.request.call_id)
+    assert not bench.told()
+
+
+@pytest.mark.parametrize(
+    ('fields', 'rank', 'deadline'),
+    [
+        ({}, states.Rank.NORMAL, 2),
+        ({'request_timeout_ms': '9000'}, states.Rank.NORMAL, 2),
+        ({'medlarquay_rank': 'urgent'}, states.Rank.NORMAL, 2),
+        ({'medlarquay_rank': 'bulk'}, states.Rank.BULK, 2),
+    ],
+)
+def test_requests_stay_within_the_limits_of_the_route(
+    bench: ingress_bench.IngressBench,
+    fields: dict[str, str],
+    rank: states.Rank,
+    deadline: float,
+) -> None:
+    """Guards against a caller that raises its own rank or deadline."""
+    call = bench.send(1, **fields)
+    assert call.request.rank is rank
+    assert call.request.deadline == pytest.approx(deadline)
+
+
+@pytest.mark.parametrize(
+    ('fields', 'reason'),
+    [
+        ({'request_timeout_ms': '-1'}, 'malformed'),
+        ({'request_timeout_ms': '9' * 5000}, 'malformed'),
+        ({'request_timeout_ms': '0'}, 'deadline_passed'),
+        ({'medlarquay_rank': 'first'}, 'malformed'),
+        ({'idempotency_key': 'k' * 999}, 'key_invalid'),
+        ({'idempotency_key': 'mq1.a'}, 'key_invalid'),
+    ],
+)
+def test_bad_fields_are_refused_before_sending(
+    bench: ingress_bench.IngressBench,
+    fields: dict[str, str],
+    reason: str,
+) -> None:
+    """Guards against a request run with limits its caller did not mean."""
+    bench.request(1, b'POST', **fields)
+    found = bench.fields()
+    assert (found['outcome'], found['reason']) == ('not-run', reason)
+    assert not bench.sent()
+
+
+def test_a_caller_that_closes_is_cancelled_at_the_owner(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against work for a caller that has gone."""
+    call = bench.send(1)
+    bench.router.post(events.CallerGone(caller=ids.CallerId(1)))
+    cancel = ingress_bench.only(bench.links.take())
+    assert (cancel.instance, cancel.call_id) == (
+        call.instance,
+        call.request.call_id,
+    )
+    bench.answer(call.request.call_id)
+    assert not bench.told()
+
+
+def test_a_drained_server_gets_no_new_work(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against work sent to a backend server that announced leaving."""
+    bench.router.post(messages.Draining(instance=ids.InstanceId('a1')))
+    for caller in range(20):
+        assert bench.send(caller).instance == 'a2'
+
+
+def test_a_draining_ingress_finishes_and_refuses(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against requests aborted by a planned stop."""
+    call = bench.send(1)
+    bench.router.post(events.DrainRequested())
+    bench.request(2)
+    refused = ingress_bench.only(bench.told())
+    assert (refused.status, refused.close) == (503, True)
+    assert not bench.lifecycle.take()
+    bench.answer(call.request.call_id, b'whole')
+    answer = ingress_bench.only(bench.told())
+    assert (answer.body, answer.close) == (b'whole', True)
+    finished = events.WorkFinished(part=states.NodePart.ROUTER)
+    assert bench.lifecycle.take() == [finished]
+
+
+def test_only_writes_and_answers_of_the_system_are_recorded(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a record that misses what a caller was told."""
+    bench.request(1)
+    call = ingress_bench.only(bench.sent())
+    bench.answer(call.request.call_id)
+    assert not list(bench.records)
+    call = bench.send(2, idempotency_key='order-1')
+    bench.answer(call.request.call_id)
+    bench.request(3, request_timeout_ms='0')
+    found = [
+        (record.outcome, record.status, record.request_key)
+        for record in bench.records
+    ]
+    assert found == [
+        (states.Outcome.RUN, 200, 'order-1'),
+        (states.Outcome.NOT_RUN, 504, None),
+    ]
+
+
+def test_a_pause_leaves_no_stale_ejection(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against observations kept over a pause without any call."""
+    for caller in range(8):
+        bench.lose(bench.send(caller).request.call_id)
+    assert bench.router.chooser.observations.ejected_until > 0
+    bench.router.post(events.Tick(now=5, late=4))
+    seen = bench.router.chooser.observations.by_instance.values()
+    assert not any(found.ejected_until for found in seen)
+
+
+def test_a_bound_key_goes_to_its_owner_or_nowhere(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a second run of a keyed order elsewhere."""
+    key = _key('a2', 'run1')
+    for caller in range(9):
+        call = bench.send(caller, idempotency_key=key)
+        assert (call.instance, call.request.request_key) == ('a2', key)
+    bench.refuse(
+        call.request.call_id,
+        states.RefusalReason.OWNER_UNREACHABLE,
+    )
+    assert not bench.sent()
+    found = bench.fields()
+    assert found['reason'] == 'key_home_lost'
+    assert found['earlier-attempts'] == 'unknown'
+
+
+def test_a_bound_key_of_a_lost_run_is_refused(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a key accepted by a run that never issued it."""
+    bench.router.post(
+        events.PeerGreeted(
+            instance=ids.InstanceId('a2'),
+            incarnation=ids.Incarnation('run2'),
+        ),
+    )
+    for caller, key in enumerate((_key('a2', 'run1'), _key('a9', 'run1'))):
+        bench.request(caller, b'POST', idempotency_key=key)
+        assert bench.fields()['reason'] == 'key_home_lost'
+    assert not bench.sent()
+
+
+def test_all_ingresses_send_a_plain_key_to_one_home() -> None:
+    """Guards against a key sent again through another node."""
+    order = (*_PAIR, ingress_bench.backend('b1'))
+    leaving = ingress_bench.backend('a3', states.InstanceState.LEAVING)
+    for number in range(20):
+        homes = set()
+        for backends in ((*order, leaving), (leaving, *reversed(order))):
+            bench = ingress_bench.IngressBench(*backends)
+            bench.router.post(messages.Draining(instance=order[0].instance))
+            call = bench.send(1, idempotency_key=f'order-{number}')
+            homes.add(call.instance)
+            bench.refuse(call.request.call_id, states.RefusalReason.DRAINING)
+            assert not bench.sent()
+        assert len(homes) == 1
+
+
+def test_not_home_is_sent_again_only_after_a_newer_snapshot(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a plain key that is tried on one server after another."""
+    call = bench.send(1, idempotency_key='order-1')
+    bench.refuse(call.request.call_id, states.RefusalReason.NOT_HOME)
+    assert bench.fields()['reason'] == 'not_home'
+    call = bench.send(2, idempotency_key='order-1')
+    bench.configure(*_PAIR)
+    bench.refuse(call.request.call_id, states.RefusalReason.NOT_HOME)
+    again = ingress_bench.only(bench.sent())
+    bench.configure(*_PAIR)
+    bench.refuse(again.request.call_id, states.RefusalReason.NOT_HOME)
+    assert not bench.sent()
+    assert bench.fields()['earlier-attempts'] == 'unknown'
+
+
+def _ask_for_key(bench: ingress_bench.IngressBench, caller: int) -> None:
+    bench.request(caller, b'POST', b'/.medlarquay/request-keys')
+
+
+def test_a_key_waits_for_the_run_of_its_owner(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a key that names no run."""
+    _ask_for_key(bench, 1)
+    opened = ingress_bench.only(bench.links.take())
+    assert isinstance(opened, events.OpenLink)
+    assert not bench.told()
+    bench.router.post(
+        events.PeerGreeted(
+            instance=opened.instance,
+            incarnation=ids.Incarnation('run7'),
+        ),
+    )
+    answer = ingress_bench.only(bench.told())
+    key = keys.parse_key(answer.body.decode())
+    assert isinstance(key, keys.BoundKey)
+    assert (key.instance, key.incarnation) == (opened.instance, 'run7')
+
+
+def test_a_key_is_refused_when_its_owner_stays_silent(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a caller that waits for a hung owner."""
+    _ask_for_key(bench, 1)
+    bench.clock.advance(1.6)
+    assert bench.fields()['reason'] == 'owner_unreachable'
+
+
+def test_a_key_for_an_unreachable_owner_is_bound_to_the_own_node() -> None:
+    """Guards against a caller without a key while its own node serves."""
+    bench = ingress_bench.IngressBench(*_PAIR, ingress_bench.backend('a0'))
+    own = bench.router.chooser.observations.of(ids.InstanceId('a0'))
+    own.in_flight = 9
+    _ask_for_key(bench, 1)
+    opened = ingress_bench.only(bench.links.take())
+    bench.router.post(events.PeerLost(instance=opened.instance))
+    answer = ingress_bench.only(bench.told())
+    assert answer.body.startswith(b'mq1.a0.own.')
+
+
+def test_without_configuration_nothing_is_sent() -> None:
+    """Guards against calls routed by a node that knows no routes."""
+    bench = ingress_bench.IngressBench()
+    bench.request(1)
+    assert bench.fields()['reason'] == 'no_configuration'
--- a/medlarquay/transport/http_text.py
+++ b/medlarquay/transport/http_text.py
@@ -10,6 +10,7 @@
 HOP_BY_HOP = frozenset((
     b'connection',
     b'content-length',
+    b'expect',
     b'keep-alive',
     b'proxy-connection',
     b'te',
