--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -7,6 +7,7 @@
 from medlarquay.events.backend_crashed import BackendCrashed
 from medlarquay.events.backend_failed import BackendFailed
 from medlarquay.events.broadcast_reply import BroadcastReply
+from medlarquay.events.call_expired import CallExpired
 from medlarquay.events.caller_gone import CallerGone
 from medlarquay.events.cancel_call import CancelCall
 from medlarquay.events.children_changed import ChildrenChanged
@@ -19,9 +20,12 @@
 from medlarquay.events.heartbeat_due import HeartbeatDue
 from medlarquay.events.lifecycle_changed import LifecycleChanged
 from medlarquay.events.link_closed import LinkClosed
+from medlarquay.events.open_link import OpenLink
 from medlarquay.events.parent_answered import ParentAnswered
 from medlarquay.events.parent_chosen import ParentChosen
 from medlarquay.events.parent_lost import ParentLost
+from medlarquay.events.peer_greeted import PeerGreeted
+from medlarquay.events.peer_lost import PeerLost
 from medlarquay.events.peer_version import PeerVersion
 from medlarquay.events.reading_chosen import ReadingChosen
 from medlarquay.events.records_received import RecordsReceived
@@ -53,6 +57,10 @@
     'ParentLost',
     'ReadingChosen',
     'ChildrenChanged',
+    'PeerLost',
+    'PeerGreeted',
+    'OpenLink',
+    'CallExpired',
     'WorkFinished',
     'FreshnessConfirmed',
     'BroadcastReply',
