--- a/medlarquay/daemon/distribution.py
+++ b/medlarquay/daemon/distribution.py
@@ -93,6 +93,7 @@
         ),
         reactor=around.reactor,
         clock=around.clock,
+        counters=around.counters,
     )
     distribution = Distribution(
         configuration=current,
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -1,18 +1,24 @@
 """Composition of a node."""
 
 import random
-import secrets
 import time
 
 from twisted.internet import interfaces
 
-from medlarquay import ids, messages, topology
-from medlarquay.daemon import distribution, node_settings, surroundings
+from medlarquay import admin
+from medlarquay.daemon import (
+    build_owner,
+    distribution,
+    known_peers,
+    lifecycle,
+    node_settings,
+    observed_node,
+    signals,
+    surroundings,
+)
 from medlarquay.tasks import (
-    backend,
     caller_listener,
     connector,
-    owner,
     peer_links,
     peer_listener,
     router,
@@ -21,8 +27,6 @@
 
 __all__ = ('start_node',)
 
-_INCARNATION_BYTES = 8
-
 
 def start_node(
     *,
@@ -37,19 +41,20 @@
         Tasks whose counters are measured.
     """
     clock = time.monotonic
-    hello = messages.Hello(
-        instance=settings.instance,
-        incarnation=ids.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
-        region=settings.region,
-        data_centre=settings.data_centre,
+    observed = observed_node.observe_node(settings, clock)
+    operators = admin.Admin(node=observed)
+    links = peer_links.PeerLinks(
+        reactor=reactor,
+        hello=observed.hello,
+        clock=clock,
     )
-    links = peer_links.PeerLinks(reactor=reactor, hello=hello, clock=clock)
-    own = owner.Owner(links=links, clock=clock)
-    own.backend = backend.Backend(
+    own = build_owner.build_owner(
         reactor=reactor,
-        owner=own,
-        host=settings.backend_host,
-        port=settings.backend_port,
+        settings=settings,
+        hello=observed.hello,
+        links=links,
+        counters=observed.counters,
+        records=observed.records,
     )
     routing = router.Router(
         instance=settings.instance,
@@ -62,18 +67,30 @@
     links.owner = own
     callers = caller_listener.CallerListener(router=routing)
     routing.listener = callers
+    life = lifecycle.Lifecycle(
+        reactor=reactor,
+        clock=clock,
+        parts=(own, routing, callers, links),
+        subscribers=(operators,),
+        drain_timeout_s=settings.drain_timeout_s,
+    )
+    own.lifecycle = life
+    routing.lifecycle = life
     distributing = distribution.build_distribution(
-        own=_own_peer(settings),
-        hello=hello,
-        seeds=_seed_peers(settings),
-        subscribers=(routing, own),
-        freshness_subscribers=(),
+        own=known_peers.own_peer(settings),
+        hello=observed.hello,
+        seeds=known_peers.seed_peers(settings),
+        # The lifecycle comes last, so that all others have the configuration
+        # when the node is announced as serving.
+        subscribers=(routing, own, operators, life),
+        freshness_subscribers=(own, operators),
         around=surroundings.Surroundings(
             reactor=reactor,
             clock=clock,
             links=connector.TcpConnector(reactor=reactor),
             fetcher=source_fetcher.HttpFetcher(base_url=settings.source_url),
             randomness=random.SystemRandom(),
+            counters=observed.counters,
         ),
     )
     peers = peer_listener.PeerListener(
@@ -84,30 +101,11 @@
     )
     peers.listen(reactor, host=settings.host, port=settings.peer_port)
     callers.listen(reactor, host=settings.host, port=settings.caller_port)
+    operators.listen(reactor, host=settings.host, port=settings.admin_port)
+    reactor.callWhenRunning(
+        signals.post_on_signal,
+        reactor=reactor,
+        target=life,
+    )
     distributing.start()
     return distributing
-
-
-def _own_peer(settings: node_settings.NodeSettings) -> topology.Peer:
-    return topology.Peer(
-        instance=settings.instance,
-        region=settings.region,
-        data_centre=settings.data_centre,
-        host=settings.host,
-        port=settings.peer_port,
-    )
-
-
-def _seed_peers(
-    settings: node_settings.NodeSettings,
-) -> tuple[topology.Peer, ...]:
-    return tuple(
-        topology.Peer(
-            instance=ids.InstanceId(''),
-            region=ids.RegionName(''),
-            data_centre=ids.DataCentreName(''),
-            host=host,
-            port=port,
-        )
-        for host, port in settings.seeds
-    )
--- a/medlarquay/daemon/surroundings.py
+++ b/medlarquay/daemon/surroundings.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import interfaces
 
+from medlarquay import telemetry
 from medlarquay.tasks import connector, source_fetcher
 
 __all__ = ('Surroundings',)
@@ -27,6 +28,8 @@
         Reads the source.
     randomness : random.Random
         Phases and jitter.
+    counters : Counters
+        Counters of the node.
     """
 
     reactor: interfaces.IReactorTime
@@ -34,3 +37,4 @@
     links: connector.Connector
     fetcher: source_fetcher.SourceFetcher
     randomness: random.Random
+    counters: telemetry.Counters
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -3,6 +3,8 @@
 from medlarquay.events.abort_request import AbortRequest
 from medlarquay.events.answer_ready import AnswerReady
 from medlarquay.events.backend_answered import BackendAnswered
+from medlarquay.events.backend_changed import BackendChanged
+from medlarquay.events.backend_crashed import BackendCrashed
 from medlarquay.events.backend_failed import BackendFailed
 from medlarquay.events.broadcast_reply import BroadcastReply
 from medlarquay.events.caller_gone import CallerGone
@@ -15,6 +17,7 @@
 from medlarquay.events.freshness_confirmed import FreshnessConfirmed
 from medlarquay.events.freshness_received import FreshnessReceived
 from medlarquay.events.heartbeat_due import HeartbeatDue
+from medlarquay.events.lifecycle_changed import LifecycleChanged
 from medlarquay.events.link_closed import LinkClosed
 from medlarquay.events.parent_answered import ParentAnswered
 from medlarquay.events.parent_chosen import ParentChosen
@@ -57,11 +60,14 @@
     'AbortRequest',
     'AnswerReady',
     'BackendAnswered',
+    'BackendChanged',
+    'BackendCrashed',
     'BackendFailed',
     'CallerGone',
     'CancelCall',
     'DocumentsRead',
     'DrainRequested',
+    'LifecycleChanged',
     'LinkClosed',
     'RequestReceived',
     'RequestRejected',
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -1,5 +1,6 @@
 """Enumerated states and reasons."""
 
+from medlarquay.states.backend_state import BackendState
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
@@ -19,6 +20,7 @@
     'ReplicaEvent',
     'RecordSide',
     'NodePart',
+    'BackendState',
     'InstanceState',
     'NodeState',
     'Outcome',
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -39,6 +39,8 @@
         Schedules the checks.
     clock : callable
         Returns seconds on the monotonic clock.
+    counters : Counters
+        Counts conflicts, rejections and stale answers.
     """
 
     def __init__(
@@ -49,12 +51,13 @@
         floor: replica.Floor,
         reactor: interfaces.IReactorTime,
         clock: Callable[[], float],
+        counters: telemetry.Counters,
     ) -> None:
         super().__init__(name='configuration')
         self.replica = replica.Replica()
         self.freshness = replica.Freshness()
         self.floor = floor
-        self.counters = telemetry.Counters()
+        self.counters = counters
         self.distribution: tuple[task.Task, ...] = ()
         self.relay: task.Task | None = None
         self.read_at: dict[replica.SourceTree, float] = {}
--- a/medlarquay/tasks/tests/test_traces.py
+++ b/medlarquay/tasks/tests/test_distribution_traces.py
@@ -18,7 +18,9 @@
 from medlarquay import ids, topology
 from medlarquay.testing import simulated_mesh
 
-_TRACES = sorted(pathlib.Path(__file__).parent.glob('traces/*.json'))
+_TRACES = sorted(
+    pathlib.Path(__file__).parent.glob('distribution_traces/*.json')
+)
 
 
 class Replay:
--- a/medlarquay/testing/simulated_node.py
+++ b/medlarquay/testing/simulated_node.py
@@ -4,7 +4,15 @@
 
 from twisted.internet import task
 
-from medlarquay import events, ids, messages, replica, snapshots, topology
+from medlarquay import (
+    events,
+    ids,
+    messages,
+    replica,
+    snapshots,
+    telemetry,
+    topology,
+)
 from medlarquay.daemon import distribution, surroundings
 from medlarquay.tasks import connector, source_fetcher
 from medlarquay.tasks import task as tasks
@@ -80,6 +88,7 @@
                 links=links,
                 fetcher=fetcher,
                 randomness=randomness,
+                counters=telemetry.Counters(),
             ),
         )
 
