--- a/bench/admission_replay.py
+++ b/bench/admission_replay.py
@@ -7,6 +7,7 @@
 and so is everything after the last arrival.
 """
 
+import dataclasses
 import statistics
 from types import MappingProxyType
 
@@ -52,6 +53,8 @@
         _report(f'bulk_flood_{slots}', slots, _changed(bulk=3))
         _report(f'urgent_flood_{slots}', slots, _changed(urgent=3))
         _report(f'long_bulk_{slots}', slots, _long_bulk(0.15))
+        _report(f'bulk_flood_tailed_{slots}', slots, _tailed(bulk=3))
+        _report(f'urgent_flood_tailed_{slots}', slots, _tailed(urgent=3))
         rare = _long_bulk(0.02)
         _report(f'long_bulk_rare_urgent_{slots}', slots, rare)
         _report(f'long_bulk_no_normal_{slots}', slots, [rare[0], rare[2]])
@@ -69,6 +72,12 @@
     ]
 
 
+def _tailed(**loads: float) -> list[replay.Demand]:
+    return [
+        dataclasses.replace(demand, tailed=True) for demand in _changed(**loads)
+    ]
+
+
 def _long_bulk(urgent: float) -> list[replay.Demand]:
     return [
         *_changed(urgent=urgent)[:2],
--- a/medlarquay/admission/choose_rank.py
+++ b/medlarquay/admission/choose_rank.py
@@ -9,10 +9,13 @@
 
 # Share of the slots that may stay idle for urgent work; goodput is to stay at
 # or above 0.9 of capacity.
-_IDLE_SHARE = 0.08
+_IDLE_SHARE = 0.05
 # Work counts as long when its service time exceeds that of urgent work by
 # this factor.
 _LONG_FACTOR = 4
+# A rank is served by its floor up to this multiple of it, because some of its
+# work ends after its deadline and does not count for the caller.
+_FLOOR_MARGIN = 1.12
 # Mean slots below which urgent work counts as absent.
 _ABSENT = 0.02
 
@@ -65,7 +68,7 @@
     # requests it would take all slots at once.
     if state.shares.running(rank) >= math.ceil(floor * slots):
         return 0
-    return floor - state.shares.held(rank) / slots
+    return _FLOOR_MARGIN * floor - state.shares.held(rank) / slots
 
 
 def _largest_deficit(
--- a/medlarquay/admission/expected_wait.py
+++ b/medlarquay/admission/expected_wait.py
@@ -5,6 +5,9 @@
 
 __all__ = ('expected_wait',)
 
+# Work that is admitted and then ends late costs a slot for nothing; with
+# exponential service times this factor raised goodput from 0.90 to 0.91.
+_CAUTION = 1.15
 # Keeps the divisions defined for a floor of 0 and for a full share.
 _SMALLEST_SHARE = 0.01
 
@@ -35,4 +38,4 @@
     floor = max(state.bounds.floors.get(rank, 0), _SMALLEST_SHARE)
     in_turn = ahead / left
     by_floor = own / (floor * slots)
-    return min(in_turn, by_floor) + state.times.overall / slots
+    return _CAUTION * min(in_turn, by_floor) + state.times.overall / slots
--- a/medlarquay/testing/replay/flood.py
+++ b/medlarquay/testing/replay/flood.py
@@ -9,8 +9,10 @@
 
 __all__ = ('Demand', 'make_flood')
 
-# Service times vary by this factor to both sides of their mean.
+# Uniform service times vary by this factor to both sides of their mean.
 _SPREAD = 0.5
+# Exponential service times end at this multiple of their mean.
+_LONGEST = 8
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -27,12 +29,15 @@
         Mean seconds that a request holds a slot.
     patience : float
         Seconds from arrival to deadline.
+    tailed : bool
+        Whether service times are exponential instead of uniform.
     """
 
     rank: states.Rank
     load: float
     service: float
     patience: float
+    tailed: bool = False
 
 
 def make_flood(
@@ -61,7 +66,10 @@
     rate = demand.load * slots / demand.service
     now = source.expovariate(rate)
     while now < seconds:
-        factor = source.uniform(1 - _SPREAD, 1 + _SPREAD)
+        if demand.tailed:
+            factor = min(source.expovariate(1), _LONGEST)
+        else:
+            factor = source.uniform(1 - _SPREAD, 1 + _SPREAD)
         yield replay_request.ReplayRequest(
             arrives_at=now,
             deadline=now + demand.patience,
