--- a/medlarquay/admin/describe.py
+++ b/medlarquay/admin/describe.py
@@ -1,5 +1,6 @@
 """Views of a node's state, configuration and counters."""
 
+import math
 from collections.abc import Iterator
 
 from medlarquay import replica, snapshots, states
@@ -90,7 +91,8 @@
 
 
 def _confirmed_ms_ago(node: observed_node.ObservedNode) -> int | None:
-    if node.confirmed_at is None:
+    # A paused node reports -inf until the source confirms again.
+    if node.confirmed_at is None or math.isinf(node.confirmed_at):
         return None
     return int((node.clock() - node.confirmed_at) * _MS_PER_SECOND)
 
--- a/medlarquay/daemon/node_settings.py
+++ b/medlarquay/daemon/node_settings.py
@@ -26,7 +26,9 @@
     source_url : str
         Address of the configuration service, without a slash at its end.
     seed : tuple of NodeAddress
-        Peer ports of nodes to ask at start.
+        Peer ports of nodes to ask at start. Those of its own region come
+        first, so that a start sends little across regions. A node whose own
+        address is among them may read the source at once.
     key_retention_s : float
         Time for which the result of an idempotency key is kept, in seconds;
         the same on all nodes.
--- /dev/null
+++ b/medlarquay/replica/split.py
@@ -0,0 +1,72 @@
+"""Splitting of a delta into parts that fit into one message each."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from medlarquay import ids
+from medlarquay.replica import (
+    delta,
+    instance_record,
+    team_record,
+)
+
+__all__ = ('split_delta',)
+
+#: A document holds at most 1 MB, so a part holds at most about 2 MB before
+#: compression.
+_PART_BYTES = 1 << 20
+_PART_INSTANCES = 4096
+
+
+def split_delta(whole: delta.Delta) -> Iterator[delta.Delta]:
+    """Split a delta into parts to be sent in order on one link.
+
+    Only the last part raises the receiver's vector and carries the digest. A
+    part that ended at the revision of its last record would claim too much:
+    a record that was replaced since then is in a later part.
+    """
+    if _is_small(whole):
+        yield whole
+        return
+    for teams in _split_teams(whole.teams):
+        yield _part(whole, teams=teams)
+    for first in range(0, len(whole.instances), _PART_INSTANCES):
+        entries = whole.instances[first : first + _PART_INSTANCES]
+        yield _part(whole, entries=entries)
+    yield dataclasses.replace(whole, teams=(), instances=())
+
+
+def _is_small(whole: delta.Delta) -> bool:
+    size = sum(len(record.content) for record in whole.teams)
+    return size <= _PART_BYTES and len(whole.instances) <= _PART_INSTANCES
+
+
+def _part(
+    whole: delta.Delta,
+    *,
+    teams: tuple[team_record.TeamRecord, ...] = (),
+    entries: tuple[instance_record.InstanceRecord, ...] = (),
+) -> delta.Delta:
+    return delta.Delta(
+        teams=teams,
+        instances=entries,
+        base=whole.base,
+        reached=whole.base,
+        digest=ids.Digest(b''),
+    )
+
+
+def _split_teams(
+    records: tuple[team_record.TeamRecord, ...],
+) -> Iterator[tuple[team_record.TeamRecord, ...]]:
+    part: list[team_record.TeamRecord] = []
+    size = 0
+    for record in records:
+        part.append(record)
+        size += len(record.content)
+        if size >= _PART_BYTES:
+            yield tuple(part)
+            part = []
+            size = 0
+    if part:
+        yield tuple(part)
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -119,16 +119,29 @@
         """Report the loss of the link."""
         self._closed(self)
 
-    def send(self, frame: bytes) -> None:
-        """Send one binary frame; dropped when the link is closing."""
+    def send(self, frame: bytes, *, ordered: bool = False) -> None:
+        """Send one binary frame; dropped when the link is closing.
+
+        Parameters
+        ----------
+        frame : bytes
+            Frame.
+        ordered : bool
+            Whether no later frame may overtake this one, as on control
+            links, where a heartbeat confirms the records sent before it.
+        """
         if self._engine.state is not ws_protocol.OPEN:
             return
-        if len(frame) > fragment.FRAGMENT_BYTES:
+        if len(frame) > fragment.FRAGMENT_BYTES and not ordered:
             self._send_large(frame)
             return
         self._engine.send_binary(frame)
         self._flush()
 
+    def close(self) -> None:
+        """Close the connection after what was sent."""
+        self.transport.loseConnection()
+
     def resumeProducing(self) -> None:  # noqa: N802
         """Send the next fragment; called when the socket took the last."""
         if self._large_frames and self._engine.state is ws_protocol.OPEN:
