--- a/medlarquay/admission/slot_limit.py
+++ b/medlarquay/admission/slot_limit.py
@@ -3,8 +3,8 @@
 __all__ = ('SlotLimit',)
 
 # A backend server that sheds gets one slot fewer for each shed answer and one
-# more after each such interval. An interval of a second was too slow to
-# recover the capacity lost to one burst of shed answers.
+# more after each such interval. A burst of six shed answers is over after
+# 1.5 s; with an interval of a second it would reduce the slots for 6 s.
 _RECOVERY_INTERVAL_S = 0.25
 
 
--- a/medlarquay/quarantine/decide.py
+++ b/medlarquay/quarantine/decide.py
@@ -29,7 +29,7 @@
 # A request that completed this recently did not crash the backend server
 # unless its effect depends on other state.
 _COMPLETED_RECENTLY_S = 60
-# About 1 MB; at 125 requests a second a minute holds 7,500.
+# About 1.3 MB; at 125 requests a second a minute holds 7,500.
 _MAX_COMPLETED = 8192
 # Bounds the memory when a whole fleet crashes again and again.
 _MAX_SUSPECTS = 4096
--- a/medlarquay/states/rank.py
+++ b/medlarquay/states/rank.py
@@ -13,5 +13,5 @@
     BULK = 'bulk'
 
     # Admission looks ranks up in dictionaries many times for each call. The
-    # hash of ``Enum`` is a Python function and took a fifth of that time.
+    # hash of ``Enum`` is a Python function and took a tenth of that time.
     __hash__ = object.__hash__
