Stop plain keys when the configuration forgets its freshness

After a pause the configuration reports -inf until it was confirmed again. The ledger ignored it as older than the last confirmation and went on for up to 5 s.

--- a/medlarquay/ledger/decide.py
+++ b/medlarquay/ledger/decide.py
@@ -2,6 +2,7 @@
 
 import functools
 import math
+import math
 
 from medlarquay import events, ids, states
 from medlarquay.ledger import (
@@ -156,6 +157,10 @@
         # The process was paused; the source has to confirm again.
         book.paused = True
         return
+    if math.isinf(event.confirmed_at):
+        # The configuration forgot its confirmations after a pause.
+        book.paused = True
+        return
     earlier = book.confirmed_at
     if earlier is not None and event.confirmed_at <= earlier:
         return
--- a/medlarquay/ledger/tests/test_decide.py
+++ b/medlarquay/ledger/tests/test_decide.py
@@ -1,5 +1,6 @@
 """Decisions of the ledger, one event at a time."""
 
+import math
 import uuid
 
 import pytest
@@ -172,6 +173,18 @@
     assert isinstance(_present(book, _bound(), now=40), ledger.Proceed)
 
 
+def test_forgotten_confirmations_stop_plain_keys() -> None:
+    """Guards against relying on freshness that was withdrawn by a pause."""
+    book = _book()
+    _follow(book, 20)
+    forgotten = events.FreshnessConfirmed(confirmed_at=-math.inf)
+    _settle(book, forgotten, now=21)
+    lost = ledger.Refuse(reason=_REASON.FRESHNESS_LOST)
+    assert _present(book, _timed(20), now=21) == lost
+    _confirm(book, 22)
+    assert _present(book, _timed(20), now=22) == ledger.Proceed()
+
+
 def test_plain_key_of_another_home_is_refused() -> None:
     """Guards against two homes for one key."""
     book = _book()
