--- /dev/null
+++ b/medlarquay/routing/__init__.py
@@ -0,0 +1,59 @@
+"""Choice of the owner of a call, observations and retries; decisions only."""
+
+from medlarquay.routing.answer_observed import AnswerObserved
+from medlarquay.routing.any_owner_wanted import AnyOwnerWanted
+from medlarquay.routing.attempt import Attempt
+from medlarquay.routing.bound_owner_wanted import BoundOwnerWanted
+from medlarquay.routing.call_parameters import CallParameters
+from medlarquay.routing.call_sent import CallSent
+from medlarquay.routing.call_withdrawn import CallWithdrawn
+from medlarquay.routing.candidates import Candidates, group_candidates
+from medlarquay.routing.choice_refused import ChoiceRefused
+from medlarquay.routing.choose import choose
+from medlarquay.routing.chooser import Chooser
+from medlarquay.routing.decide_retry import decide_retry
+from medlarquay.routing.expected_time import expected_time
+from medlarquay.routing.home_wanted import HomeWanted
+from medlarquay.routing.location import Location
+from medlarquay.routing.loss_observed import LossObserved
+from medlarquay.routing.observations import Observations
+from medlarquay.routing.observe import observe
+from medlarquay.routing.owner_chosen import OwnerChosen
+from medlarquay.routing.read_parameters import read_parameters
+from medlarquay.routing.refusal_observed import RefusalObserved
+from medlarquay.routing.retry_budget import RetryBudget
+from medlarquay.routing.retry_denied import RetryDenied
+from medlarquay.routing.retry_granted import RetryGranted
+from medlarquay.routing.service_for_key import KEY_PATH, service_for_key
+from medlarquay.routing.zone import Zone
+
+__all__ = (
+    'KEY_PATH',
+    'service_for_key',
+    'read_parameters',
+    'CallParameters',
+    'RetryGranted',
+    'RetryDenied',
+    'RetryBudget',
+    'expected_time',
+    'decide_retry',
+    'Attempt',
+    'AnswerObserved',
+    'AnyOwnerWanted',
+    'BoundOwnerWanted',
+    'CallSent',
+    'CallWithdrawn',
+    'Candidates',
+    'ChoiceRefused',
+    'Chooser',
+    'HomeWanted',
+    'Location',
+    'LossObserved',
+    'Observations',
+    'OwnerChosen',
+    'RefusalObserved',
+    'Zone',
+    'choose',
+    'group_candidates',
+    'observe',
+)
