--- /dev/null
+++ b/medlarquay/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the project as a whole."""
