Close backend connections whose bytes exceed the answer

A second answer in the same segment, or one that arrived on an idle connection, was delivered as the answer to the next request on it. An interim answer (100) was taken for the answer, and an answer to HEAD was awaited until the deadline. An answer is now delivered after all received bytes are parsed, and a connection with surplus bytes is closed. The four new tests failed before.

--- a/medlarquay/tasks/tests/test_backend.py
+++ b/medlarquay/tasks/tests/test_backend.py
@@ -31,12 +31,18 @@
             clock=self.reactor.seconds,
         )
 
-    def start(self, number: int, *, deadline: float = 10) -> None:
+    def start(
+        self,
+        number: int,
+        *,
+        deadline: float = 10,
+        method: bytes = b'GET',
+    ) -> None:
         """Ask the task to send a request."""
         self.task.post(
             events.StartRequest(
                 exchange=ids.ExchangeId(number),
-                method=b'GET',
+                method=method,
                 target=b'/',
                 headers=(),
                 body=b'',
@@ -192,3 +198,42 @@
     assert not server.reactor.tcpClients
     answered = server.owner.seen[0]
     assert (answered.exchange, answered.body) == (1, b'ok')
+
+
+def test_surplus_answer_reaches_no_other_caller() -> None:
+    """Guards against the answer of one request given to the next."""
+    server = _Server()
+    connection = server.run(1)[0]
+    connection.dataReceived(_ANSWER + _ANSWER)
+    server.start(2)
+    assert len(server.owner.seen) == 1
+    assert len(server.reactor.tcpClients) == 1
+
+
+def test_answer_without_a_request_closes_the_connection() -> None:
+    """Guards against a late answer given to the next request."""
+    server = _Server()
+    connection = server.run(1)[0]
+    connection.dataReceived(_ANSWER)
+    connection.dataReceived(_ANSWER)
+    server.start(2)
+    assert len(server.owner.seen) == 1
+    assert len(server.reactor.tcpClients) == 1
+
+
+def test_interim_answer_is_skipped() -> None:
+    """Guards against taking 100 Continue for the answer."""
+    server = _Server()
+    connection = server.run(1)[0]
+    connection.dataReceived(b'HTTP/1.1 100 Continue\r\n\r\n' + _ANSWER)
+    answered = server.owner.seen[0]
+    assert (answered.status, answered.body) == (200, b'ok')
+
+
+def test_head_answer_has_no_body() -> None:
+    """Guards against waiting for the body of an answer to HEAD."""
+    server = _Server()
+    server.start(1, method=b'HEAD')
+    server.accept().dataReceived(_ANSWER[:-2])
+    answered = server.owner.seen[0]
+    assert (answered.status, answered.body) == (200, b'')
--- a/medlarquay/transport/backend_connection.py
+++ b/medlarquay/transport/backend_connection.py
@@ -10,6 +10,9 @@
 
 __all__ = ('BackendConnection',)
 
+# Statuses below are interim: the answer follows.
+_FIRST_FINAL_STATUS = 200
+
 
 class BackendConnection(protocol.Protocol):
     """Carries one exchange at a time with the backend server.
@@ -39,6 +42,9 @@
         self._closed = closed
         self._exchange: ids.ExchangeId | None = None
         self._lost = False
+        self._bodiless = False
+        self._answered: events.BackendAnswered | None = None
+        self._headers: list[tuple[bytes, bytes]]
         self._reset()
 
     @property
@@ -53,6 +59,7 @@
     def start(self, message: events.StartRequest) -> None:
         """Send a request."""
         self._exchange = message.exchange
+        self._bodiless = message.method == b'HEAD'
         self._reset()
         self.transport.write(
             http_text.format_request(
@@ -70,10 +77,25 @@
         self.transport.abortConnection()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Feed received bytes to the parser."""
+        """Feed received bytes to the parser.
+
+        Notes
+        -----
+        An answer is delivered after all bytes are parsed, and a connection
+        with bytes beyond it is closed: they would be taken for the answer to
+        the next request.
+        """
+        if self._exchange is None:
+            self._lost = True
+            self.transport.abortConnection()
+            return
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserError:
+            self._surplus = True
+        if self._answered is not None:
+            self._finish(self._answered)
+        elif self._surplus:
             self._fail()
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
@@ -96,22 +118,40 @@
             return
         self._body.append(body)
 
+    def on_message_begin(self) -> None:
+        """Note bytes that follow a whole answer."""
+        self._surplus = self._answered is not None
+
+    def on_headers_complete(self) -> None:
+        """End the answer to a HEAD request, which has no body."""
+        status = self._parser.get_status_code()
+        if self._bodiless and status >= _FIRST_FINAL_STATUS:
+            self.on_message_complete()
+            # The parser waits for a body that never comes.
+            self._surplus = True
+
     def on_message_complete(self) -> None:
-        """Deliver the whole answer."""
-        if self._exchange is None:
-            return
-        answered = events.BackendAnswered(
-            exchange=self._exchange,
-            status=self._parser.get_status_code(),
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-        )
+        """Keep the whole answer until all received bytes are parsed."""
+        status = self._parser.get_status_code()
+        if status < _FIRST_FINAL_STATUS:
+            self._headers = []
+        elif self._exchange is not None and self._answered is None:
+            self._answered = events.BackendAnswered(
+                exchange=self._exchange,
+                status=status,
+                headers=tuple(self._headers),
+                body=b''.join(self._body),
+            )
+            self._surplus = not self._parser.should_keep_alive()
+
+    def _finish(self, answered: events.BackendAnswered) -> None:
         self._exchange = None
-        if self._parser.should_keep_alive():
-            self._release(self)
-        else:
+        self._answered = None
+        if self._surplus:
             self._lost = True
             self.transport.loseConnection()
+        else:
+            self._release(self)
         self._deliver(answered)
 
     def _fail(self, *, too_large: bool = False, reset: bool = False) -> None:
@@ -133,6 +173,8 @@
 
     def _reset(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[tuple[bytes, bytes]] = []
+        self._headers = []
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._answered = None
+        self._surplus = False
