--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -61,6 +61,7 @@
         module: str,
         name: str,
         *arguments: str,
+        checkout: str = '',
     ) -> managed_process.ManagedProcess:
         """Start one process."""
         process = managed_process.ManagedProcess(
@@ -68,6 +69,7 @@
             arguments=list(arguments),
             name=name,
             directory=pathlib.Path(self._directory.name),
+            checkout=checkout,
         )
         self._processes.append(process)
         return process
@@ -118,6 +120,7 @@
             _NODE,
             f'node-{one.name}',
             *_node_arguments(one, self.node_source_url),
+            checkout=one.checkout,
         )
 
     def publish_instances(self) -> None:
--- a/bench/instance.py
+++ b/bench/instance.py
@@ -27,6 +27,8 @@
         Port of a relay in front of the node; 0 when there is none.
     backend_port : int
         Port of the backend server.
+    checkout : str
+        Directory of the version of the node; empty for the current one.
     backend, node : ManagedProcess or None
         Its processes, once started.
     """
@@ -40,6 +42,7 @@
     ports: dict[str, int] = dataclasses.field(default_factory=dict)
     published_peer_port: int = 0
     backend_port: int = 0
+    checkout: str = ''
     backend: managed_process.ManagedProcess | None = None
     node: managed_process.ManagedProcess | None = None
 
--- a/bench/managed_process.py
+++ b/bench/managed_process.py
@@ -26,6 +26,8 @@
         Name of its output files.
     directory : Path
         Directory of its output files.
+    checkout : str
+        Directory of the version to run; empty for the current one.
     """
 
     def __init__(
@@ -35,6 +37,7 @@
         arguments: list[str],
         name: str,
         directory: pathlib.Path,
+        checkout: str = '',
     ) -> None:
         self.name = name
         self.output = directory / f'{name}.out'
@@ -45,6 +48,7 @@
                 stdin=subprocess.DEVNULL,
                 stdout=out,
                 stderr=err,
+                cwd=checkout or None,
             )
 
     @property
