--- a/medlarquay/admin/describe.py
+++ b/medlarquay/admin/describe.py
@@ -1,5 +1,8 @@
 """Views of a node's state, configuration and counters."""
 
+import math
+from collections.abc import Iterator
+
 from medlarquay import replica, snapshots, states
 from medlarquay.admin import observed_node, views
 
@@ -47,27 +50,22 @@
 
 def describe_routes(
     node: observed_node.ObservedNode,
-) -> tuple[views.RouteView, ...]:
-    """Return the routes in force, in order of host, longest prefix first."""
+) -> Iterator[views.RouteView]:
+    """Iterate over the routes in force: by host, longest prefix first."""
     if node.snapshot is None:
-        return ()
-    return tuple(
-        _describe_route(route)
-        for _, routes in sorted(node.snapshot.routes.items())
-        for route in routes
-    )
+        return
+    for _, routes in sorted(node.snapshot.routes.items()):
+        yield from map(_describe_route, routes)
 
 
 def describe_members(
     node: observed_node.ObservedNode,
-) -> tuple[views.MemberView, ...]:
-    """Return the instance list that the node holds, in order of instance."""
+) -> Iterator[views.MemberView]:
+    """Iterate over the instance list: by team, service and instance."""
     if node.snapshot is None:
-        return ()
-    return tuple(
-        _describe_member(record)
-        for _, record in sorted(node.snapshot.instances.by_instance.items())
-    )
+        return
+    for _, records in sorted(node.snapshot.instances.by_service.items()):
+        yield from map(_describe_member, records)
 
 
 def describe_counters(
@@ -93,7 +91,8 @@
 
 
 def _confirmed_ms_ago(node: observed_node.ObservedNode) -> int | None:
-    if node.confirmed_at is None:
+    # A paused node reports -inf until the source confirms again.
+    if node.confirmed_at is None or math.isinf(node.confirmed_at):
         return None
     return int((node.clock() - node.confirmed_at) * _MS_PER_SECOND)
 
--- /dev/null
+++ b/medlarquay/daemon/known_peers.py
@@ -0,0 +1,33 @@
+"""Peers that a node knows from its settings."""
+
+from medlarquay import ids, topology
+from medlarquay.daemon import node_settings
+
+__all__ = ('own_peer', 'seed_peers')
+
+
+def own_peer(settings: node_settings.NodeSettings) -> topology.Peer:
+    """Return the node itself as its peers see it."""
+    return topology.Peer(
+        instance=settings.instance,
+        region=settings.region,
+        data_centre=settings.data_centre,
+        host=settings.host,
+        port=settings.peer_port,
+    )
+
+
+def seed_peers(
+    settings: node_settings.NodeSettings,
+) -> tuple[topology.Peer, ...]:
+    """Return the seeds, of which only the addresses are known."""
+    return tuple(
+        topology.Peer(
+            instance=ids.InstanceId(''),
+            region=ids.RegionName(''),
+            data_centre=ids.DataCentreName(''),
+            host=seed.host,
+            port=seed.port,
+        )
+        for seed in settings.seed
+    )
--- a/medlarquay/telemetry/__init__.py
+++ b/medlarquay/telemetry/__init__.py
@@ -5,6 +5,7 @@
 
 from medlarquay.telemetry.call_record import CallRecord
 from medlarquay.telemetry.counters import Counters
+from medlarquay.telemetry.link_bytes import LinkBytes
 from medlarquay.telemetry.logs import LOG_LEVELS, set_up_logs
 from medlarquay.telemetry.record_log import RecordLog
 
@@ -12,6 +13,7 @@
     'CallRecord',
     'Counters',
     'LOG_LEVELS',
+    'LinkBytes',
     'RecordLog',
     'set_up_logs',
 )
