Write frames of links without a turn of the reactor

transport.write buffers and waits for the next turn, with two changes of the epoll registration and one wait for each frame.

Links write to the socket at once when nothing waits.

--- a/bench/path_parts.py
+++ b/bench/path_parts.py
@@ -117,7 +117,11 @@
 
 
 def _answer_parser() -> Callable[[], object]:
-    connection = transport.BackendConnection(deliver=_ignore, release=_ignore)
+    connection = transport.BackendConnection(
+        deliver=_ignore,
+        release=_ignore,
+        closed=_ignore,
+    )
     connection.makeConnection(_Sink())
     start = events.StartRequest(
         exchange=ids.ExchangeId(1),
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -14,6 +14,7 @@
     fragment,
     fragment_assembler,
     fragment_queue,
+    prompt_write,
 )
 
 __all__ = ('Link',)
@@ -212,6 +213,6 @@
             return
         for chunk in chunks:
             if chunk:
-                self.transport.write(chunk)
+                prompt_write.write_promptly(self.transport, chunk)
             else:
                 self.transport.loseWriteConnection()
