--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -5,7 +5,7 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import admin
+from medlarquay import admin, ingress
 from medlarquay.daemon import (
     build_owner,
     distribution,
@@ -47,6 +47,7 @@
         reactor=reactor,
         hello=observed.hello,
         clock=clock,
+        counters=observed.counters,
     )
     own = build_owner.build_owner(
         reactor=reactor,
@@ -57,11 +58,19 @@
         records=observed.records,
     )
     routing = router.Router(
-        instance=settings.instance,
+        hello=observed.hello,
         links=links,
         owner=own,
         clock=clock,
+        reporter=ingress.CallReporter(
+            counters=observed.counters,
+            records=observed.records,
+            wall_clock=time.time,
+        ),
+        # SystemRandom makes a system call for each choice.
+        random=random.Random(),
     )
+    routing.start(reactor=reactor)
     own.router = routing
     links.router = routing
     links.owner = own
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -1,6 +1,7 @@
 """Enumerated states and reasons."""
 
 from medlarquay.states.backend_state import BackendState
+from medlarquay.states.dropped_message import DroppedMessage
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
@@ -18,6 +19,7 @@
     'ParentFault',
     'ReadingMode',
     'ReplicaEvent',
+    'DroppedMessage',
     'RecordSide',
     'NodePart',
     'BackendState',
