Give nodes seeds in benchmarks and wait for the key horizon

Nodes now refuse keys of callers until they know they were their home, so the demonstration was told key_history_unknown for 222 requests.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -16,6 +16,7 @@
 
 PORT_FLAGS = ('caller-port', 'peer-port', 'admin-port')
 _READY_S = 30
+_MAX_SEEDS = 3
 _NODE = 'medlarquay.daemon.main'
 
 
@@ -120,6 +121,7 @@
             _NODE,
             f'node-{one.name}',
             *_node_arguments(one, self.node_source_url),
+            *self._seeds(one),
             checkout=one.checkout,
         )
 
@@ -196,6 +198,16 @@
             *arguments,
         )
 
+    def _seeds(self, one: instance.Instance) -> list[str]:
+        """Return the flags that name the first other nodes."""
+        others = [
+            other for other in self.instances.values() if other.name != one.name
+        ]
+        return [
+            f'--seed=127.0.0.1:{other.peer_port}'
+            for other in others[:_MAX_SEEDS]
+        ]
+
 
 def _node_arguments(one: instance.Instance, source_url: str) -> list[str]:
     ports = [f'--{flag}={port}' for flag, port in one.ports.items()]
--- a/bench/demo.py
+++ b/bench/demo.py
@@ -20,6 +20,9 @@
 _SECONDS = 10
 _CHANGE_AT_S = 3
 _KILL_AT_S = 6
+# A node accepts keys of callers only when it knows it was their home for
+# the convergence bound (5 s) and the clock error bound (2 s).
+_KEY_HORIZON_S = 7.5
 _KILLED = 'editorial-desk-3'
 
 
@@ -57,6 +60,7 @@
         for number, (region, data_centre) in enumerate(_ZONES)
     )
     running.wait_ready([f'{service}.{_TEAM}' for service in _SERVICES])
+    time.sleep(_KEY_HORIZON_S)
     print(f'{len(running.instances)} nodes serve {len(_SERVICES)} services')
 
 
--- a/bench/instance.py
+++ b/bench/instance.py
@@ -51,6 +51,11 @@
         """Address for callers of the node."""
         return f'127.0.0.1:{self.ports["caller-port"]}'
 
+    @property
+    def peer_port(self) -> int:
+        """Port at which other nodes reach the node."""
+        return self.published_peer_port or self.ports['peer-port']
+
     @property
     def backend_address(self) -> str:
         """Address of the backend server."""
@@ -66,7 +71,7 @@
             'data_centre': self.data_centre,
             'host': '127.0.0.1',
             'caller_port': self.ports['caller-port'],
-            'peer_port': self.published_peer_port or self.ports['peer-port'],
+            'peer_port': self.peer_port,
             'slots': self.slots,
             'state': state,
         }
