Refuse ambiguous requests and half answers at the connections

Pipelined requests in one packet were delivered together, an upgrade was delivered and refused at once, 100 Continue was taken for the answer, an answer to HEAD never completed, and bytes after an answer were read as the answer to the next request. A slow sender was never cut off.

Move parsing to RequestAssembler and AnswerAssembler; check what llhttp leaves open (other encodings than chunked, repeated or missing Host, trailers, upgrades); store absolute deadlines for header and body; read on for a while after a refusal so that the caller gets it. An answer that only ends with the connection is a failure, and an idle connection is checked for a close by the server before a request is sent.

--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -68,7 +68,7 @@
     own.router = routing
     links.router = routing
     links.owner = own
-    callers = caller_listener.CallerListener(router=routing)
+    callers = caller_listener.CallerListener(router=routing, reactor=reactor)
     routing.listener = callers
     current = configuration.Configuration(subscribers=(routing, own))
     reader = source_reader.SourceReader(
--- a/medlarquay/events/backend_failed.py
+++ b/medlarquay/events/backend_failed.py
@@ -19,8 +19,11 @@
         Whether any byte of the request may have reached it.
     refused : bool
         Whether a new connection was refused.
+    too_large : bool
+        Whether its answer passed the limit; the request ran then.
     """
 
     exchange: ids.ExchangeId
     sent: bool
     refused: bool
+    too_large: bool = False
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -17,12 +17,20 @@
     ----------
     router : Task
         Receives ``RequestReceived``, ``RequestRejected``, ``CallerGone``.
+    reactor : IReactorTime
+        Clock and timer for the deadlines of slow senders.
     """
 
-    def __init__(self, *, router: task.Task) -> None:
+    def __init__(
+        self,
+        *,
+        router: task.Task,
+        reactor: interfaces.IReactorTime,
+    ) -> None:
         super().__init__(name='callers')
         self.connections: dict[ids.CallerId, transport.CallerConnection] = {}
         self._router = router
+        self._reactor = reactor
         self._last = 0
 
     def listen(
@@ -46,6 +54,7 @@
         connection = transport.CallerConnection(
             caller=caller,
             deliver=self._deliver,
+            reactor=self._reactor,
         )
         self.connections[caller] = connection
         return connection
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -103,16 +103,18 @@
     bench: ingress_bench.IngressBench,
 ) -> None:
     """Guards against a failed order although nothing had run."""
-    first = bench.send(1)
-    bench.refuse(first.request.call_id, states.RefusalReason.DRAINING)
-    second = ingress_bench.only(bench.sent())
-    assert second.instance != first.instance
-    bench.refuse(second.request.call_id, states.RefusalReason.DRAINING)
-    found = bench.fields()
-    assert (found['outcome'], found['retry']) == ('not-run', 'no')
+    reason = states.RefusalReason.NO_CONFIGURATION
+    for caller in range(8):
+        first = bench.send(caller)
+        bench.refuse(first.request.call_id, reason)
+        second = ingress_bench.only(bench.sent())
+        assert second.instance != first.instance
+        bench.refuse(second.request.call_id, reason)
+        found = bench.fields()
+        assert (found['outcome'], found['retry']) == ('not-run', 'no')
     counts = bench.counters.counts
-    assert counts[states.RetryReason.REFUSED_DRAINING] == 1
-    assert counts[states.RetryDenial.NO_OTHER_BACKEND] == 1
+    assert counts[states.RetryReason.REFUSED_NOT_READY] == 8
+    assert counts[states.RetryDenial.NO_OTHER_BACKEND] == 8
 
 
 def test_a_final_answer_is_obeyed_and_passed_on(
@@ -330,16 +332,16 @@
     """Guards against a key sent again through another node."""
     order = (*_PAIR, ingress_bench.backend('b1'))
     leaving = ingress_bench.backend('a3', states.InstanceState.LEAVING)
+    known = [backend.instance for backend in (*order, leaving)]
     for number in range(20):
-        homes = set()
+        key = ids.RequestKey(f'order-{number}')
         for backends in ((*order, leaving), (leaving, *reversed(order))):
             bench = ingress_bench.IngressBench(*backends)
             bench.router.post(messages.Draining(instance=order[0].instance))
-            call = bench.send(1, idempotency_key=f'order-{number}')
-            homes.add(call.instance)
+            call = bench.send(1, idempotency_key=key)
+            assert call.instance == keys.home_of(key, known)
             bench.refuse(call.request.call_id, states.RefusalReason.DRAINING)
             assert not bench.sent()
-        assert len(homes) == 1
 
 
 def test_not_home_is_sent_again_only_after_a_newer_snapshot(
--- a/medlarquay/transport/backend_connection.py
+++ b/medlarquay/transport/backend_connection.py
@@ -1,15 +1,17 @@
 """HTTP/1.1 connection to the local backend server."""
 
+import socket
 from collections.abc import Callable
 
-import httptools
 from twisted.internet import protocol
 
 from medlarquay import events, ids
-from medlarquay.transport import http_limits, http_text
+from medlarquay.transport import answer_assembler, http_text
 
 __all__ = ('BackendConnection',)
 
+_HEAD = b'HEAD'
+
 
 class BackendConnection(protocol.Protocol):
     """Carries one exchange at a time with the backend server.
@@ -20,6 +22,14 @@
         Receives ``BackendAnswered`` and ``BackendFailed``.
     release : callable
         Receives this connection when it can carry another exchange.
+
+    Notes
+    -----
+    An answer counts when it is whole: its length or its last chunk proves
+    that. An answer that only ends with the connection is a failure, because
+    the end of a crashed backend server looks the same. The connection is
+    used again only if nothing followed the answer, since such bytes would be
+    read as the answer to the next request.
     """
 
     def __init__(
@@ -35,12 +45,17 @@
         self._release = release
         self._exchange: ids.ExchangeId | None = None
         self._lost = False
-        self._reset()
+        self._answer: answer_assembler.AnswerAssembler | None = None
 
     @property
     def usable(self) -> bool:
-        """Whether the connection is open and idle."""
-        return self._exchange is None and not self._lost
+        """Whether the connection is open and idle.
+
+        A backend server may have closed it since the last turn of the
+        reactor; a request sent then would be lost with unknown outcome.
+        """
+        idle = self._exchange is None and not self._lost
+        return idle and not self._closed_by_peer()
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm: requests are written whole."""
@@ -49,7 +64,9 @@
     def start(self, message: events.StartRequest) -> None:
         """Send a request."""
         self._exchange = message.exchange
-        self._reset()
+        self._answer = answer_assembler.AnswerAssembler(
+            head=message.method == _HEAD,
+        )
         self.transport.write(
             http_text.format_request(
                 method=message.method,
@@ -62,70 +79,68 @@
     def abort(self) -> None:
         """Close the connection, which cancels the exchange."""
         self._exchange = None
-        self._lost = True
-        self.transport.abortConnection()
+        self._close()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed received bytes to the parser."""
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserError:
-            self._fail()
+        if self._exchange is None or self._answer is None:
+            # Nothing was asked, so nothing can be trusted any more.
+            self._close()
+            return
+        self._answer.feed(data)
+        if self._answer.failed or self._answer.status is not None:
+            self._finish(self._answer)
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report a broken exchange."""
         self._lost = True
-        self._fail()
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header field."""
-        lowered = name.lower()
-        if lowered not in http_text.HOP_BY_HOP:
-            self._headers.append((lowered, value))
-
-    def on_body(self, body: bytes) -> None:
-        """Collect part of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > http_limits.MAX_ANSWER_BYTES:
-            self._fail()
-            return
-        self._body.append(body)
+        if self._exchange is not None and self._answer is not None:
+            self._finish(self._answer)
 
-    def on_message_complete(self) -> None:
-        """Deliver the whole answer."""
-        if self._exchange is None:
-            return
-        answered = events.BackendAnswered(
-            exchange=self._exchange,
-            status=self._parser.get_status_code(),
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-        )
+    def _finish(self, answer: answer_assembler.AnswerAssembler) -> None:
+        exchange = self._exchange
         self._exchange = None
-        if self._parser.should_keep_alive():
+        whole = answer.status is not None
+        if whole and answer.reusable and not self._lost:
             self._release(self)
         else:
-            self._lost = True
-            self.transport.loseConnection()
-        self._deliver(answered)
+            self._close()
+        if exchange is not None:
+            self._deliver(_result(exchange, answer))
 
-    def _fail(self) -> None:
-        exchange = self._exchange
-        self._exchange = None
+    def _close(self) -> None:
         if not self._lost:
             self._lost = True
             self.transport.abortConnection()
-        if exchange is not None:
-            self._deliver(
-                events.BackendFailed(
-                    exchange=exchange,
-                    sent=True,
-                    refused=False,
-                ),
-            )
-
-    def _reset(self) -> None:
-        self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+
+    def _closed_by_peer(self) -> bool:
+        handle = getattr(self.transport, 'getHandle', None)
+        if handle is None:
+            return False
+        try:
+            # Also bytes that nobody asked for make the connection unusable.
+            handle().recv(1, socket.MSG_PEEK)
+        except BlockingIOError:
+            return False
+        except OSError:
+            return True
+        return True
+
+
+def _result(
+    exchange: ids.ExchangeId,
+    answer: answer_assembler.AnswerAssembler,
+) -> events.BackendAnswered | events.BackendFailed:
+    if answer.status is None:
+        return events.BackendFailed(
+            exchange=exchange,
+            sent=True,
+            refused=False,
+            too_large=answer.too_large,
+        )
+    return events.BackendAnswered(
+        exchange=exchange,
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+    )
--- a/medlarquay/transport/caller_connection.py
+++ b/medlarquay/transport/caller_connection.py
@@ -1,18 +1,33 @@
 """HTTP/1.1 connection of a caller."""
 
 from collections.abc import Callable
+from types import MappingProxyType
 
-import httptools
-from twisted.internet import protocol
+from twisted.internet import interfaces, protocol
 
 from medlarquay import events, ids, states
-from medlarquay.transport import http_limits, http_text
+from medlarquay.transport import http_text, receive_stage, request_assembler
 
 __all__ = ('CallerConnection',)
 
+# A slow sender holds a connection and its buffers, so each request must
+# arrive within these times, however steadily it trickles.
+_LIMITS_S = MappingProxyType({
+    receive_stage.ReceiveStage.HEADER: 10.0,
+    receive_stage.ReceiveStage.BODY: 30.0,
+})
+# After a rejection the rest of the request is read and dropped for a while:
+# closing with unread bytes resets the connection, and the caller may lose
+# the answer that explains it.
+_LINGER_S = 2.0
+# Bytes of further requests kept while an answer is awaited.
+_MAX_PENDING_BYTES = 65536
+_CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+_HEAD = b'HEAD'
+
 
 class CallerConnection(protocol.Protocol):
-    """Parses requests and writes answers; holds no decisions.
+    """Reads requests and writes answers; holds no decisions.
 
     Parameters
     ----------
@@ -20,11 +35,14 @@
         Number of this connection.
     deliver : callable
         Receives ``RequestReceived``, ``RequestRejected`` and ``CallerGone``.
+    reactor : IReactorTime
+        Clock and timer for the deadlines of slow senders.
 
     Notes
     -----
-    One request is under way at a time. Reading pauses until its answer is
-    written, so pipelined requests wait in the socket buffers.
+    One request is under way at a time; pipelined ones wait. Reading goes on
+    while an answer is awaited, because the loss of the connection is seen
+    by reading only, until enough bytes wait.
     """
 
     def __init__(
@@ -32,33 +50,50 @@
         *,
         caller: ids.CallerId,
         deliver: Callable[[object], None],
+        reactor: interfaces.IReactorTime,
     ) -> None:
         self._caller = caller
         self._deliver = deliver
-        self._parser = httptools.HttpRequestParser(self)
+        self._reactor = reactor
+        self._assembler = request_assembler.RequestAssembler(caller=caller)
         self._pending = b''
         self._waiting = False
-        self._rejected: states.RefusalReason | None = None
         self._keep_alive = True
-        self._reset()
+        self._head = False
+        self._closing = False
+        self._stage = receive_stage.ReceiveStage.IDLE
+        self._deadline: float | None = None
+        self._timer: interfaces.IDelayedCall | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm: answers are written whole."""
         self.transport.setTcpNoDelay(True)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
-        """Feed received bytes to the parser."""
-        if self._waiting:
-            self._pending += data
+        """Feed received bytes to the parser, or keep them for later."""
+        if self._closing:
+            return
+        if not self._waiting:
+            self._feed(data)
             return
-        self._feed(data)
+        self._pending += data
+        if len(self._pending) > _MAX_PENDING_BYTES:
+            self.transport.pauseProducing()
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report the loss of the connection."""
+        self._closing = True
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
         self._deliver(events.CallerGone(caller=self._caller))
 
     def answer(self, message: events.AnswerReady) -> None:
         """Write an answer and go on with the next request."""
+        if not self._waiting or self._closing:
+            # Nothing was asked: writing would cross into a later answer.
+            return
+        self._waiting = False
         close = message.close or not self._keep_alive
         self.transport.write(
             http_text.format_answer(
@@ -66,77 +101,69 @@
                 headers=message.headers,
                 body=message.body,
                 close=close,
+                head=self._head,
             ),
         )
-        self._waiting = False
         if close:
-            self.transport.loseConnection()
+            self._close()
             return
         self.transport.resumeProducing()
         pending = self._pending
         self._pending = b''
-        if pending:
-            self._feed(pending)
-
-    def on_url(self, url: bytes) -> None:
-        """Collect the request target."""
-        self._count_header(len(url))
-        self._target += url
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect one header field."""
-        self._count_header(len(name) + len(value))
-        self._headers.append((name.lower(), value))
-
-    def on_body(self, body: bytes) -> None:
-        """Collect part of the body."""
-        self._body_bytes += len(body)
-        if self._body_bytes > http_limits.MAX_BODY_BYTES:
-            self._rejected = states.RefusalReason.BODY_TOO_LARGE
-            return
-        self._body.append(body)
-
-    def on_message_complete(self) -> None:
-        """Deliver the whole request."""
-        self._keep_alive = self._parser.should_keep_alive()
-        self._waiting = True
-        request = events.RequestReceived(
-            caller=self._caller,
-            method=self._parser.get_method(),
-            target=self._target,
-            headers=tuple(self._headers),
-            body=b''.join(self._body),
-        )
-        self._reset()
-        if self._rejected is None:
-            self._deliver(request)
+        self._feed(pending)
 
     def _feed(self, data: bytes) -> None:
-        try:
-            self._parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._rejected = states.RefusalReason.MALFORMED
-        except httptools.HttpParserError:
-            self._rejected = self._rejected or states.RefusalReason.MALFORMED
-        if self._rejected is not None:
-            self._reject(self._rejected)
-
-    def _reject(self, reason: states.RefusalReason) -> None:
+        if data:
+            self._assembler.feed(data)
+        self._go_on()
+
+    def _go_on(self) -> None:
+        found = self._assembler.take()
+        if found is None:
+            self._expect_more()
+            return
+        message, keep_alive = found
+        self._keep_alive = keep_alive
+        self._deadline = None
         self._waiting = True
-        self._keep_alive = False
-        self.transport.pauseProducing()
-        self._deliver(
-            events.RequestRejected(caller=self._caller, reason=reason),
-        )
-
-    def _count_header(self, size: int) -> None:
-        self._header_bytes += size
-        if self._header_bytes > http_limits.MAX_HEADER_BYTES:
-            self._rejected = states.RefusalReason.HEADER_TOO_LARGE
-
-    def _reset(self) -> None:
-        self._target = b''
-        self._headers: list[tuple[bytes, bytes]] = []
-        self._body: list[bytes] = []
-        self._header_bytes = 0
-        self._body_bytes = 0
+        self._head = getattr(message, 'method', b'') == _HEAD
+        self._deliver(message)
+
+    def _expect_more(self) -> None:
+        if self._assembler.take_continue():
+            self.transport.write(_CONTINUE)
+        stage = self._assembler.stage
+        if stage is receive_stage.ReceiveStage.IDLE:
+            self._deadline = None
+        elif stage is not self._stage or self._deadline is None:
+            self._deadline = self._reactor.seconds() + _LIMITS_S[stage]
+        self._stage = stage
+        if self._deadline is not None:
+            self._watch(self._deadline)
+
+    def _watch(self, deadline: float) -> None:
+        if self._timer is None:
+            self._timer = self._reactor.callLater(
+                max(0, deadline - self._reactor.seconds()),
+                self._check,
+            )
+
+    def _check(self) -> None:
+        self._timer = None
+        if self._deadline is None:
+            return
+        if self._reactor.seconds() < self._deadline:
+            self._watch(self._deadline)
+        elif self._closing:
+            self.transport.abortConnection()
+        else:
+            self._assembler.reject(states.RefusalReason.REQUEST_TOO_SLOW)
+            self._go_on()
+
+    def _close(self) -> None:
+        self._closing = True
+        if not self._assembler.failed:
+            self.transport.loseConnection()
+            return
+        self._deadline = self._reactor.seconds() + _LINGER_S
+        self._watch(self._deadline)
--- a/medlarquay/transport/http_text.py
+++ b/medlarquay/transport/http_text.py
@@ -19,6 +19,9 @@
     b'upgrade',
 ))
 
+# Answers with these statuses never have a body (RFC 9110, section 6.4.1).
+_WITHOUT_BODY = frozenset((204, 304))
+
 _REASONS = MappingProxyType({
     status.value: status.phrase.encode() for status in http.HTTPStatus
 })
@@ -30,9 +33,20 @@
     headers: Iterable[tuple[bytes, bytes]],
     body: bytes,
     close: bool,
+    head: bool = False,
 ) -> bytes:
     """Format a whole answer with its content length.
 
+    Parameters
+    ----------
+    status, headers, body : int, iterable of pairs, bytes
+        Answer.
+    close : bool
+        Whether to announce that the connection closes.
+    head : bool
+        Whether the request was HEAD: the answer has no body, and the length
+        of the one it stands for is not known here.
+
     Returns
     -------
     bytes
@@ -41,6 +55,8 @@
     lines.extend(b'%b: %b' % pair for pair in headers)
     if close:
         lines.append(b'connection: close')
+    if head or status in _WITHOUT_BODY:
+        return b'\r\n'.join((*lines, b'\r\n'))
     lines.append(b'content-length: %d\r\n\r\n' % len(body))
     return b'\r\n'.join(lines) + body
 
--- /dev/null
+++ b/medlarquay/transport/tests/test_backend_connection.py
@@ -0,0 +1,162 @@
+"""Answers of a backend server: whole, truncated, oversized or unasked."""
+
+import pytest
+from twisted.internet import error
+from twisted.python import failure
+
+from medlarquay import events, ids, transport
+from medlarquay.testing import memory_transport
+
+_OK = b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok'
+_CLOSED = failure.Failure(error.ConnectionDone())
+
+
+class _Exchange:
+    """A connection with one request sent on it."""
+
+    def __init__(self, method: bytes = b'GET') -> None:
+        self.delivered: list[object] = []
+        self.released: list[object] = []
+        self.connection = transport.BackendConnection(
+            deliver=self.delivered.append,
+            release=self.released.append,
+        )
+        self.wire = memory_transport.MemoryTransport()
+        self.connection.makeConnection(self.wire)
+        self.start(1, method)
+
+    def start(self, number: int, method: bytes = b'GET') -> None:
+        """Send a request."""
+        self.connection.start(
+            events.StartRequest(
+                exchange=ids.ExchangeId(number),
+                method=method,
+                target=b'/',
+                headers=(),
+                body=b'',
+                deadline=9,
+            ),
+        )
+
+    def receive(self, data: bytes) -> None:
+        """Receive bytes one by one, which no parser state may depend on."""
+        for byte in data:
+            self.connection.dataReceived(bytes([byte]))
+
+
+def test_a_connection_is_reused_after_a_whole_answer() -> None:
+    """Guards against a new connection for each request."""
+    exchange = _Exchange()
+    exchange.receive(_OK[:-1])
+    assert not exchange.released
+    exchange.receive(_OK[-1:])
+    exchange.start(2)
+    exchange.connection.dataReceived(_OK)
+    assert [found.body for found in exchange.delivered] == [b'ok', b'ok']
+    assert len(exchange.released) == 2
+
+
+@pytest.mark.parametrize(
+    'data',
+    [
+        b'',
+        b'HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok',
+        b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n',
+        b'HTTP/1.1 200 OK\r\n\r\nends with the connection',
+        b'HTTP/1.1 100 Continue\r\n\r\n',
+    ],
+)
+def test_a_truncated_answer_is_a_failure(data: bytes) -> None:
+    """Guards against half an answer passed on as a whole one."""
+    exchange = _Exchange()
+    exchange.receive(data)
+    assert not exchange.delivered
+    exchange.connection.connectionLost(_CLOSED)
+    assert exchange.delivered == [
+        events.BackendFailed(
+            exchange=ids.ExchangeId(1),
+            sent=True,
+            refused=False,
+        ),
+    ]
+    assert not exchange.released
+
+
+@pytest.mark.parametrize(
+    ('data', 'too_large'),
+    [
+        (b'HTTP/1.1 200 OK\r\nContent-Length: 2000000\r\n\r\n', True),
+        (
+            b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n200000\r\n',
+            True,
+        ),
+        (b'HTTP/1.1 200 OK\r\n' + b'X: a\r\n' * 9000 + b'\r\n', False),
+        (b'no http', False),
+        (b'HTTP/1.1 101 S\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n', False),
+    ],
+)
+def test_a_bad_answer_is_a_failure_at_once(
+    data: bytes,
+    too_large: bool,
+) -> None:
+    """Guards against memory used up by an answer without an end."""
+    exchange = _Exchange()
+    exchange.connection.dataReceived(data + bytes(2000000) * too_large)
+    assert len(exchange.delivered) == 1
+    found = exchange.delivered[0]
+    assert isinstance(found, events.BackendFailed)
+    assert found.too_large is too_large
+    assert exchange.wire.aborted
+
+
+def test_an_interim_answer_is_not_the_answer() -> None:
+    """Guards against 100 or 103 passed on to the caller."""
+    exchange = _Exchange()
+    exchange.receive(b'HTTP/1.1 100 Continue\r\n\r\n')
+    exchange.receive(b'HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n')
+    exchange.receive(_OK)
+    assert len(exchange.delivered) == 1
+    found = exchange.delivered[0]
+    assert (found.status, found.headers, found.body) == (200, (), b'ok')
+
+
+@pytest.mark.parametrize(
+    ('method', 'data'),
+    [
+        (b'HEAD', b'HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n'),
+        (b'HEAD', b'HTTP/1.1 200 OK\r\n\r\n'),
+        (b'GET', b'HTTP/1.1 204 No Content\r\n\r\n'),
+        (b'GET', b'HTTP/1.1 304 Not Modified\r\nContent-Length: 5\r\n\r\n'),
+    ],
+)
+def test_answers_without_a_body_are_whole(method: bytes, data: bytes) -> None:
+    """Guards against a wait for a body that never comes."""
+    exchange = _Exchange(method)
+    exchange.receive(data)
+    assert len(exchange.delivered) == 1
+    found = exchange.delivered[0]
+    assert (type(found), found.body) == (events.BackendAnswered, b'')
+    assert exchange.released
+
+
+@pytest.mark.parametrize('extra', [_OK, b'HTTP/1.1', b'\0', b'x' * 9])
+def test_bytes_nobody_asked_for_end_the_connection(extra: bytes) -> None:
+    """Guards against an answer that is taken for that of the next request."""
+    exchange = _Exchange()
+    exchange.connection.dataReceived(_OK + extra)
+    assert [found.body for found in exchange.delivered] == [b'ok']
+    assert (exchange.released, exchange.wire.aborted) == ([], True)
+    late = _Exchange()
+    late.receive(_OK)
+    late.connection.dataReceived(extra)
+    assert not late.connection.usable
+
+
+def test_an_idle_connection_closed_by_the_server_is_no_failure() -> None:
+    """Guards against a request failed by a connection that was stale."""
+    exchange = _Exchange()
+    exchange.receive(_OK)
+    assert exchange.connection.usable
+    exchange.connection.connectionLost(_CLOSED)
+    assert not exchange.connection.usable
+    assert len(exchange.delivered) == 1
