--- /dev/null
+++ b/medlarquay/daemon/build_router.py
@@ -0,0 +1,41 @@
+"""Composition of the ingress."""
+
+import random
+import secrets
+import time
+
+from twisted.internet import interfaces
+
+from medlarquay import admin, ingress
+from medlarquay.tasks import caller_listener, router, task
+
+__all__ = ('build_router',)
+
+_SEED_BITS = 64
+
+
+def build_router(
+    *,
+    reactor: interfaces.IReactorCore,
+    observed: admin.ObservedNode,
+    links: task.Task,
+    owner: task.Task,
+) -> tuple[router.Router, caller_listener.CallerListener]:
+    """Build the router and the listener for callers and connect them."""
+    routing = router.Router(
+        hello=observed.hello,
+        links=links,
+        owner=owner,
+        clock=time.monotonic,
+        reporter=ingress.CallReporter(
+            counters=observed.counters,
+            records=observed.records,
+            wall_clock=time.time,
+        ),
+        # Choices need no secrecy, and this generator makes no system call.
+        random=random.Random(secrets.randbits(_SEED_BITS)),
+    )
+    routing.start(reactor=reactor)
+    callers = caller_listener.CallerListener(router=routing, reactor=reactor)
+    routing.listener = callers
+    return routing, callers
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -1,83 +1,94 @@
 """Composition of a node."""
 
 import random
-import secrets
 import time
 
 from twisted.internet import interfaces
 
-from medlarquay import ids, ingress, messages, telemetry
-from medlarquay.daemon import node_settings
+from medlarquay import admin
+from medlarquay.daemon import (
+    call_path,
+    distribution,
+    known_peers,
+    lifecycle,
+    node_settings,
+    observed_node,
+    signals,
+    surroundings,
+)
 from medlarquay.tasks import (
-    backend,
-    caller_listener,
-    configuration,
-    owner,
+    connector,
     peer_links,
     peer_listener,
-    router,
-    source_reader,
+    source_fetcher,
 )
 
 __all__ = ('start_node',)
 
-_INCARNATION_BYTES = 8
-_SEED_BITS = 64
-
 
 def start_node(
     *,
     reactor: interfaces.IReactorCore,
     settings: node_settings.NodeSettings,
-) -> None:
-    """Build the tasks of a node, connect them and start them."""
+) -> distribution.Distribution:
+    """Build the tasks of a node, connect them and start them.
+
+    Returns
+    -------
+    Distribution
+        Tasks whose counters are measured.
+    """
     clock = time.monotonic
-    hello = messages.Hello(
-        instance=settings.instance,
-        incarnation=ids.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
-        region=settings.region,
-        data_centre=settings.data_centre,
-    )
-    counters = telemetry.Counters()
-    links = peer_links.PeerLinks(
+    observed = observed_node.observe_node(settings, clock)
+    operators = admin.Admin(node=observed)
+    path = call_path.build_call_path(
         reactor=reactor,
-        hello=hello,
-        clock=clock,
-        counters=counters,
+        settings=settings,
+        observed=observed,
     )
-    own = owner.Owner(links=links, clock=clock)
-    own.backend = backend.Backend(
+    life = lifecycle.Lifecycle(
         reactor=reactor,
-        owner=own,
-        host=settings.backend_host,
-        port=settings.backend_port,
-    )
-    routing = router.Router(
-        hello=hello,
-        links=links,
-        owner=own,
         clock=clock,
-        reporter=ingress.CallReporter(
-            counters=counters,
-            records=telemetry.RecordLog(),
-            wall_clock=time.time,
+        parts=(path.owner, path.router, path.callers, path.links),
+        subscribers=(operators,),
+        drain_timeout_s=settings.drain_timeout_s,
+    )
+    path.owner.lifecycle = life
+    path.router.lifecycle = life
+    distributing = distribution.build_distribution(
+        own=known_peers.own_peer(settings),
+        hello=observed.hello,
+        seeds=known_peers.seed_peers(settings),
+        # The lifecycle comes last, so that all others have the configuration
+        # when the node is announced as serving.
+        subscribers=(path.router, path.owner, operators, life),
+        freshness_subscribers=(path.owner, operators),
+        around=surroundings.Surroundings(
+            reactor=reactor,
+            clock=clock,
+            links=connector.TcpConnector(reactor=reactor),
+            fetcher=source_fetcher.HttpFetcher(base_url=settings.source_url),
+            randomness=random.SystemRandom(),
+            counters=observed.counters,
         ),
-        random=random.Random(secrets.randbits(_SEED_BITS)),
     )
-    routing.start(reactor=reactor)
-    own.router = routing
-    links.router = routing
-    links.owner = own
-    callers = caller_listener.CallerListener(router=routing, reactor=reactor)
-    routing.listener = callers
-    current = configuration.Configuration(subscribers=(routing, own))
-    reader = source_reader.SourceReader(
-        reactor=reactor,
-        base_url=settings.source_url,
-        configuration=current,
-        clock=clock,
+    peers = peer_listener.PeerListener(
+        acceptors={
+            peer_links.CALL_PATH: path.links,
+            connector.CONTROL_PATH: distributing.relay,
+        },
     )
-    peers = peer_listener.PeerListener(calls=links)
     peers.listen(reactor, host=settings.host, port=settings.peer_port)
-    callers.listen(reactor, host=settings.host, port=settings.caller_port)
-    reader.start()
+    path.callers.listen(
+        reactor,
+        host=settings.host,
+        port=settings.caller_port,
+    )
+    operators.listen(reactor, host=settings.host, port=settings.admin_port)
+    reactor.callWhenRunning(
+        signals.post_on_signal,
+        reactor=reactor,
+        target=life,
+    )
+    distributing.start()
+    return distributing
--- /dev/null
+++ b/medlarquay/daemon/observed_node.py
@@ -0,0 +1,29 @@
+"""What operators can see of a node."""
+
+import secrets
+from collections.abc import Callable
+
+from medlarquay import admin, ids, messages, telemetry
+from medlarquay.daemon import node_settings
+
+__all__ = ('observe_node',)
+
+_INCARNATION_BYTES = 8
+
+
+def observe_node(
+    settings: node_settings.NodeSettings,
+    clock: Callable[[], float],
+) -> admin.ObservedNode:
+    """Return the identity, counters and records of a node that starts."""
+    return admin.ObservedNode(
+        hello=messages.Hello(
+            instance=settings.instance,
+            incarnation=ids.Incarnation(secrets.token_hex(_INCARNATION_BYTES)),
+            region=settings.region,
+            data_centre=settings.data_centre,
+        ),
+        counters=telemetry.Counters(),
+        records=telemetry.RecordLog(),
+        clock=clock,
+    )
--- a/medlarquay/events/backend_failed.py
+++ b/medlarquay/events/backend_failed.py
@@ -20,10 +20,13 @@
     refused : bool
         Whether a new connection was refused.
     too_large : bool
-        Whether its answer passed the limit; the request ran then.
+        Whether the answer exceeded the size limit.
+    reset : bool
+        Whether the connection was lost, not closed by this node.
     """
 
     exchange: ids.ExchangeId
     sent: bool
     refused: bool
     too_large: bool = False
+    reset: bool = False
--- a/medlarquay/snapshots/match.py
+++ b/medlarquay/snapshots/match.py
@@ -4,6 +4,9 @@
 
 __all__ = ('match_route',)
 
+# What may follow a prefix: nothing, a further segment or the query.
+_SEGMENT_ENDS = (b'', b'/', b'?')
+
 
 def match_route(
     current: snapshot.Snapshot,
@@ -18,16 +21,26 @@
     current : Snapshot
         Configuration in force.
     host : bytes
-        Host header without port.
+        Host header without port, in any case (RFC 9110, section 4.2.3).
     target : bytes
         Path and query.
 
     Returns
     -------
     Route or None
-        The route with the longest matching prefix, if any.
+        The route with the longest prefix that matches whole path segments,
+        if any.
     """
-    for candidate in current.routes.get(host, ()):
-        if target.startswith(candidate.prefix):
+    for candidate in current.routes.get(host.lower(), ()):
+        if _covers(candidate.prefix, target):
             return candidate
     return None
+
+
+def _covers(prefix: bytes, target: bytes) -> bool:
+    if not target.startswith(prefix):
+        return False
+    if prefix.endswith(b'/'):
+        return True
+    end = len(prefix)
+    return target[end : end + 1] in _SEGMENT_ENDS
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -75,3 +75,8 @@
     connection = owner.connections.get(message.caller)
     if connection is not None:
         connection.answer(message)
+
+
+@_handle.register
+def _drain(message: events.DrainRequested, owner: CallerListener) -> None:
+    """Go on listening: the router refuses new work and closes politely."""
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -17,9 +17,10 @@
 )
 from medlarquay.tasks import outgoing_link, task
 
-__all__ = ('PeerLinks',)
+__all__ = ('CALL_PATH', 'PeerLinks')
 
-_PATH = '/calls'
+#: Path of the handshake of call links.
+CALL_PATH = '/calls'
 _CONNECT_TIMEOUT_S = 1
 # A link that stayed silent this long while a call on it expired is taken for
 # cut off: closing it makes later calls fail before they are sent, which
@@ -166,7 +167,7 @@
         outgoing = outgoing_link.OutgoingLink(instance=call.instance)
         self.outgoing[call.instance] = outgoing
         link = transport.Link.connecting(
-            path=_PATH,
+            path=CALL_PATH,
             opened=functools.partial(self._opened, outgoing),
             received=functools.partial(self._answered, outgoing),
             closed=functools.partial(self._lost, outgoing),
@@ -339,3 +340,8 @@
 def _broadcast(message: events.BroadcastReply, owner: PeerLinks) -> None:
     for link in owner.incoming.values():
         owner.send(link, message.message)
+
+
+@_handle.register
+def _drain(message: events.DrainRequested, owner: PeerLinks) -> None:
+    """Keep the links: calls under way need them for their answers."""
--- a/medlarquay/tasks/tests/__init__.py
+++ b/medlarquay/tasks/tests/__init__.py
@@ -1,1 +1,1 @@
-"""Tests of the tasks."""
+"""Tests of the tasks of a node."""
--- a/medlarquay/transport/backend_connection.py
+++ b/medlarquay/transport/backend_connection.py
@@ -22,6 +22,8 @@
         Receives ``BackendAnswered`` and ``BackendFailed``.
     release : callable
         Receives this connection when it can carry another exchange.
+    closed : callable
+        Receives this connection when it has been closed by either side.
 
     Notes
     -----
@@ -40,9 +42,11 @@
             None,
         ],
         release: Callable[['BackendConnection'], None],
+        closed: Callable[['BackendConnection'], None],
     ) -> None:
         self._deliver = deliver
         self._release = release
+        self._closed = closed
         self._exchange: ids.ExchangeId | None = None
         self._lost = False
         self._answer: answer_assembler.AnswerAssembler | None = None
@@ -94,19 +98,21 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report a broken exchange."""
         self._lost = True
+        self._closed(self)
         if self._exchange is not None and self._answer is not None:
             self._finish(self._answer)
 
     def _finish(self, answer: answer_assembler.AnswerAssembler) -> None:
         exchange = self._exchange
         self._exchange = None
+        reset = self._lost
         whole = answer.status is not None
         if whole and answer.reusable and not self._lost:
             self._release(self)
         else:
             self._close()
         if exchange is not None:
-            self._deliver(_result(exchange, answer))
+            self._deliver(_result(exchange, answer, reset=reset))
 
     def _close(self) -> None:
         if not self._lost:
@@ -130,6 +136,8 @@
 def _result(
     exchange: ids.ExchangeId,
     answer: answer_assembler.AnswerAssembler,
+    *,
+    reset: bool,
 ) -> events.BackendAnswered | events.BackendFailed:
     if answer.status is None:
         return events.BackendFailed(
@@ -137,6 +145,7 @@
             sent=True,
             refused=False,
             too_large=answer.too_large,
+            reset=reset,
         )
     return events.BackendAnswered(
         exchange=exchange,
--- a/medlarquay/transport/tests/test_backend_connection.py
+++ b/medlarquay/transport/tests/test_backend_connection.py
@@ -20,6 +20,7 @@
         self.connection = transport.BackendConnection(
             deliver=self.delivered.append,
             release=self.released.append,
+            closed=lambda connection: None,
         )
         self.wire = memory_transport.MemoryTransport()
         self.connection.makeConnection(self.wire)
@@ -77,6 +78,7 @@
             exchange=ids.ExchangeId(1),
             sent=True,
             refused=False,
+            reset=True,
         ),
     ]
     assert not exchange.released
