Weigh the choice of owners and eject unreachable ones at once

In a demonstration with one node killed, calls were refused owner_unreachable until three had failed at each ingress. A link that cannot be opened now ejects its instance at once.

--- a/bench/main.py
+++ b/bench/main.py
@@ -16,6 +16,8 @@
     'convergence',
     'admission_replay',
     'retry_replay',
+    'owner_choice_replay',
+    'routing_cost',
     'snapshot_size',
     'failures',
 )
--- a/medlarquay/routing/observe.py
+++ b/medlarquay/routing/observe.py
@@ -97,6 +97,10 @@
 ) -> None:
     found = state.of(event.instance)
     _finish(found)
+    if event.reason is states.RefusalReason.OWNER_UNREACHABLE:
+        # A link that cannot be opened is evidence enough; waiting for more
+        # would spend a call on each of them.
+        found.failures = _FAILURES_TO_EJECT - 1
     if event.reason in _FAILED:
         _fail(found, state, now)
         return
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -159,6 +159,15 @@
     assert 'a2' in {fleet.pick(state, *_LOCAL, now=now) for _ in range(50)}
 
 
+def test_an_unreachable_server_is_ejected_at_once() -> None:
+    """Guards against a call wasted on each link to a crashed node."""
+    state = fleet.chooser()
+    _refuse(state, 'a2', states.RefusalReason.BACKEND_DOWN)
+    assert 'a2' in {fleet.pick(state, *_LOCAL) for _ in range(50)}
+    _refuse(state, 'a3', states.RefusalReason.OWNER_UNREACHABLE)
+    assert 'a3' not in {fleet.pick(state, *_LOCAL) for _ in range(50)}
+
+
 @pytest.mark.parametrize('ejected', [2, 3])
 def test_all_are_used_when_over_half_are_ejected(ejected: int) -> None:
     """Guards against a fault of this ingress that empties a service."""
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -188,9 +188,10 @@
 
     def answer(self, message: events.AnswerReady) -> None:
         """Give the listener an answer."""
+        if self.draining:
+            message = dataclasses.replace(message, close=True)
         if self.listener is not None:
-            close = message.close or self.draining
-            self.listener.post(dataclasses.replace(message, close=close))
+            self.listener.post(message)
 
     def wake(self) -> None:
         """Ask for the next tick."""
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -411,3 +411,22 @@
     bench = ingress_bench.IngressBench()
     bench.request(1)
     assert bench.fields()['reason'] == 'no_configuration'
+
+
+def test_a_partitioned_data_centre_costs_few_attempts() -> None:
+    """Guards against orders that fail while other data centres can run them."""
+    zones = ('b1', 'b2', 'c1', 'c2')
+    bench = ingress_bench.IngressBench(*map(ingress_bench.backend, zones))
+    refused = 0
+    for caller in range(20):
+        call = bench.send(caller)
+        while call.instance.startswith('b'):
+            refused += 1
+            bench.refuse(
+                call.request.call_id,
+                states.RefusalReason.OWNER_UNREACHABLE,
+            )
+            call = ingress_bench.only(bench.sent())
+        bench.answer(call.request.call_id)
+        assert bench.fields()['outcome'] == 'run'
+    assert refused <= 2
