--- a/medlarquay/daemon/build_router.py
+++ b/medlarquay/daemon/build_router.py
@@ -1,7 +1,6 @@
 """Composition of the ingress."""
 
 import random
-import secrets
 import time
 
 from twisted.internet import interfaces
@@ -11,8 +10,6 @@
 
 __all__ = ('build_router',)
 
-_SEED_BITS = 64
-
 
 def build_router(
     *,
@@ -32,8 +29,8 @@
             records=observed.records,
             wall_clock=time.time,
         ),
-        # Choices need no secrecy, and this generator makes no system call.
-        random=random.Random(secrets.randbits(_SEED_BITS)),
+        # SystemRandom makes a system call for each choice.
+        random=random.Random(),
     )
     routing.start(reactor=reactor)
     callers = caller_listener.CallerListener(router=routing, reactor=reactor)
