--- a/bench/path_parts.py
+++ b/bench/path_parts.py
@@ -4,10 +4,12 @@
 import timeit
 from collections.abc import Callable
 
+from twisted.internet import task as cooperation
 from twisted.internet.testing import StringTransport
 
 from medlarquay import codec, events, ids, messages, states, transport
 from medlarquay.tasks import task
+from medlarquay.transport import http_text
 
 __all__ = ('main',)
 
@@ -86,6 +88,7 @@
     connection = transport.CallerConnection(
         caller=ids.CallerId(1),
         deliver=_ignore,
+        reactor=cooperation.Clock(),
     )
     connection.makeConnection(_Sink())
     answer = _answer_ready()
@@ -98,13 +101,13 @@
 
 
 def _answer_writer() -> Callable[[], object]:
-    connection = transport.CallerConnection(
-        caller=ids.CallerId(1),
-        deliver=_ignore,
-    )
-    connection.makeConnection(_Sink())
     answer = _answer_ready()
-    return lambda: connection.answer(answer)
+    return lambda: http_text.format_answer(
+        status=answer.status,
+        headers=answer.headers,
+        body=answer.body,
+        close=False,
+    )
 
 
 def _answer_ready() -> events.AnswerReady:
--- /dev/null
+++ b/medlarquay/daemon/call_path.py
@@ -0,0 +1,67 @@
+"""The tasks that carry calls through a node."""
+
+import dataclasses
+import time
+
+from twisted.internet import interfaces
+
+from medlarquay import admin
+from medlarquay.daemon import build_owner, build_router, node_settings
+from medlarquay.tasks import caller_listener, owner, peer_links, router
+
+__all__ = ('CallPath', 'build_call_path')
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class CallPath:
+    """The tasks that carry calls through a node.
+
+    Attributes
+    ----------
+    links : PeerLinks
+        Call links to and from other nodes.
+    owner : Owner
+        Decides what the local backend server runs.
+    router : Router
+        Routes the requests of callers.
+    callers : CallerListener
+        Connections of callers.
+    """
+
+    links: peer_links.PeerLinks
+    owner: owner.Owner
+    router: router.Router
+    callers: caller_listener.CallerListener
+
+
+def build_call_path(
+    *,
+    reactor: interfaces.IReactorCore,
+    settings: node_settings.NodeSettings,
+    observed: admin.ObservedNode,
+) -> CallPath:
+    """Build the tasks that carry calls and connect them."""
+    links = peer_links.PeerLinks(
+        reactor=reactor,
+        hello=observed.hello,
+        clock=time.monotonic,
+        counters=observed.counters,
+    )
+    own = build_owner.build_owner(
+        reactor=reactor,
+        settings=settings,
+        hello=observed.hello,
+        links=links,
+        counters=observed.counters,
+        records=observed.records,
+    )
+    routing, callers = build_router.build_router(
+        reactor=reactor,
+        observed=observed,
+        links=links,
+        owner=own,
+    )
+    own.router = routing
+    links.router = routing
+    links.owner = own
+    return CallPath(links=links, owner=own, router=routing, callers=callers)
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -5,9 +5,9 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import admin, ingress
+from medlarquay import admin
 from medlarquay.daemon import (
-    build_owner,
+    call_path,
     distribution,
     known_peers,
     lifecycle,
@@ -17,11 +17,9 @@
     surroundings,
 )
 from medlarquay.tasks import (
-    caller_listener,
     connector,
     peer_links,
     peer_listener,
-    router,
     source_fetcher,
 )
 
@@ -43,56 +41,28 @@
     clock = time.monotonic
     observed = observed_node.observe_node(settings, clock)
     operators = admin.Admin(node=observed)
-    links = peer_links.PeerLinks(
-        reactor=reactor,
-        hello=observed.hello,
-        clock=clock,
-        counters=observed.counters,
-    )
-    own = build_owner.build_owner(
+    path = call_path.build_call_path(
         reactor=reactor,
         settings=settings,
-        hello=observed.hello,
-        links=links,
-        counters=observed.counters,
-        records=observed.records,
+        observed=observed,
     )
-    routing = router.Router(
-        hello=observed.hello,
-        links=links,
-        owner=own,
-        clock=clock,
-        reporter=ingress.CallReporter(
-            counters=observed.counters,
-            records=observed.records,
-            wall_clock=time.time,
-        ),
-        # SystemRandom makes a system call for each choice.
-        random=random.Random(),
-    )
-    routing.start(reactor=reactor)
-    own.router = routing
-    links.router = routing
-    links.owner = own
-    callers = caller_listener.CallerListener(router=routing)
-    routing.listener = callers
     life = lifecycle.Lifecycle(
         reactor=reactor,
         clock=clock,
-        parts=(own, routing, callers, links),
+        parts=(path.owner, path.router, path.callers, path.links),
         subscribers=(operators,),
         drain_timeout_s=settings.drain_timeout_s,
     )
-    own.lifecycle = life
-    routing.lifecycle = life
+    path.owner.lifecycle = life
+    path.router.lifecycle = life
     distributing = distribution.build_distribution(
         own=known_peers.own_peer(settings),
         hello=observed.hello,
         seeds=known_peers.seed_peers(settings),
         # The lifecycle comes last, so that all others have the configuration
         # when the node is announced as serving.
-        subscribers=(routing, own, operators, life),
-        freshness_subscribers=(own, operators),
+        subscribers=(path.router, path.owner, operators, life),
+        freshness_subscribers=(path.owner, operators),
         around=surroundings.Surroundings(
             reactor=reactor,
             clock=clock,
@@ -104,12 +74,16 @@
     )
     peers = peer_listener.PeerListener(
         acceptors={
-            peer_links.CALL_PATH: links,
+            peer_links.CALL_PATH: path.links,
             connector.CONTROL_PATH: distributing.relay,
         },
     )
     peers.listen(reactor, host=settings.host, port=settings.peer_port)
-    callers.listen(reactor, host=settings.host, port=settings.caller_port)
+    path.callers.listen(
+        reactor,
+        host=settings.host,
+        port=settings.caller_port,
+    )
     operators.listen(reactor, host=settings.host, port=settings.admin_port)
     reactor.callWhenRunning(
         signals.post_on_signal,
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -44,6 +44,10 @@
 from medlarquay.events.work_finished import WorkFinished
 
 __all__ = (
+    'PeerLost',
+    'PeerGreeted',
+    'OpenLink',
+    'CallExpired',
     'RecordsReceived',
     'FreshnessReceived',
     'PeerVersion',
@@ -57,10 +61,6 @@
     'ParentLost',
     'ReadingChosen',
     'ChildrenChanged',
-    'PeerLost',
-    'PeerGreeted',
-    'OpenLink',
-    'CallExpired',
     'WorkFinished',
     'FreshnessConfirmed',
     'BroadcastReply',
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -16,10 +16,10 @@
 from medlarquay.states.retry_reason import RetryReason
 
 __all__ = (
+    'DroppedMessage',
     'ParentFault',
     'ReadingMode',
     'ReplicaEvent',
-    'DroppedMessage',
     'RecordSide',
     'NodePart',
     'BackendState',
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -17,12 +17,20 @@
     ----------
     router : Task
         Receives ``RequestReceived``, ``RequestRejected``, ``CallerGone``.
+    reactor : IReactorTime
+        Clock and timer for the deadlines of slow senders.
     """
 
-    def __init__(self, *, router: task.Task) -> None:
+    def __init__(
+        self,
+        *,
+        router: task.Task,
+        reactor: interfaces.IReactorTime,
+    ) -> None:
         super().__init__(name='callers')
         self.connections: dict[ids.CallerId, transport.CallerConnection] = {}
         self._router = router
+        self._reactor = reactor
         self._last = 0
 
     def listen(
@@ -46,6 +54,7 @@
         connection = transport.CallerConnection(
             caller=caller,
             deliver=self._deliver,
+            reactor=self._reactor,
         )
         self.connections[caller] = connection
         return connection
@@ -66,3 +75,8 @@
     connection = owner.connections.get(message.caller)
     if connection is not None:
         connection.answer(message)
+
+
+@_handle.register
+def _drain(message: events.DrainRequested, owner: CallerListener) -> None:
+    """Go on listening: the router refuses new work and closes politely."""
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -340,3 +340,8 @@
 def _broadcast(message: events.BroadcastReply, owner: PeerLinks) -> None:
     for link in owner.incoming.values():
         owner.send(link, message.message)
+
+
+@_handle.register
+def _drain(message: events.DrainRequested, owner: PeerLinks) -> None:
+    """Keep the links: calls under way need them for their answers."""
