Let a probe count only when its connection lasts

A backend server that ends can accept the probe while its sockets are being closed, so a crash with one connection was taken for a half answer and the poison request ran a third time. A probe after a loss now has to last 50 ms.

--- a/medlarquay/tasks/backend.py
+++ b/medlarquay/tasks/backend.py
@@ -12,6 +12,9 @@
 __all__ = ('Backend',)
 
 _CONNECT_TIMEOUT_S = 1
+# A process that ends can accept a connection and reset it at once, because its
+# sockets are closed one after the other. A probe counts if it lasts this long.
+_CRASH_WINDOW_S = 0.05
 _FIRST_PROBE_S = 0.1
 _LONGEST_PROBE_S = 1
 # One lost connection of a backend server that still accepts is a half answer;
@@ -174,8 +177,20 @@
         else:
             self._health.connection_accepted()
 
-    def _probed(self, connection: transport.BackendConnection) -> None:
+    def _probed(
+        self,
+        connection: transport.BackendConnection,
+        *,
+        lasted: bool = False,
+    ) -> None:
+        if self._broken and not lasted:
+            again = functools.partial(self._probed, connection, lasted=True)
+            self._reactor.callLater(_CRASH_WINDOW_S, again)
+            return
         self._probing = False
+        if not connection.usable:
+            self.probe()
+            return
         self.idle.append(connection)
         self._health.connection_accepted()
 
--- a/medlarquay/tasks/tests/test_backend.py
+++ b/medlarquay/tasks/tests/test_backend.py
@@ -151,15 +151,28 @@
     connections[0].dataReceived(_ANSWER[:-1])
     _lose(connections[0])
     server.accept()
+    server.reactor.advance(0.1)
     assert server.owner.seen == [_failed(1)]
 
 
+def test_probe_that_is_reset_does_not_count() -> None:
+    """Guards against missing the crash of a process that ends slowly."""
+    server = _Server()
+    _lose(server.run(1)[0])
+    _lose(server.accept())
+    server.reactor.advance(0.1)
+    assert not server.owner.seen
+    server.refuse()
+    assert server.owner.seen == [_crashed(1), _DOWN, _failed(1)]
+
+
 def test_replaced_process_is_a_crash() -> None:
     """Guards against missing the crash of a server that restarts at once."""
     server = _Server()
     for protocol in server.run(2):
         _lose(protocol)
     server.accept()
+    server.reactor.advance(0.1)
     assert server.owner.seen == [_crashed(1, 2), _UP, _failed(1), _failed(2)]
 
 
