--- a/bench/instance.py
+++ b/bench/instance.py
@@ -27,6 +27,8 @@
         Port of a relay in front of the node; 0 when there is none.
     backend_port : int
         Port of the backend server.
+    checkout : str
+        Directory of the version of the node; empty for the current one.
     backend, node : ManagedProcess or None
         Its processes, once started.
     """
@@ -40,6 +42,7 @@
     ports: dict[str, int] = dataclasses.field(default_factory=dict)
     published_peer_port: int = 0
     backend_port: int = 0
+    checkout: str = ''
     backend: managed_process.ManagedProcess | None = None
     node: managed_process.ManagedProcess | None = None
 
@@ -48,6 +51,11 @@
         """Address for callers of the node."""
         return f'127.0.0.1:{self.ports["caller-port"]}'
 
+    @property
+    def peer_port(self) -> int:
+        """Port at which other nodes reach the node."""
+        return self.published_peer_port or self.ports['peer-port']
+
     @property
     def backend_address(self) -> str:
         """Address of the backend server."""
@@ -63,7 +71,7 @@
             'data_centre': self.data_centre,
             'host': '127.0.0.1',
             'caller_port': self.ports['caller-port'],
-            'peer_port': self.published_peer_port or self.ports['peer-port'],
+            'peer_port': self.peer_port,
             'slots': self.slots,
             'state': state,
         }
