--- a/bench/path_parts.py
+++ b/bench/path_parts.py
@@ -9,7 +9,7 @@
 
 from medlarquay import codec, events, ids, messages, states, transport
 from medlarquay.tasks import task
-from medlarquay.transport import http_text
+from medlarquay.transport import http_text as formatting
 
 __all__ = ('main',)
 
@@ -102,7 +102,7 @@
 
 def _answer_writer() -> Callable[[], object]:
     answer = _answer_ready()
-    return lambda: http_text.format_answer(
+    return lambda: formatting.format_answer(
         status=answer.status,
         headers=answer.headers,
         body=answer.body,
