Tighten two tests of caller connections

With the rule switched off, the test of idle callers took the rejection for the second request, and HTTP/1.0 closed without the rule unless the caller asked to keep the connection. Both tests now fail without their rule.

Without the expiry of silent calls the test does not fail but loops, because the alarm is set again in the past.

--- a/medlarquay/transport/tests/test_caller_connection.py
+++ b/medlarquay/transport/tests/test_caller_connection.py
@@ -205,7 +205,10 @@
     caller.answer(b'good')
     caller.clock.advance(99)
     caller.send(_GET)
-    assert len(caller.delivered) == 2
+    assert [type(message) for message in caller.delivered] == [
+        events.RequestReceived,
+        events.RequestReceived,
+    ]
 
 
 def test_continue_is_sent_before_the_body_only(caller: _Caller) -> None:
@@ -229,6 +232,7 @@
         (b'GET /x HTTP/1.1', 204, False),
         (b'GET /x HTTP/1.1', 304, False),
         (b'HEAD /x HTTP/1.0', 200, True),
+        (b'HEAD /x HTTP/1.0\r\nConnection: keep-alive', 200, True),
     ],
 )
 def test_answers_without_a_body(
