--- a/medlarquay/transport/__init__.py
+++ b/medlarquay/transport/__init__.py
@@ -3,7 +3,7 @@
 from medlarquay.transport.backend_connection import BackendConnection
 from medlarquay.transport.caller_connection import CallerConnection
 from medlarquay.transport.factories import BuildingFactory
-from medlarquay.transport.http_text import HOP_BY_HOP
+from medlarquay.transport.http_text import HOP_BY_HOP, format_answer
 from medlarquay.transport.link import Link
 
 __all__ = (
@@ -12,4 +12,5 @@
     'BuildingFactory',
     'CallerConnection',
     'Link',
+    'format_answer',
 )
