Refuse bound keys older than the memory of their owner

A bound key sent again more than the key retention after its outcome found no entry and ran again. Bound keys now carry their time of issue, and an unseen key older than the retention is refused as key_history_unknown. Rename KeyDesk to KeyIssuer and turn_away to refuse_request.

--- a/bench/ledger_memory.py
+++ b/bench/ledger_memory.py
@@ -50,7 +50,11 @@
 def _fill(book: ledger.Ledger, body_bytes: int | None) -> None:
     for number in range(_ENTRIES):
         key = keys.parse_key(
-            keys.issue_key(instance=_INSTANCE, incarnation=_INCARNATION),
+            keys.issue_key(
+                instance=_INSTANCE,
+                incarnation=_INCARNATION,
+                issued_at=_WALL,
+            ),
         )
         presented = ledger.Presented(
             key=key,
--- a/bench/owner_cost.py
+++ b/bench/owner_cost.py
@@ -15,6 +15,7 @@
     admission,
     events,
     ids,
+    keys,
     messages,
     quarantine,
     states,
@@ -150,7 +151,11 @@
     *,
     keyed: bool,
 ) -> tuple[events.RunCall, events.BackendAnswered]:
-    key = ids.RequestKey(f'mq1.{_INSTANCE}.{_RUN}.{number}')
+    key = keys.issue_key(
+        instance=_INSTANCE,
+        incarnation=_RUN,
+        issued_at=time.time(),
+    )
     request = messages.CallRequest(
         call_id=ids.CallId(number),
         team=_TEAM,
--- a/medlarquay/daemon/build_owner.py
+++ b/medlarquay/daemon/build_owner.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import messages, telemetry
+from medlarquay import ledger, messages, telemetry
 from medlarquay.daemon import node_settings
 from medlarquay.tasks import backend, clocks, owner, task
 
@@ -28,6 +28,11 @@
         counters=counters,
         records=records,
     )
+    own.ledger = ledger.Ledger(
+        instance=hello.instance,
+        incarnation=hello.incarnation,
+        retention_s=settings.key_retention_s,
+    )
     own.backend = backend.Backend(
         reactor=reactor,
         owner=own,
--- a/medlarquay/ingress/__init__.py
+++ b/medlarquay/ingress/__init__.py
@@ -11,7 +11,7 @@
 from medlarquay.ingress.call_sender import CallSender
 from medlarquay.ingress.ingress_call import IngressCall
 from medlarquay.ingress.ingress_calls import IngressCalls
-from medlarquay.ingress.key_desk import KeyDesk
+from medlarquay.ingress.key_issuer import KeyIssuer
 from medlarquay.ingress.key_wanted import KeyWanted
 from medlarquay.ingress.known_runs import KnownRuns
 from medlarquay.ingress.open_call import open_call
@@ -23,7 +23,7 @@
     'CallSender',
     'IngressCall',
     'IngressCalls',
-    'KeyDesk',
+    'KeyIssuer',
     'KeyWanted',
     'KnownRuns',
     'RoutingTable',
--- a/medlarquay/ingress/call_reporter.py
+++ b/medlarquay/ingress/call_reporter.py
@@ -34,6 +34,11 @@
         self._records = records
         self._wall_clock = wall_clock
 
+    @property
+    def wall_clock(self) -> Callable[[], float]:
+        """Clock of the records, Unix time in seconds."""
+        return self._wall_clock
+
     def count(self, member: enum.Enum) -> None:
         """Count one event."""
         self._counters.increment(member)
@@ -78,7 +83,7 @@
             ),
         )
 
-    def turned_away(
+    def record_refusal(
         self,
         message: events.RequestReceived | events.RequestRejected,
         answer: events.AnswerReady,
--- a/medlarquay/ingress/key_desk.py
+++ b/medlarquay/ingress/key_issuer.py
@@ -13,13 +13,13 @@
     routing_table,
 )
 
-__all__ = ('KeyDesk',)
+__all__ = ('KeyIssuer',)
 
 # Longer than the time to connect, so that a lost link is reported first.
 _WAIT_S = 1.5
 
 
-class KeyDesk:
+class KeyIssuer:
     """Issues keys bound to an owner, and waits for its run if need be.
 
     Parameters
@@ -31,7 +31,7 @@
     sender : CallSender
         Opens links.
     reporter : CallReporter
-        Counts and records refusals.
+        Counts and records refusals; gives the time of issue.
     answer : callable
         Receives ``AnswerReady``.
     """
@@ -119,7 +119,11 @@
         incarnation = self._runs.run_of(instance)
         if incarnation is None:
             return False
-        key = keys.issue_key(instance=instance, incarnation=incarnation)
+        key = keys.issue_key(
+            instance=instance,
+            incarnation=incarnation,
+            issued_at=self._reporter.wall_clock(),
+        )
         self._answer(answers.issued_key(caller=message.caller, key=key))
         return True
 
@@ -129,5 +133,5 @@
         reason: states.RefusalReason,
     ) -> None:
         answer = answers.refusal(caller=message.caller, reason=reason)
-        self._reporter.turned_away(message, answer, reason)
+        self._reporter.record_refusal(message, answer, reason)
         self._answer(answer)
--- a/medlarquay/keys/bound_key.py
+++ b/medlarquay/keys/bound_key.py
@@ -19,8 +19,11 @@
         Instance whose node remembers the key.
     incarnation : Incarnation
         Run of that node; a later run has no memory of the key.
+    created_at : float
+        Unix time in seconds at which the key was issued.
     """
 
     text: ids.RequestKey
     instance: ids.InstanceId
     incarnation: ids.Incarnation
+    created_at: float
--- a/medlarquay/keys/parse.py
+++ b/medlarquay/keys/parse.py
@@ -8,13 +8,17 @@
 
 __all__ = ('MAX_KEY_CHARACTERS', 'issue_key', 'parse_key')
 
-MAX_KEY_CHARACTERS = 128
+# A bound key holds an instance id of up to 128 characters.
+MAX_KEY_CHARACTERS = 256
 
 _PREFIX = 'mq1'
 _SEPARATOR = '.'
-_RANDOM_BYTES = 12
 _TIME_VERSION = 7
 _TIME_SHIFT_BITS = 80
+_VERSION_SHIFT_BITS = 76
+_VARIANT_SHIFT_BITS = 62
+_VARIANT = 2
+_RANDOM_BITS = 62
 _MS_PER_SECOND = 1000
 
 
@@ -42,12 +46,14 @@
     if parts[0] != _PREFIX:
         return plain_key.PlainKey(text=key, created_at=_creation_time(text))
     # An instance id may hold separators; the incarnation never does.
-    if len(parts) < 4:
+    created_at = _creation_time(parts[-1])
+    if len(parts) < 4 or created_at is None:
         raise errors.RequestError('malformed bound key', step='parse key')
     return bound_key.BoundKey(
         text=key,
         instance=ids.InstanceId(_SEPARATOR.join(parts[1:-2])),
         incarnation=ids.Incarnation(parts[-2]),
+        created_at=created_at,
     )
 
 
@@ -55,14 +61,33 @@
     *,
     instance: ids.InstanceId,
     incarnation: ids.Incarnation,
+    issued_at: float,
 ) -> ids.RequestKey:
-    """Return a new key that one run of one node remembers."""
-    random = secrets.token_hex(_RANDOM_BYTES)
+    """Return a new key that one run of one node remembers.
+
+    Parameters
+    ----------
+    instance, incarnation : InstanceId, Incarnation
+        The run that remembers the key.
+    issued_at : float
+        Unix time in seconds. The run refuses an unseen key that is older than
+        its memory reaches back.
+    """
+    unique = _unique_text(issued_at)
     return ids.RequestKey(
-        _SEPARATOR.join((_PREFIX, instance, incarnation, random)),
+        _SEPARATOR.join((_PREFIX, instance, incarnation, unique)),
     )
 
 
+def _unique_text(issued_at: float) -> str:
+    # The standard library makes no UUIDs of version 7 before Python 3.14.
+    bits = int(issued_at * _MS_PER_SECOND) << _TIME_SHIFT_BITS
+    bits |= _TIME_VERSION << _VERSION_SHIFT_BITS
+    bits |= _VARIANT << _VARIANT_SHIFT_BITS
+    bits |= secrets.randbits(_RANDOM_BITS)
+    return str(uuid.UUID(int=bits))
+
+
 def _creation_time(text: str) -> float | None:
     try:
         found = uuid.UUID(text)
--- a/medlarquay/ledger/decide.py
+++ b/medlarquay/ledger/decide.py
@@ -104,7 +104,7 @@
         book.answer_bytes += size
     book.settled[event.key] = settled_entry.SettledEntry(
         fingerprint=running.fingerprint,
-        deadline=_deadline(now),
+        deadline=_deadline(book, now),
         answer=event.answer if kept else None,
     )
 
@@ -120,7 +120,7 @@
     if running is not None:
         book.settled[event.key] = settled_entry.SettledEntry(
             fingerprint=running.fingerprint,
-            deadline=_deadline(now),
+            deadline=_deadline(book, now),
             lost=event.reason,
         )
 
@@ -193,9 +193,9 @@
     return results.Replay(answer=settled.answer)
 
 
-def _deadline(now: float) -> float:
+def _deadline(book: ledger.Ledger, now: float) -> float:
     # A key may be this much ahead of the local wall clock when it is accepted.
-    return now + bounds.RETENTION_S + bounds.CLOCK_ERROR_S
+    return now + book.retention_s + bounds.CLOCK_ERROR_S
 
 
 def _expire(book: ledger.Ledger, now: float) -> None:
--- a/medlarquay/ledger/home_history.py
+++ b/medlarquay/ledger/home_history.py
@@ -3,12 +3,9 @@
 import collections
 
 from medlarquay import ids, keys
-from medlarquay.ledger import bounds
 
 __all__ = ('HomeHistory',)
 
-# A home needs this history to accept a key without a creation time.
-_SPAN_S = bounds.RETENTION_S + bounds.CONVERGENCE_S + bounds.CLOCK_ERROR_S
 # A list that changes more often shortens the history, which refuses keys but
 # never accepts one wrongly.
 _MAX_CHANGES = 64
@@ -21,9 +18,13 @@
     ----------
     instance : InstanceId
         Instance of this node.
+    span_s : float
+        History that a home needs to accept a key without a creation time, in
+        seconds.
     """
 
-    def __init__(self, *, instance: ids.InstanceId) -> None:
+    def __init__(self, *, instance: ids.InstanceId, span_s: float) -> None:
+        self._span_s = span_s
         self._instance = instance
         self._sets: collections.deque[
             tuple[float, frozenset[ids.InstanceId]]
@@ -40,7 +41,7 @@
             return
         self._sets.append((now, instances))
         # The second set began before the span, so the first is not needed.
-        while len(self._sets) > 1 and self._sets[1][0] < now - _SPAN_S:
+        while len(self._sets) > 1 and self._sets[1][0] < now - self._span_s:
             self._sets.popleft()
 
     def break_at(self, now: float) -> None:
--- a/medlarquay/ledger/ledger.py
+++ b/medlarquay/ledger/ledger.py
@@ -3,7 +3,7 @@
 import collections
 
 from medlarquay import ids
-from medlarquay.ledger import home_history, running_entry, settled_entry
+from medlarquay.ledger import bounds, home_history, running_entry, settled_entry
 
 __all__ = ('Ledger',)
 
@@ -17,6 +17,8 @@
         Instance of this node.
     incarnation : Incarnation
         This run of the node.
+    retention_s : float
+        Time for which settled entries are kept, in seconds.
 
     Notes
     -----
@@ -29,10 +31,15 @@
         *,
         instance: ids.InstanceId,
         incarnation: ids.Incarnation,
+        retention_s: float = bounds.RETENTION_S,
     ) -> None:
         self.instance = instance
         self.incarnation = incarnation
-        self.history = home_history.HomeHistory(instance=instance)
+        self.retention_s = retention_s
+        self.history = home_history.HomeHistory(
+            instance=instance,
+            span_s=retention_s + bounds.CONVERGENCE_S + bounds.CLOCK_ERROR_S,
+        )
         self.confirmed_at: float | None = None
         self.paused = False
         self.running: dict[ids.RequestKey, running_entry.RunningEntry] = {}
--- a/medlarquay/ledger/placement.py
+++ b/medlarquay/ledger/placement.py
@@ -37,9 +37,12 @@
     wall: float,
 ) -> states.RefusalReason | None:
     own = (book.instance, book.incarnation)
-    if (key.instance, key.incarnation) == own:
+    if (key.instance, key.incarnation) != own:
+        return states.RefusalReason.KEY_HOME_LOST
+    # The entry of an older key may have reached its deadline.
+    if _age_known(key.created_at, book, wall):
         return None
-    return states.RefusalReason.KEY_HOME_LOST
+    return states.RefusalReason.KEY_HISTORY_UNKNOWN
 
 
 @refusal_of_new_key.register
@@ -58,7 +61,7 @@
     # A home that was listed for less than the convergence bound may have gone
     # unnoticed by a node that was fresh throughout, so it runs nothing.
     noticed = confirmed_at - since >= bounds.CONVERGENCE_S
-    if noticed and _history_known(key, now - since, wall):
+    if noticed and _history_known(key, book, now - since, wall):
         return None
     return states.RefusalReason.KEY_HISTORY_UNKNOWN
 
@@ -70,19 +73,28 @@
     return confirmed_at if now - confirmed_at <= bounds.CONVERGENCE_S else None
 
 
-def _history_known(key: keys.PlainKey, home_for: float, wall: float) -> bool:
+def _history_known(
+    key: keys.PlainKey,
+    book: ledger.Ledger,
+    home_for: float,
+    wall: float,
+) -> bool:
     """Return whether no earlier home can have run an unseen key.
 
     An earlier home may have accepted keys for the convergence bound after
     this one took over, because it did not know of the change.
     """
     lag = bounds.CONVERGENCE_S + bounds.CLOCK_ERROR_S
-    home_long_enough = home_for >= bounds.RETENTION_S + lag
+    home_long_enough = home_for >= book.retention_s + lag
     if key.created_at is None:
         return home_long_enough
-    age = wall - key.created_at
+    if not _age_known(key.created_at, book, wall):
+        return False
+    return home_long_enough or wall - key.created_at < home_for - lag
+
+
+def _age_known(created_at: float, book: ledger.Ledger, wall: float) -> bool:
     # A key from the future has a wrong creation time, and an entry of this
     # ledger for an older key may have reached its deadline.
-    if not -bounds.CLOCK_ERROR_S <= age <= bounds.RETENTION_S:
-        return False
-    return home_long_enough or age < home_for - lag
+    age = wall - created_at
+    return -bounds.CLOCK_ERROR_S <= age <= book.retention_s
--- a/medlarquay/ledger/tests/test_at_most_once.py
+++ b/medlarquay/ledger/tests/test_at_most_once.py
@@ -82,6 +82,7 @@
             key = keys.issue_key(
                 instance=owner.name,
                 incarnation=owner.incarnation,
+                issued_at=_WALL + self.now,
             )
         elif kind == 'opaque':
             key = ids.RequestKey(f'order-{self.serial}')
--- a/medlarquay/ledger/tests/test_decide.py
+++ b/medlarquay/ledger/tests/test_decide.py
@@ -39,9 +39,13 @@
         _confirm(book, now)
 
 
-def _bound(incarnation: str = _RUN) -> str:
+def _bound(incarnation: str = _RUN, *, issued_at: float = 0) -> str:
     run = ids.Incarnation(incarnation)
-    return keys.issue_key(instance=_OWN, incarnation=run)
+    return keys.issue_key(
+        instance=_OWN,
+        incarnation=run,
+        issued_at=_WALL + issued_at,
+    )
 
 
 def _timed(created_at: float) -> str:
@@ -131,11 +135,21 @@
     _present(book, key)
     _settle(book, ledger.Answered(key=key, answer=_SMALL), now=10)
     assert _present(book, key, now=610) == ledger.Replay(answer=_SMALL)
-    _present(book, _bound(), now=613)
+    _present(book, _bound(issued_at=613), now=613)
     assert book.size == 1
     assert book.answer_bytes == 0
 
 
+def test_bound_key_older_than_the_memory_is_refused() -> None:
+    """Guards against a second run of a key whose entry was dropped."""
+    book = _book()
+    key = ids.RequestKey(_bound())
+    _present(book, key)
+    _settle(book, ledger.Answered(key=key, answer=_SMALL), now=1)
+    late = ledger.Refuse(reason=_REASON.KEY_HISTORY_UNKNOWN)
+    assert _present(book, key, now=604) == late
+
+
 def test_full_ledger_refuses_new_keys(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against evicting an entry that is still needed."""
     monkeypatch.setattr(bounds, 'MAX_ENTRIES', 1)
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -73,7 +73,7 @@
             links=links,
             owner=owner,
         )
-        self.desk = ingress.KeyDesk(
+        self.key_issuer = ingress.KeyIssuer(
             runs=self.runs,
             table=self.table,
             sender=self.sender,
@@ -104,14 +104,14 @@
         """Update the observations of owners."""
         routing.observe(event, self.chooser.observations, self.clock())
 
-    def turn_away(
+    def refuse_request(
         self,
         message: events.RequestReceived | events.RequestRejected,
         reason: states.RefusalReason,
     ) -> None:
         """Refuse a request that did not become a call."""
         answer = ingress.refusal(caller=message.caller, reason=reason)
-        self.reporter.turned_away(message, answer, reason)
+        self.reporter.record_refusal(message, answer, reason)
         self.answer(answer)
 
     def attempt(self, call: ingress.IngressCall) -> None:
@@ -289,20 +289,20 @@
 
 @_handle.register
 def _rejected(message: events.RequestRejected, router: Router) -> None:
-    router.turn_away(message, message.reason)
+    router.refuse_request(message, message.reason)
 
 
 @_handle.register
 def _received(message: events.RequestReceived, router: Router) -> None:
     if router.draining:
-        router.turn_away(message, states.RefusalReason.DRAINING)
+        router.refuse_request(message, states.RefusalReason.DRAINING)
         return
     now = router.clock()
     opened = ingress.open_call(message, router.table, now)
     if isinstance(opened, routing.ChoiceRefused):
-        router.turn_away(message, opened.reason)
+        router.refuse_request(message, opened.reason)
     elif isinstance(opened, ingress.KeyWanted):
-        router.desk.request(opened, router.chooser, now)
+        router.key_issuer.request(opened, router.chooser, now)
     else:
         router.budget.count_first_attempt()
         router.attempt(opened)
@@ -376,20 +376,20 @@
         # A call that was not sent yet is refused before it expires below.
         router.sender.cancel(call.instance, call.call_id, expired=True)
         router.post(events.CallExpired(call_id=call.call_id))
-    router.desk.expire(message.now)
+    router.key_issuer.expire(message.now)
     router.wake()
 
 
 @_handle.register
 def _greeted(message: events.PeerGreeted, router: Router) -> None:
     router.observe(message)
-    router.desk.greet(message)
+    router.key_issuer.greet(message)
 
 
 @_handle.register
 def _peer_lost(message: events.PeerLost, router: Router) -> None:
     router.observe(message)
-    router.desk.lose(message, router.chooser)
+    router.key_issuer.lose(message, router.chooser)
 
 
 @_handle.register
--- a/medlarquay/tasks/tests/owner_bench.py
+++ b/medlarquay/tasks/tests/owner_bench.py
@@ -3,6 +3,8 @@
 import itertools
 import json
 import typing
+import uuid
+import zlib
 
 from twisted.internet import task as twisted_task
 
@@ -42,6 +44,13 @@
         return [message for message in self.seen if isinstance(message, kind)]
 
 
+def bound_key(name: str, *, issued_at: float = 0) -> str:
+    """Return the key of a name that RUN remembers."""
+    stamp = int(issued_at * 1000)
+    number = stamp << 80 | 7 << 76 | 2 << 62 | zlib.crc32(name.encode())
+    return f'mq1.{OWN}.{RUN}.{uuid.UUID(int=number)}'
+
+
 class OwnerBench:
     """An owner with a fake clock between recording tasks."""
 
@@ -108,7 +117,7 @@
     ) -> None:
         """Let an ingress send a call; the key ``bound`` is one of RUN."""
         if key == 'bound':
-            key = f'mq1.{OWN}.{RUN}.77'
+            key = bound_key('77')
         request = messages.CallRequest(
             call_id=ids.CallId(number),
             team=TEAM,
--- a/medlarquay/tasks/tests/test_owner_promises.py
+++ b/medlarquay/tasks/tests/test_owner_promises.py
@@ -20,6 +20,7 @@
         self.bench = owner_bench.OwnerBench(slots=2)
         self.calls = 0
         self.names: dict[int, str] = {}
+        self.keys: dict[str | None, str] = {}
         self.running: dict[int, str] = {}
         self.ran: list[str] = []
         self.read_starts = 0
@@ -45,7 +46,13 @@
         self.calls += 1
         name = f'/key/{key}' if key else f'/call/{self.calls}'
         self.names[self.calls] = name
-        bound = f'mq1.{owner_bench.OWN}.{owner_bench.RUN}.{key}'
+        bound = self.keys.setdefault(
+            key,
+            owner_bench.bound_key(
+                str(key),
+                issued_at=self.bench.clock.seconds(),
+            ),
+        )
         self.bench.call(
             self.calls,
             key=bound if key else None,
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -21,6 +21,7 @@
     return keys.issue_key(
         instance=ids.InstanceId(instance),
         incarnation=ids.Incarnation(incarnation),
+        issued_at=0,
     )
 
 
