--- a/medlarquay/ledger/decide.py
+++ b/medlarquay/ledger/decide.py
@@ -2,7 +2,6 @@
 
 import functools
 import math
-import math
 
 from medlarquay import events, ids, states
 from medlarquay.ledger import (
