Show the logs of all processes when a node does not get ready

Two of seven scenarios ended with a node that was not ready within 30 s at load average 16, and its own log did not tell why.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -17,6 +17,7 @@
 PORT_FLAGS = ('caller-port', 'peer-port', 'admin-port')
 _READY_S = 30
 _MAX_SEEDS = 3
+_LOG_TAIL = 600
 _NODE = 'medlarquay.daemon.main'
 
 
@@ -155,9 +156,11 @@
         for one in self.instances.values():
             for host in hosts:
                 url = f'http://{one.caller_address}/-ready'
-                while http_json.status_of(url, host=host) != 200:
-                    _check_alive(one, until)
+                status = http_json.status_of(url, host=host)
+                while status != 200:
+                    self._check_ready(one, until, f'{host} {status}')
                     time.sleep(0.05)
+                    status = http_json.status_of(url, host=host)
 
     def start_caller(self, name: str = 'caller') -> str:
         """Start a caller; return its address."""
@@ -198,6 +201,24 @@
             *arguments,
         )
 
+    def _check_ready(
+        self,
+        one: instance.Instance,
+        until: float,
+        answer: str,
+    ) -> None:
+        node = one.node
+        if node is None or (node.running and time.monotonic() < until):
+            return
+        # A node may wait for another one, so the logs of all are needed.
+        logs = [
+            f'{process.name}: {process.errors.read_text()[-_LOG_TAIL:]}'
+            for process in self._processes
+        ]
+        raise RuntimeError(
+            '\n'.join((f'{one.name} is not ready: {answer}', *logs)),
+        )
+
     def _seeds(self, one: instance.Instance) -> list[str]:
         """Return the flags that name the first other nodes."""
         others = [
@@ -223,15 +244,6 @@
     ]
 
 
-def _check_alive(one: instance.Instance, until: float) -> None:
-    node = one.node
-    if node is None or (node.running and time.monotonic() < until):
-        return
-    raise RuntimeError(
-        f'node {one.name} is not ready: {node.errors.read_text()[-2000:]}',
-    )
-
-
 def wait_backend(one: instance.Instance) -> None:
     """Wait until the backend server of an instance listens."""
     if one.backend is not None:
--- a/bench/path_parts.py
+++ b/bench/path_parts.py
@@ -7,9 +7,14 @@
 from twisted.internet import task as cooperation
 from twisted.internet.testing import StringTransport
 
-from medlarquay import codec, events, ids, messages, states, transport
+from medlarquay import codec, events, ids, messages, states
 from medlarquay.tasks import task
-from medlarquay.transport import http_text
+from medlarquay.transport import (
+    backend_connection,
+    caller_connection,
+    http_text,
+    link,
+)
 
 __all__ = ('main',)
 
@@ -85,7 +90,7 @@
 
 
 def _request_parser() -> Callable[[], object]:
-    connection = transport.CallerConnection(
+    connection = caller_connection.CallerConnection(
         caller=ids.CallerId(1),
         deliver=_ignore,
         reactor=cooperation.Clock(),
@@ -120,7 +125,7 @@
 
 
 def _answer_parser() -> Callable[[], object]:
-    connection = transport.BackendConnection(
+    connection = backend_connection.BackendConnection(
         deliver=_ignore,
         release=_ignore,
         closed=_ignore,
@@ -144,13 +149,13 @@
 
 def _link_sender(frame: bytes) -> Callable[[], object]:
     """Return a function that carries one frame over a pair of links."""
-    first = transport.Link.connecting(
+    first = link.Link.connecting(
         path='/calls',
         opened=_ignore,
         received=_ignore,
         closed=_ignore,
     )
-    second = transport.Link.accepting(
+    second = link.Link.accepting(
         opened=_ignore, received=_ignore, closed=_ignore
     )
     pipes = (_Sink(), _Sink())
