--- a/medlarquay/daemon/tests/test_operations_page.py
+++ b/medlarquay/daemon/tests/test_operations_page.py
@@ -32,6 +32,8 @@
         ('Refusals', states.RefusalReason),
         ('Retries', states.RetryReason),
         ('Retry denials', states.RetryDenial),
+        ('Records not applied', states.ReplicaEvent),
+        ('Dropped answers', states.DroppedMessage),
     ],
 )
 def test_every_reason_is_described(
--- a/medlarquay/transport/backend_connection.py
+++ b/medlarquay/transport/backend_connection.py
@@ -6,7 +6,11 @@
 from twisted.internet import protocol
 
 from medlarquay import events, ids
-from medlarquay.transport import answer_assembler, http_text
+from medlarquay.transport import (
+    answer_assembler,
+    http_text,
+    prompt_write,
+)
 
 __all__ = ('BackendConnection',)
 
@@ -71,7 +75,8 @@
         self._answer = answer_assembler.AnswerAssembler(
             head=message.method == _HEAD,
         )
-        self.transport.write(
+        prompt_write.write_promptly(
+            self.transport,
             http_text.format_request(
                 method=message.method,
                 target=message.target,
--- a/medlarquay/transport/caller_connection.py
+++ b/medlarquay/transport/caller_connection.py
@@ -6,7 +6,12 @@
 from twisted.internet import interfaces, protocol
 
 from medlarquay import events, ids, states
-from medlarquay.transport import http_text, receive_stage, request_assembler
+from medlarquay.transport import (
+    http_text,
+    prompt_write,
+    receive_stage,
+    request_assembler,
+)
 
 __all__ = ('CallerConnection',)
 
@@ -95,7 +100,8 @@
             return
         self._waiting = False
         close = message.close or not self._keep_alive
-        self.transport.write(
+        prompt_write.write_promptly(
+            self.transport,
             http_text.format_answer(
                 status=message.status,
                 headers=message.headers,
