--- a/medlarquay/replica/change.py
+++ b/medlarquay/replica/change.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import states
+from medlarquay import ids, states
 
 __all__ = ('Change',)
 
@@ -13,8 +13,8 @@
 
     Attributes
     ----------
-    teams, instances : bool
-        Whether a record of the tree changed.
+    teams, instances : set of TeamName, set of InstanceId
+        Keys of the records that changed.
     vector : bool
         Whether the version vector rose.
     notes : list of ReplicaEvent
@@ -23,8 +23,8 @@
         Reasons of rejected documents and conflicts.
     """
 
-    teams: bool = False
-    instances: bool = False
+    teams: set[ids.TeamName] = dataclasses.field(default_factory=set)
+    instances: set[ids.InstanceId] = dataclasses.field(default_factory=set)
     vector: bool = False
     notes: list[states.ReplicaEvent] = dataclasses.field(default_factory=list)
     rejections: list[str] = dataclasses.field(default_factory=list)
@@ -32,7 +32,7 @@
     @property
     def anything(self) -> bool:
         """Whether the replica differs from before."""
-        return self.teams or self.instances or self.vector
+        return bool(self.teams or self.instances or self.vector)
 
     def note(self, event: states.ReplicaEvent, reason: str = '') -> None:
         """Add what was not applied."""
--- a/medlarquay/replica/replica.py
+++ b/medlarquay/replica/replica.py
@@ -63,6 +63,17 @@
         """Instance records without tombstones."""
         return tuple(entry for entry in self._instances if not entry.deleted)
 
+    def document(self, team: ids.TeamName) -> settings.TeamDocument | None:
+        """Return the accepted document of a team, if any."""
+        return self._documents.get(team)
+
+    def instance(
+        self,
+        instance: ids.InstanceId,
+    ) -> instance_record.InstanceRecord | None:
+        """Return the record of an instance, which may be a tombstone."""
+        return self._instances.get(instance)
+
     def apply_delta(self, offered: delta.Delta) -> change.Change:
         """Join a peer's records into the replica.
 
@@ -108,7 +119,7 @@
                 f'teams/{merged.team}@{merged.revision}: {merged.rejection}',
             )
         self._teams.put(merged.team, merged)
-        found.teams = True
+        found.teams.add(merged.team)
         if held is None or held.accepted_revision != merged.accepted_revision:
             self._bring_into_force(merged)
 
@@ -123,7 +134,7 @@
         if merged is None or merged == held:
             return
         self._instances.put(merged.instance, merged)
-        found.instances = True
+        found.instances.add(merged.instance)
 
     def delta_after(self, base: version_vector.VersionVector) -> delta.Delta:
         """Return all records newer than a version vector."""
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -8,11 +8,10 @@
 from medlarquay import (
     events,
     replica,
-    snapshots,
     states,
     telemetry,
 )
-from medlarquay.tasks import alarm, task
+from medlarquay.tasks import alarm, snapshot_builder, task
 
 __all__ = ('Configuration',)
 
@@ -65,6 +64,7 @@
         self._freshness_subscribers = freshness_subscribers
         self._clock = clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
+        self._builder = snapshot_builder.SnapshotBuilder()
         # Whether the replica holds what the last snapshot does not.
         self._unpublished = False
 
@@ -98,6 +98,7 @@
         if not change.anything:
             return
         self._unpublished = True
+        self._builder.note(change)
         changed = events.ReplicaChanged(
             vector=self.replica.vector,
             digest=self.replica.digest,
@@ -134,12 +135,7 @@
 
     def _publish(self) -> None:
         vector = self.replica.vector
-        snapshot = snapshots.build_snapshot(
-            documents=self.replica.documents,
-            instances=self.replica.instances,
-            tree_revision=vector.tree_revision,
-            list_revision=vector.list_revision,
-        )
+        snapshot = self._builder.build(self.replica)
         self._log.info(
             'in force: tree revision {}, list revision {}',
             vector.tree_revision,
