--- a/medlarquay/ingress/__init__.py
+++ b/medlarquay/ingress/__init__.py
@@ -13,7 +13,7 @@
 from medlarquay.ingress.ingress_calls import IngressCalls
 from medlarquay.ingress.key_issuer import KeyIssuer
 from medlarquay.ingress.key_wanted import KeyWanted
-from medlarquay.ingress.known_runs import KnownRuns
+from medlarquay.ingress.known_incarnations import KnownIncarnations
 from medlarquay.ingress.open_call import open_call
 from medlarquay.ingress.routing_table import RoutingTable
 from medlarquay.ingress.wanted_owner import wanted_owner
@@ -25,7 +25,7 @@
     'IngressCalls',
     'KeyIssuer',
     'KeyWanted',
-    'KnownRuns',
+    'KnownIncarnations',
     'RoutingTable',
     'answer',
     'call_request',
--- a/medlarquay/ingress/key_issuer.py
+++ b/medlarquay/ingress/key_issuer.py
@@ -9,7 +9,7 @@
     call_sender,
     key_wait,
     key_wanted,
-    known_runs,
+    known_incarnations,
     routing_table,
 )
 
@@ -24,7 +24,7 @@
 
     Parameters
     ----------
-    runs : KnownRuns
+    incarnations : KnownIncarnations
         Runs of owners and the callers that wait for one.
     table : RoutingTable
         Snapshot in force.
@@ -39,13 +39,13 @@
     def __init__(
         self,
         *,
-        runs: known_runs.KnownRuns,
+        incarnations: known_incarnations.KnownIncarnations,
         table: routing_table.RoutingTable,
         sender: call_sender.CallSender,
         reporter: call_reporter.CallReporter,
         answer: Callable[[events.AnswerReady], None],
     ) -> None:
-        self._runs = runs
+        self._incarnations = incarnations
         self._table = table
         self._sender = sender
         self._reporter = reporter
@@ -71,7 +71,7 @@
         instance = found.backend.instance
         if self._issue(wanted.message, instance):
             return
-        self._runs.wait(
+        self._incarnations.wait(
             key_wait.KeyWait(
                 message=wanted.message,
                 service=wanted.service,
@@ -83,19 +83,19 @@
 
     def greet(self, message: events.PeerGreeted) -> None:
         """Keep the run of an owner and issue the keys that wait for it."""
-        self._runs.learn(message.instance, message.incarnation)
-        for wait in self._runs.take(message.instance):
+        self._incarnations.learn(message.instance, message.incarnation)
+        for wait in self._incarnations.take(message.instance):
             self._issue(wait.message, wait.instance)
 
     def lose(self, message: events.PeerLost, chooser: routing.Chooser) -> None:
-        """Forget the run of an owner; fall back to the own instance."""
-        self._runs.forget(message.instance)
-        for wait in self._runs.take(message.instance):
+        """Forget the incarnation of an owner; fall back to the own instance."""
+        self._incarnations.forget(message.instance)
+        for wait in self._incarnations.take(message.instance):
             self._fall_back(wait, chooser.instance)
 
     def expire(self, now: float) -> None:
         """Refuse the callers that waited too long."""
-        for wait in self._runs.take_expired(now):
+        for wait in self._incarnations.take_expired(now):
             self._refuse(
                 wait.message,
                 states.RefusalReason.OWNER_UNREACHABLE,
@@ -116,7 +116,7 @@
         message: events.RequestReceived,
         instance: ids.InstanceId,
     ) -> bool:
-        incarnation = self._runs.run_of(instance)
+        incarnation = self._incarnations.incarnation_of(instance)
         if incarnation is None:
             return False
         key = keys.issue_key(
--- a/medlarquay/ingress/known_runs.py
+++ b/medlarquay/ingress/known_incarnations.py
@@ -1,49 +1,51 @@
-"""Which run of each owner this ingress has a link to."""
+"""Incarnation of each owner that this ingress has a link to."""
 
 from medlarquay import ids, messages
 from medlarquay.ingress import key_wait
 
-__all__ = ('KnownRuns',)
+__all__ = ('KnownIncarnations',)
 
 
-class KnownRuns:
-    """Knows the runs of owners, and who waits to learn one.
+class KnownIncarnations:
+    """Incarnations of owners and the callers that wait to learn one.
 
     Parameters
     ----------
     hello : Hello
-        Instance and run of this node.
+        Instance and incarnation of this node.
     """
 
     def __init__(self, *, hello: messages.Hello) -> None:
         self._own = hello.instance
-        self._runs = {hello.instance: hello.incarnation}
+        self._incarnations = {hello.instance: hello.incarnation}
         self._waits: tuple[key_wait.KeyWait, ...] = ()
 
     def __len__(self) -> int:
         """Return how many callers wait."""
         return len(self._waits)
 
-    def run_of(self, instance: ids.InstanceId) -> ids.Incarnation | None:
-        """Return the run of an owner, if known."""
-        return self._runs.get(instance)
+    def incarnation_of(
+        self, instance: ids.InstanceId
+    ) -> ids.Incarnation | None:
+        """Return the incarnation of an owner, if known."""
+        return self._incarnations.get(instance)
 
     def learn(
         self,
         instance: ids.InstanceId,
         incarnation: ids.Incarnation,
     ) -> None:
-        """Keep the run that greeted on a new link."""
+        """Keep the incarnation that greeted on a new link."""
         if instance != self._own:
-            self._runs[instance] = incarnation
+            self._incarnations[instance] = incarnation
 
     def forget(self, instance: ids.InstanceId) -> None:
-        """Forget the run of an owner whose link was lost."""
+        """Forget the incarnation of an owner whose link was lost."""
         if instance != self._own:
-            self._runs.pop(instance, None)
+            self._incarnations.pop(instance, None)
 
     def wait(self, wait: key_wait.KeyWait) -> None:
-        """Let a caller wait for the run of an owner."""
+        """Let a caller wait for the incarnation of an owner."""
         self._waits = (*self._waits, wait)
 
     def withdraw(self, caller: ids.CallerId) -> None:
--- a/medlarquay/ingress/wanted_owner.py
+++ b/medlarquay/ingress/wanted_owner.py
@@ -4,7 +4,7 @@
 import types
 
 from medlarquay import keys, routing
-from medlarquay.ingress import ingress_call, known_runs, routing_table
+from medlarquay.ingress import ingress_call, known_incarnations, routing_table
 
 __all__ = ('wanted_owner',)
 
@@ -16,7 +16,7 @@
     key: object,
     call: ingress_call.IngressCall,
     table: routing_table.RoutingTable,
-    runs: known_runs.KnownRuns,
+    incarnations: known_incarnations.KnownIncarnations,
 ) -> _Wanted:
     """Return what the choice of an owner must respect.
 
@@ -28,7 +28,7 @@
         Call.
     table : RoutingTable
         Snapshot in force, which may be newer than that of the call.
-    runs : KnownRuns
+    incarnations : KnownIncarnations
         Runs of owners.
     """
     raise TypeError(f'unexpected key {type(key).__name__}')
@@ -39,7 +39,7 @@
     key: None,
     call: ingress_call.IngressCall,
     table: routing_table.RoutingTable,
-    runs: known_runs.KnownRuns,
+    incarnations: known_incarnations.KnownIncarnations,
 ) -> _Wanted:
     return routing.AnyOwnerWanted(
         candidates=table.candidates(call.route.service),
@@ -52,12 +52,12 @@
     key: keys.BoundKey,
     call: ingress_call.IngressCall,
     table: routing_table.RoutingTable,
-    runs: known_runs.KnownRuns,
+    incarnations: known_incarnations.KnownIncarnations,
 ) -> _Wanted:
     return routing.BoundOwnerWanted(
         key=key,
         backends=table.current(call.route.service).backends,
-        incarnation=runs.run_of(key.instance),
+        incarnation=incarnations.incarnation_of(key.instance),
     )
 
 
@@ -66,7 +66,7 @@
     key: keys.PlainKey,
     call: ingress_call.IngressCall,
     table: routing_table.RoutingTable,
-    runs: known_runs.KnownRuns,
+    incarnations: known_incarnations.KnownIncarnations,
 ) -> _Wanted:
     return routing.HomeWanted(
         key=key,
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -55,7 +55,7 @@
         self.lifecycle: task.Task | None = None
         self.alarm: alarm.Alarm | None = None
         self.calls = ingress.IngressCalls()
-        self.runs = ingress.KnownRuns(hello=hello)
+        self.incarnations = ingress.KnownIncarnations(hello=hello)
         self.chooser = routing.Chooser(
             instance=hello.instance,
             observations=routing.Observations(),
@@ -74,7 +74,7 @@
             owner=owner,
         )
         self.key_issuer = ingress.KeyIssuer(
-            runs=self.runs,
+            incarnations=self.incarnations,
             table=self.table,
             sender=self.sender,
             reporter=reporter,
@@ -121,7 +121,7 @@
             call.parameters.key,
             call,
             self.table,
-            self.runs,
+            self.incarnations,
         )
         found = routing.choose(wanted, self.chooser, now)
         if isinstance(found, routing.ChoiceRefused):
@@ -232,7 +232,7 @@
         )
 
     def _report_if_finished(self) -> None:
-        if len(self.calls) or len(self.runs) or self.lifecycle is None:
+        if len(self.calls) or len(self.incarnations) or self.lifecycle is None:
             return
         lifecycle = self.lifecycle
         # Reported once; refusing a request after that is not work.
@@ -310,7 +310,7 @@
 
 @_handle.register
 def _gone(message: events.CallerGone, router: Router) -> None:
-    router.runs.withdraw(message.caller)
+    router.incarnations.withdraw(message.caller)
     call = router.calls.finish_caller(message.caller)
     if call is not None:
         router.observe(routing.CallWithdrawn(instance=call.instance))
