--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -79,4 +79,4 @@
 
 @_handle.register
 def _drain(message: events.DrainRequested, owner: CallerListener) -> None:
-    """Go on listening: the router refuses new work and closes politely."""
+    """Go on listening: a refusal proves not run, a closed port does not."""
