--- a/medlarquay/errors/__init__.py
+++ b/medlarquay/errors/__init__.py
@@ -1,6 +1,5 @@
 """The exception tree; every error carries its step and peer."""
 
-from medlarquay.errors.backend_error import BackendError
 from medlarquay.errors.decode_error import DecodeError
 from medlarquay.errors.document_error import DocumentError
 from medlarquay.errors.frame_too_large_error import FrameTooLargeError
@@ -12,7 +11,6 @@
 from medlarquay.errors.source_error import SourceError
 
 __all__ = (
-    'BackendError',
     'DecodeError',
     'DocumentError',
     'FrameTooLargeError',
