--- a/medlarquay/codec/control_decoders.py
+++ b/medlarquay/codec/control_decoders.py
@@ -122,6 +122,7 @@
         peer_port=_port(reader),
         slots=_count(reader),
         state=reader.take_choice(states.InstanceState),
+        node=ids.InstanceId(_text(reader)),
     )
     reader.finish()
     return record
--- a/medlarquay/codec/control_encoding.py
+++ b/medlarquay/codec/control_encoding.py
@@ -82,4 +82,5 @@
         entry.peer_port,
         entry.slots,
         entry.state.value,
+        entry.node,
     ]
--- a/medlarquay/daemon/build_owner.py
+++ b/medlarquay/daemon/build_owner.py
@@ -3,6 +3,7 @@
 from twisted.internet import interfaces
 
 from medlarquay import ledger, messages, telemetry
+from medlarquay.daemon import deployment as deployments
 from medlarquay.daemon import node_settings
 from medlarquay.tasks import backend, clocks, owner, task
 
@@ -17,6 +18,7 @@
     links: task.Task,
     counters: telemetry.Counters,
     records: telemetry.RecordLog,
+    deployment: deployments.Deployment,
 ) -> owner.Owner:
     """Build the owner and the backend task and connect them."""
     clock = clocks.Clocks()
@@ -27,6 +29,8 @@
         clock=clock,
         counters=counters,
         records=records,
+        names=deployment.front.names,
+        hung_s=deployment.hung_s,
     )
     own.ledger = ledger.Ledger(
         instance=hello.instance,
@@ -39,5 +43,6 @@
         host=settings.backend_host,
         port=settings.backend_port,
         clock=clock.monotonic,
+        names=deployment.front.names,
     )
     return own
--- a/medlarquay/daemon/build_router.py
+++ b/medlarquay/daemon/build_router.py
@@ -17,6 +17,7 @@
     observed: admin.ObservedNode,
     links: task.Task,
     owner: task.Task,
+    front: ingress.Front,
 ) -> tuple[router.Router, caller_listener.CallerListener]:
     """Build the router and the listener for callers and connect them."""
     routing = router.Router(
@@ -31,6 +32,7 @@
         ),
         # SystemRandom makes a system call for each choice.
         random=random.Random(),
+        front=front,
     )
     routing.start(reactor=reactor)
     callers = caller_listener.CallerListener(router=routing, reactor=reactor)
--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -7,6 +7,7 @@
 
 from medlarquay import admin
 from medlarquay.daemon import build_owner, build_router, node_settings
+from medlarquay.daemon import deployment as deployments
 from medlarquay.tasks import caller_listener, owner, peer_links, router
 
 __all__ = ('CallPath', 'build_call_path')
@@ -39,6 +40,7 @@
     reactor: interfaces.IReactorCore,
     settings: node_settings.NodeSettings,
     observed: admin.ObservedNode,
+    deployment: deployments.Deployment,
 ) -> CallPath:
     """Build the tasks that carry calls and connect them."""
     links = peer_links.PeerLinks(
@@ -54,12 +56,14 @@
         links=links,
         counters=observed.counters,
         records=observed.records,
+        deployment=deployment,
     )
     routing, callers = build_router.build_router(
         reactor=reactor,
         observed=observed,
         links=links,
         owner=own,
+        front=deployment.front,
     )
     own.router = routing
     links.router = routing
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -8,6 +8,9 @@
 from medlarquay import admin
 from medlarquay.daemon import (
     call_path,
+)
+from medlarquay.daemon import deployment as deployments
+from medlarquay.daemon import (
     distribution,
     known_peers,
     lifecycle,
@@ -20,6 +23,7 @@
     connector,
     peer_links,
     peer_listener,
+    readiness,
     source_fetcher,
 )
 
@@ -30,27 +34,44 @@
     *,
     reactor: interfaces.IReactorCore,
     settings: node_settings.NodeSettings,
+    deployment: deployments.Deployment | None = None,
 ) -> distribution.Distribution:
     """Build the tasks of a node, connect them and start them.
 
+    Parameters
+    ----------
+    reactor : IReactorCore
+        Reactor of the process.
+    settings : NodeSettings
+        Settings of the node.
+    deployment : Deployment, optional
+        What the node takes from its surroundings; the product's own
+        configuration service and header fields if left out.
+
     Returns
     -------
     Distribution
         Tasks whose counters are measured.
     """
     clock = time.monotonic
+    if deployment is None:
+        deployment = deployments.Deployment(
+            fetcher=source_fetcher.HttpFetcher(base_url=settings.source_url),
+        )
     observed = observed_node.observe_node(settings, clock)
     operators = admin.Admin(node=observed)
     path = call_path.build_call_path(
         reactor=reactor,
         settings=settings,
         observed=observed,
+        deployment=deployment,
     )
+    ready = readiness.Readiness(reactor=reactor)
     life = lifecycle.Lifecycle(
         reactor=reactor,
         clock=clock,
         parts=(path.owner, path.router, path.callers, path.links),
-        subscribers=(operators,),
+        subscribers=(operators, ready),
         drain_timeout_s=settings.drain_timeout_s,
     )
     path.owner.lifecycle = life
@@ -67,7 +88,7 @@
             reactor=reactor,
             clock=clock,
             links=connector.TcpConnector(reactor=reactor),
-            fetcher=source_fetcher.HttpFetcher(base_url=settings.source_url),
+            fetcher=deployment.fetcher,
             randomness=random.SystemRandom(),
             counters=observed.counters,
         ),
@@ -85,6 +106,12 @@
         port=settings.caller_port,
     )
     operators.listen(reactor, host=settings.host, port=settings.admin_port)
+    if deployment.readiness is not None:
+        ready.listen(
+            reactor,
+            host=deployment.readiness.host,
+            port=deployment.readiness.port,
+        )
     reactor.callWhenRunning(
         signals.post_on_signal,
         reactor=reactor,
--- a/medlarquay/errors/source_error.py
+++ b/medlarquay/errors/source_error.py
@@ -1,4 +1,4 @@
-"""The configuration service could not be read."""
+"""The configuration service failed or sent something malformed."""
 
 from medlarquay.errors import medlarquay_error
 
@@ -6,4 +6,28 @@
 
 
 class SourceError(medlarquay_error.MedlarquayError):
-    """The configuration service could not be read."""
+    """The configuration service failed or sent something malformed.
+
+    Parameters
+    ----------
+    message, step, peer : str
+        As for every error.
+    status : int
+        HTTP status of a refusal; 0 if there was no answer.
+    """
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        step: str,
+        peer: str = '',
+        status: int = 0,
+    ) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self._status = status
+
+    @property
+    def status(self) -> int:
+        """HTTP status of a refusal; 0 if there was no answer."""
+        return self._status
--- a/medlarquay/events/documents_read.py
+++ b/medlarquay/events/documents_read.py
@@ -21,6 +21,9 @@
         Highest revision of the tree.
     entries : tuple[replica.SourceValue, ...]
         Entries newer than the revision asked for.
+    whole : bool
+        Whether the entries are the whole tree, which a source without the
+        history after that revision sends.
     asked_at : float
         When the read was sent, seconds on the monotonic clock.
     """
@@ -30,3 +33,4 @@
     revision: ids.Revision
     entries: tuple[replica.SourceValue, ...]
     asked_at: float
+    whole: bool = False
--- a/medlarquay/ingress/__init__.py
+++ b/medlarquay/ingress/__init__.py
@@ -9,6 +9,7 @@
 from medlarquay.ingress.call_reporter import CallReporter
 from medlarquay.ingress.call_request import call_request
 from medlarquay.ingress.call_sender import CallSender
+from medlarquay.ingress.front import Front
 from medlarquay.ingress.ingress_call import IngressCall
 from medlarquay.ingress.ingress_calls import IngressCalls
 from medlarquay.ingress.key_issuer import KeyIssuer
@@ -21,6 +22,7 @@
 __all__ = (
     'CallReporter',
     'CallSender',
+    'Front',
     'IngressCall',
     'IngressCalls',
     'KeyIssuer',
--- a/medlarquay/ingress/call_reporter.py
+++ b/medlarquay/ingress/call_reporter.py
@@ -72,8 +72,8 @@
             telemetry.CallRecord(
                 recorded_at=self._wall_clock(),
                 side=states.RecordSide.INGRESS,
-                team=call.route.service.team,
-                service=call.route.service.parameters.name,
+                team=call.service.team,
+                service=call.service.parameters.name,
                 method=call.message.method,
                 target=call.message.target,
                 request_key=None if key is None else key.text,
--- a/medlarquay/ingress/call_sender.py
+++ b/medlarquay/ingress/call_sender.py
@@ -37,12 +37,12 @@
         request: messages.CallRequest,
     ) -> None:
         """Send a call to the owner of a backend server."""
-        if backend.instance == self._instance:
+        if backend.node_name == self._instance:
             self._owner.post(events.RunCall(link=_LOCAL, request=request))
             return
         self._links.post(
             events.SendCall(
-                instance=backend.instance,
+                instance=backend.node_name,
                 host=backend.host,
                 port=backend.peer_port,
                 request=request,
@@ -72,7 +72,7 @@
         """Open the link to the owner of a backend server."""
         self._links.post(
             events.OpenLink(
-                instance=backend.instance,
+                instance=backend.node_name,
                 host=backend.host,
                 port=backend.peer_port,
             ),
--- /dev/null
+++ b/medlarquay/ingress/front.py
@@ -0,0 +1,26 @@
+"""What the callers' side of an ingress knows of its surroundings."""
+
+import dataclasses
+
+from medlarquay import transport
+
+__all__ = ('Front',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class Front:
+    """What the callers' side of an ingress knows of its surroundings.
+
+    Attributes
+    ----------
+    names : HeaderNames
+        Header fields that are read and set.
+    service : bytes
+        Service whose backend server runs beside this node; its requests and
+        those of the callers on this machine carry it.
+    """
+
+    names: transport.HeaderNames = dataclasses.field(
+        default_factory=transport.HeaderNames,
+    )
+    service: bytes = b''
--- a/medlarquay/ingress/ingress_call.py
+++ b/medlarquay/ingress/ingress_call.py
@@ -17,6 +17,12 @@
         Request; its caller waits for the answer.
     route : Route
         Route of the snapshot that was in force when the request arrived.
+    service : Service
+        Service of the route that takes the request.
+    request_id : str
+        Id that the caller gave the request; empty if none.
+    received_at : float
+        Time of receipt, seconds on the monotonic clock.
     parameters : CallParameters
         Rank, deadline at the owner and key.
     deadline : float
@@ -26,6 +32,8 @@
         Number of the current attempt.
     instance : InstanceId
         Owner that the current attempt went to.
+    node : InstanceId
+        Node of that owner.
     sent_at : float
         Start of the current attempt, seconds on the monotonic clock.
     generation : int
@@ -36,10 +44,14 @@
 
     message: events.RequestReceived
     route: snapshots.Route
+    service: snapshots.Service
     parameters: routing.CallParameters
     deadline: float
+    request_id: str = ''
+    received_at: float = 0
     call_id: ids.CallId = ids.CallId(0)
     instance: ids.InstanceId = ids.InstanceId('')
+    node: ids.InstanceId = ids.InstanceId('')
     sent_at: float = 0
     generation: int = 0
     tried: tuple[ids.InstanceId, ...] = ()
--- a/medlarquay/ingress/open_call.py
+++ b/medlarquay/ingress/open_call.py
@@ -19,6 +19,7 @@
 def open_call(
     message: events.RequestReceived,
     table: routing_table.RoutingTable,
+    turns: routing.SplitTurns,
     now: float,
 ) -> _Opened:
     """Find out what a request wants.
@@ -29,6 +30,8 @@
         Request.
     table : RoutingTable
         Snapshot in force.
+    turns : SplitTurns
+        Shares the requests of split routes.
     now : float
         Seconds on the monotonic clock.
 
@@ -41,12 +44,13 @@
         return _refuse(states.RefusalReason.NO_CONFIGURATION)
     if message.target.partition(b'?')[0] == routing.KEY_PATH:
         return _open_key(message, snapshot, _host(message))
-    return _open_route(message, snapshot, now)
+    return _open_route(message, snapshot, turns, now)
 
 
 def _open_route(
     message: events.RequestReceived,
     snapshot: snapshots.Snapshot,
+    turns: routing.SplitTurns,
     now: float,
 ) -> _Opened:
     host = _host(message)
@@ -61,8 +65,10 @@
     return ingress_call.IngressCall(
         message=message,
         route=route,
+        service=turns.choose(route),
         parameters=parameters,
         deadline=parameters.deadline + _GRACE_S,
+        received_at=now,
     )
 
 
--- a/medlarquay/ingress/routing_table.py
+++ b/medlarquay/ingress/routing_table.py
@@ -1,6 +1,8 @@
 """The snapshot in force at the ingress."""
 
-from medlarquay import ids, routing, snapshots
+from collections.abc import Iterator
+
+from medlarquay import ids, replica, routing, snapshots
 
 __all__ = ('RoutingTable',)
 
@@ -22,6 +24,7 @@
             tuple[ids.TeamName, ids.ServiceName],
             routing.Candidates,
         ] = {}
+        self._by_node: dict[ids.InstanceId, list[ids.InstanceId]] | None = None
 
     @property
     def snapshot(self) -> snapshots.Snapshot | None:
@@ -38,6 +41,7 @@
         self._snapshot = snapshot
         self._generation += 1
         self._groups = {}
+        self._by_node = None
 
     def current(self, service: snapshots.Service) -> snapshots.Service:
         """Return a service as the snapshot in force has it."""
@@ -58,12 +62,24 @@
             self._groups[key] = found
         return found
 
+    def instances_at(
+        self,
+        node: ids.InstanceId,
+    ) -> tuple[ids.InstanceId, ...]:
+        """Return the instances beside a node; the node itself if unknown."""
+        if self._by_node is None:
+            self._by_node = {}
+            for backend in self._backends():
+                beside = self._by_node.setdefault(backend.node_name, [])
+                beside.append(backend.instance)
+        return tuple(self._by_node.get(node, (node,)))
+
     def instances(self) -> frozenset[ids.InstanceId]:
         """Return all instances of the snapshot in force."""
+        return frozenset(backend.instance for backend in self._backends())
+
+    def _backends(self) -> Iterator[replica.InstanceRecord]:
         if self._snapshot is None:
-            return frozenset()
-        return frozenset(
-            backend.instance
-            for service in self._snapshot.services.values()
-            for backend in service.backends
-        )
+            return
+        for service in self._snapshot.services.values():
+            yield from service.backends
--- a/medlarquay/ingress/wanted_owner.py
+++ b/medlarquay/ingress/wanted_owner.py
@@ -42,7 +42,7 @@
     incarnations: known_incarnations.KnownIncarnations,
 ) -> _Wanted:
     return routing.AnyOwnerWanted(
-        candidates=table.candidates(call.route.service),
+        candidates=table.candidates(call.service),
         excluded=call.tried,
     )
 
@@ -56,7 +56,7 @@
 ) -> _Wanted:
     return routing.BoundOwnerWanted(
         key=key,
-        backends=table.current(call.route.service).backends,
+        backends=table.current(call.service).backends,
         incarnation=incarnations.incarnation_of(key.instance),
     )
 
@@ -70,5 +70,5 @@
 ) -> _Wanted:
     return routing.HomeWanted(
         key=key,
-        backends=table.current(call.route.service).backends,
+        backends=table.current(call.service).backends,
     )
--- /dev/null
+++ b/medlarquay/platform/__init__.py
@@ -0,0 +1,3 @@
+"""The users' platform: its settings file, store, names and readiness."""
+
+__all__ = ()
--- /dev/null
+++ b/medlarquay/platform/main.py
@@ -0,0 +1,47 @@
+"""Entry point of a node on the users' platform."""
+
+import os
+import sys
+import time
+
+from medlarquay import errors, telemetry
+from medlarquay.platform import settings_file
+
+__all__ = ('run',)
+
+_BAD_SETTINGS = 2
+
+
+def run() -> None:
+    """Run a node until it is stopped."""
+    # Links are plain TCP; pyOpenSSL would cost 13 MB.
+    sys.modules.setdefault('OpenSSL', None)  # type: ignore[arg-type]
+    path = os.environ.get(settings_file.PATH_VARIABLE, '')
+    try:
+        own = settings_file.read_settings(path)
+    except errors.SettingError as failure:
+        sys.stderr.write(f'medlarquay: {failure}\n')
+        sys.exit(_BAD_SETTINGS)
+    telemetry.set_up_logs(stream=sys.stdout, level='info')
+    # The reactor is imported after the settings were checked.
+    from twisted.internet import reactor  # noqa: PLC0415
+
+    from medlarquay.daemon import node  # noqa: PLC0415
+    from medlarquay.platform import (  # noqa: PLC0415
+        node_parts,
+    )
+
+    node.start_node(
+        reactor=reactor,
+        settings=node_parts.node_settings_of(own),
+        deployment=node_parts.deployment_of(
+            own,
+            reactor=reactor,
+            clock=time.monotonic,
+        ),
+    )
+    reactor.run()
+
+
+if __name__ == '__main__':
+    run()
--- /dev/null
+++ b/medlarquay/platform/operators_document.py
@@ -0,0 +1,84 @@
+"""The operators' configuration as a document of the product."""
+
+import json
+from types import MappingProxyType
+from typing import Any
+
+from medlarquay import errors, settings, states
+from medlarquay.platform import duration
+
+__all__ = ('translate_configuration',)
+
+_STEP = 'translate configuration'
+_MAY_REPEAT = MappingProxyType({
+    'idempotent': True,
+    'download': True,
+    'non_idempotent': False,
+})
+_RANKS = tuple(states.Rank)
+_METHODS = [method.value for method in settings.HttpMethod]
+
+
+def translate_configuration(content: bytes) -> bytes:
+    """Return the document that a published configuration stands for.
+
+    Parameters
+    ----------
+    content : bytes
+        Value of the platform's configuration key (JSON).
+
+    Returns
+    -------
+    bytes
+        Document of the shared team (JSON), which the product checks whole.
+
+    Raises
+    ------
+    SourceError
+        If a field is missing or malformed.
+    """
+    try:
+        found = json.loads(content)
+        document = {
+            'services': {name: {} for name in found['services']},
+            'routes': [_route(entry) for entry in found['routes'].values()],
+        }
+    except (AttributeError, KeyError, TypeError, ValueError) as cause:
+        raise errors.SourceError(
+            f'malformed configuration: {cause!r}',
+            step=_STEP,
+        ) from cause
+    return json.dumps(document, separators=(',', ':')).encode()
+
+
+def _route(entry: dict[str, Any]) -> dict[str, object]:
+    # An unknown kind is not known to bear a second run.
+    repeatable = _MAY_REPEAT.get(entry['kind'], False)
+    route: dict[str, object] = {
+        'host': entry['host'].lower(),
+        'path_prefix': entry['path_prefix'],
+        'rank': _rank(entry['priority']).value,
+        'timeout_ms': duration.parse_duration_ms(
+            entry['timeout'],
+            field='timeout',
+        ),
+        'target_ms': duration.parse_duration_ms(
+            entry['target_latency'],
+            field='target_latency',
+        ),
+        'idempotent_methods': _METHODS if repeatable else [],
+        'attempts': entry['attempts'],
+    }
+    if 'split' in entry:
+        route['split'] = [
+            {'service': part['service'], 'weight': part['weight']}
+            for part in entry['split']
+        ]
+    else:
+        route['service'] = entry['service']
+    return route
+
+
+def _rank(priority: int) -> states.Rank:
+    # 0 is the most urgent; the product knows three ranks.
+    return _RANKS[max(0, min(priority, len(_RANKS) - 1))]
--- /dev/null
+++ b/medlarquay/platform/platform_settings.py
@@ -0,0 +1,45 @@
+"""What the platform's settings file says of this node."""
+
+import dataclasses
+from collections.abc import Mapping
+
+from medlarquay import addresses, ids
+
+__all__ = ('PlatformSettings',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PlatformSettings:
+    """What the platform's settings file says of this node.
+
+    Attributes
+    ----------
+    host : str
+        IP address of the machine.
+    data_centre, region : DataCentreName, RegionName
+        Where the machine stands.
+    regions : Mapping
+        Region of each data centre.
+    callers, readiness, backend, store : NodeAddress
+        Addresses for callers and for readiness questions; of the backend
+        server beside the node; of the platform's store.
+    peer_port, admin_port : int
+        Ports for other nodes and for operators.
+    service : ServiceName
+        Service of the backend server beside the node.
+    drain_timeout_s : float
+        Time from SIGTERM to SIGKILL, in seconds.
+    """
+
+    host: str
+    data_centre: ids.DataCentreName
+    region: ids.RegionName
+    regions: Mapping[str, str]
+    callers: addresses.NodeAddress
+    readiness: addresses.NodeAddress
+    backend: addresses.NodeAddress
+    store: addresses.NodeAddress
+    peer_port: int
+    admin_port: int
+    service: ids.ServiceName
+    drain_timeout_s: float
--- /dev/null
+++ b/medlarquay/platform/settings_file.py
@@ -0,0 +1,127 @@
+"""Reading of the platform's settings file."""
+
+import pathlib
+from collections.abc import Mapping
+
+from medlarquay import addresses, errors, ids
+from medlarquay.platform import duration, platform_settings
+
+__all__ = ('PATH_VARIABLE', 'parse_settings', 'read_settings')
+
+#: Environment variable with the path of the file.
+PATH_VARIABLE = 'MEDLARQUAY_CONFIG'
+
+_STEP = 'read settings file'
+_ZONE_PREFIX = 'zones.'
+_GRACE = 'grace'
+# Used when the file states no time between SIGTERM and SIGKILL.
+_DEFAULT_GRACE = '6s'
+_MS_PER_SECOND = 1000
+
+
+def read_settings(path: str) -> platform_settings.PlatformSettings:
+    """Read and check the settings file.
+
+    Raises
+    ------
+    SettingError
+        If the file cannot be read or a field breaks a rule.
+    """
+    try:
+        content = pathlib.Path(path).read_text(encoding='utf-8')
+    except (OSError, UnicodeDecodeError) as cause:
+        raise errors.SettingError(
+            f'cannot read the settings file: {cause}',
+            step=_STEP,
+            peer=path,
+        ) from cause
+    return parse_settings(content)
+
+
+def parse_settings(content: str) -> platform_settings.PlatformSettings:
+    """Check the lines ``a.b=value`` of a settings file.
+
+    Raises
+    ------
+    SettingError
+        Names the field, its value and the rule that it breaks.
+    """
+    fields = _split_lines(content)
+    low, high = _ports(fields)
+    return platform_settings.PlatformSettings(
+        host=_text(fields, 'ip'),
+        data_centre=ids.DataCentreName(_text(fields, 'zone')),
+        region=ids.RegionName(_text(fields, 'region')),
+        regions={
+            name.removeprefix(_ZONE_PREFIX): region
+            for name, region in fields.items()
+            if name.startswith(_ZONE_PREFIX)
+        },
+        callers=_address(fields, 'bind.outbound'),
+        readiness=_address(fields, 'bind.readiness'),
+        # Only processes of this machine reach it.
+        backend=_address(fields, 'app_addr'),
+        store=_address(fields, 'platform.address'),
+        peer_port=low,
+        admin_port=high,
+        service=ids.ServiceName(_text(fields, 'service')),
+        drain_timeout_s=_grace_s(fields),
+    )
+
+
+def _split_lines(content: str) -> dict[str, str]:
+    fields: dict[str, str] = {}
+    for line in content.splitlines():
+        name, found, text = line.partition('=')
+        if found:
+            fields[name.strip()] = text.strip()
+    return fields
+
+
+def _text(fields: Mapping[str, str], name: str) -> str:
+    text = fields.get(name, '')
+    if text:
+        return text
+    raise _error(name, text, 'is required')
+
+
+def _address(
+    fields: Mapping[str, str],
+    name: str,
+) -> addresses.NodeAddress:
+    text = _text(fields, name)
+    try:
+        return addresses.parse_address(text)
+    except ValueError as cause:
+        raise _error(name, text, str(cause)) from cause
+
+
+def _ports(fields: Mapping[str, str]) -> tuple[int, int]:
+    name = 'internal_ports'
+    text = _text(fields, name)
+    rule = 'must be the first and the last of at least two ports'
+    low, _, high = text.partition(',')
+    try:
+        ports = (addresses.parse_port(low), addresses.parse_port(high))
+    except ValueError as cause:
+        raise _error(name, text, rule) from cause
+    if ports[0] < ports[1]:
+        return ports
+    raise _error(name, text, rule)
+
+
+def _grace_s(fields: Mapping[str, str]) -> float:
+    bounds = dict(
+        bound.partition('=')[::2]
+        for bound in fields.get('bounds', '').split(',')
+    )
+    text = bounds.get(_GRACE, _DEFAULT_GRACE)
+    try:
+        found = duration.parse_duration_ms(text, field=f'bounds.{_GRACE}')
+    except errors.SourceError as cause:
+        raise _error(f'bounds.{_GRACE}', text, str(cause)) from cause
+    return found / _MS_PER_SECOND
+
+
+def _error(name: str, text: str, rule: str) -> errors.SettingError:
+    return errors.SettingError(f'{name} is {text!r}: {rule}', step=_STEP)
--- /dev/null
+++ b/medlarquay/platform/store_client.py
@@ -0,0 +1,164 @@
+"""HTTP client of the platform's store."""
+
+import json
+import urllib.parse
+from collections.abc import Callable, Mapping
+from typing import Any
+
+from twisted.internet import defer, endpoints, interfaces
+
+from medlarquay import addresses, errors, events, ids, transport
+
+__all__ = ('StoreClient',)
+
+_STEP = 'call store'
+_CONNECT_TIMEOUT_S = 1
+# A page of items holds 1 MB of values, a third more in base64.
+_MAX_ANSWER_BYTES = 1 << 24
+_OK = 200
+_GET = b'GET'
+
+_Result = events.BackendAnswered | events.BackendFailed
+
+
+class StoreClient:
+    """Calls the store over connections that are kept for later calls.
+
+    Parameters
+    ----------
+    reactor : IReactorTCP and IReactorTime
+        Opens connections and schedules timeouts.
+    address : NodeAddress
+        Store.
+    clock : callable
+        Returns seconds on the monotonic clock.
+
+    Notes
+    -----
+    A connection on which an answer is overdue is closed: the store sends
+    nothing more on it.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTCP,
+        address: addresses.NodeAddress,
+        clock: Callable[[], float],
+    ) -> None:
+        self._reactor = reactor
+        self._address = address
+        self._clock = clock
+        self._endpoint = endpoints.TCP4ClientEndpoint(
+            reactor,
+            address.host,
+            address.port,
+            timeout=_CONNECT_TIMEOUT_S,
+        )
+        self._idle: list[transport.BackendConnection] = []
+        self._waiting: dict[ids.ExchangeId, defer.Deferred[_Result]] = {}
+        self._last = 0
+
+    async def get(
+        self,
+        path: str,
+        query: Mapping[str, object],
+        *,
+        timeout_s: float,
+    ) -> Any:
+        """Return the parsed body of the store's answer.
+
+        Parameters
+        ----------
+        path : str
+            Path of the call.
+        query : Mapping
+            Parameters of the call.
+        timeout_s : float
+            Longest time for the answer, in seconds.
+
+        Raises
+        ------
+        SourceError
+            If the store does not answer in time, refuses or sends no JSON;
+            its ``status`` tells a refusal.
+        """
+        target = f'{path}?{urllib.parse.urlencode(query)}'
+        answer = await self._exchange(target, timeout_s)
+        if isinstance(answer, events.BackendFailed):
+            raise self._error(f'{path}: the connection was lost')
+        if answer.status != _OK:
+            raise errors.SourceError(
+                f'{path}: answered {answer.status}',
+                step=_STEP,
+                peer=str(self._address),
+                status=answer.status,
+            )
+        try:
+            return json.loads(answer.body)
+        except ValueError as cause:
+            raise self._error(f'{path}: answered no JSON: {cause}') from cause
+
+    async def _exchange(self, target: str, timeout_s: float) -> _Result:
+        deadline = self._clock() + timeout_s
+        connection = await self._connect()
+        self._last += 1
+        exchange = ids.ExchangeId(self._last)
+        waiting: defer.Deferred[_Result] = defer.Deferred()
+        self._waiting[exchange] = waiting
+        connection.start(
+            events.StartRequest(
+                exchange=exchange,
+                method=_GET,
+                target=target.encode(),
+                headers=((b'host', str(self._address).encode()),),
+                body=b'',
+                deadline=deadline,
+            ),
+        )
+        left = max(0, deadline - self._clock())
+        timer = self._reactor.callLater(left, self._expire, exchange)
+        try:
+            return await waiting
+        finally:
+            if timer.active():
+                timer.cancel()
+            else:
+                connection.abort()
+
+    async def _connect(self) -> transport.BackendConnection:
+        while self._idle:
+            connection = self._idle.pop()
+            if connection.usable:
+                return connection
+        opened = transport.BackendConnection(
+            deliver=self._deliver,
+            release=self._idle.append,
+            closed=_forget,
+            max_answer_bytes=_MAX_ANSWER_BYTES,
+        )
+        try:
+            return await endpoints.connectProtocol(self._endpoint, opened)
+        except Exception as cause:
+            raise self._error(f'cannot connect: {cause}') from cause
+
+    def _deliver(self, message: _Result) -> None:
+        waiting = self._waiting.pop(message.exchange, None)
+        if waiting is not None:
+            waiting.callback(message)
+
+    def _expire(self, exchange: ids.ExchangeId) -> None:
+        waiting = self._waiting.pop(exchange, None)
+        if waiting is not None:
+            waiting.errback(self._error('no answer in time'))
+
+    def _error(self, message: str) -> errors.SourceError:
+        return errors.SourceError(
+            message,
+            step=_STEP,
+            peer=str(self._address),
+        )
+
+
+def _forget(connection: transport.BackendConnection) -> None:
+    """Leave a closed connection in the list; it is not usable any more."""
--- /dev/null
+++ b/medlarquay/platform/store_fetcher.py
@@ -0,0 +1,182 @@
+"""Reads of the platform's store as reads of the product's source."""
+
+import base64
+import binascii
+import json
+from collections.abc import Iterable
+from types import MappingProxyType
+from typing import Any
+
+import logbook
+
+from medlarquay import errors, ids, replica, settings
+from medlarquay.platform import (
+    backend_entry,
+    operators_document,
+    platform_settings,
+    store_client,
+)
+
+__all__ = ('StoreFetcher',)
+
+_LOG = logbook.Logger('store')
+_STEP = 'read store'
+_CONFIGURATION_KEY = 'op/config'
+_PREFIXES = MappingProxyType({
+    replica.SourceTree.TEAMS: 'op/',
+    replica.SourceTree.INSTANCES: 'servers/',
+})
+# The store answers in milliseconds; more means that the answer was lost.
+_ANSWER_S = 1.0
+_MS_PER_SECOND = 1000
+_HISTORY_GONE = 410
+# The product rejects it, since it is no document.
+_UNREADABLE = 'unreadable'
+
+_Item = dict[str, Any]
+_Answer = dict[str, object]
+
+
+class StoreFetcher:
+    """Reads the platform's store.
+
+    Parameters
+    ----------
+    client : StoreClient
+        Calls the store.
+    own : PlatformSettings
+        Settings of this node.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: store_client.StoreClient,
+        own: platform_settings.PlatformSettings,
+    ) -> None:
+        self._client = client
+        self._own = own
+
+    async def fetch(
+        self,
+        tree: replica.SourceTree,
+        *,
+        after: ids.Revision,
+        wait_ms: int,
+    ) -> bytes:
+        """Return the answer of the source.
+
+        Raises
+        ------
+        SourceError
+            If the store refuses, is silent or sends something malformed.
+        """
+        answer = None
+        if after:
+            answer = await self._watch(tree, after, wait_ms)
+        if answer is None:
+            answer = await self._list(tree)
+        return json.dumps(answer).encode()
+
+    async def _watch(
+        self,
+        tree: replica.SourceTree,
+        after: ids.Revision,
+        wait_ms: int,
+    ) -> _Answer | None:
+        query = {
+            'path_prefix': _PREFIXES[tree],
+            'after': after,
+            'wait_ms': wait_ms,
+        }
+        timeout_s = wait_ms / _MS_PER_SECOND + _ANSWER_S
+        try:
+            found = await self._client.get(
+                '/kv-watch',
+                query,
+                timeout_s=timeout_s,
+            )
+        except errors.SourceError as failure:
+            if failure.status == _HISTORY_GONE:
+                _LOG.info('history after revision {} is gone', after)
+                return None
+            raise
+        return {
+            'revision': found['at'],
+            'entries': list(self._entries(tree, found['events'])),
+        }
+
+    async def _list(self, tree: replica.SourceTree) -> _Answer:
+        entries: list[_Answer] = []
+        after = ''
+        revision = None
+        while True:
+            found = await self._client.get(
+                '/kv-range',
+                {'path_prefix': _PREFIXES[tree], 'after': after},
+                timeout_s=_ANSWER_S,
+            )
+            # Pages are no snapshot; changes after the first page are in the
+            # history that follows its revision.
+            revision = found['at'] if revision is None else revision
+            entries.extend(self._entries(tree, found['items']))
+            if not found['has_more']:
+                return {
+                    'revision': revision,
+                    'entries': entries,
+                    'whole': True,
+                }
+            after = found['items'][-1]['key']
+
+    def _entries(
+        self,
+        tree: replica.SourceTree,
+        items: Iterable[_Item],
+    ) -> Iterable[_Answer]:
+        for item in items:
+            key = item['key']
+            if tree is replica.SourceTree.INSTANCES:
+                name = key.removeprefix(_PREFIXES[tree])
+            elif key == _CONFIGURATION_KEY:
+                name = settings.SHARED_TEAM
+            else:
+                continue
+            yield {
+                'key': name,
+                'revision': item['revision'],
+                'value': self._value(tree, name, item),
+            }
+
+    def _value(
+        self,
+        tree: replica.SourceTree,
+        name: str,
+        item: _Item,
+    ) -> str | None:
+        if item.get('is_deleted'):
+            return None
+        try:
+            return self._translate(tree, name, item).decode()
+        except errors.SourceError as failure:
+            _LOG.warning('revision {}: {}', item['revision'], failure)
+        # An unreadable configuration changes nothing; an unreadable entry
+        # names no backend server.
+        return _UNREADABLE if tree is replica.SourceTree.TEAMS else None
+
+    def _translate(
+        self,
+        tree: replica.SourceTree,
+        name: str,
+        item: _Item,
+    ) -> bytes:
+        try:
+            content = base64.b64decode(item['value'], validate=True)
+        except (TypeError, binascii.Error) as cause:
+            raise errors.SourceError(
+                f'value is not base64: {cause}',
+                step=_STEP,
+                peer=name,
+            ) from cause
+        if tree is replica.SourceTree.TEAMS:
+            return operators_document.translate_configuration(content)
+        return backend_entry.translate_entry(name, content, own=self._own)
--- a/medlarquay/replica/apply_source.py
+++ b/medlarquay/replica/apply_source.py
@@ -22,6 +22,7 @@
     after: ids.Revision,
     revision: ids.Revision,
     entries: tuple[source_value.SourceValue, ...],
+    whole: bool = False,
 ) -> change.Change:
     """Apply the entries of one tree newer than the revision asked for.
 
@@ -37,6 +38,9 @@
         Highest revision of the tree at the source.
     entries : tuple of SourceValue
         Entries of the answer.
+    whole : bool
+        Whether the answer lists the whole tree, so that an instance that it
+        does not name is gone.
 
     Returns
     -------
@@ -53,13 +57,33 @@
             _join_document(held, entry, found)
         else:
             _join_entry(held, entry, found)
-    if after <= _revision_of(held, tree):
+    if whole and tree is source_tree.SourceTree.INSTANCES:
+        _remove_unlisted(held, revision, entries, found)
+    if whole or after <= _revision_of(held, tree):
         held.raise_vector(reached, found)
     else:
         found.note(states.ReplicaEvent.DELTA_GAP)
     return found
 
 
+def _remove_unlisted(
+    held: replica.Replica,
+    revision: ids.Revision,
+    entries: tuple[source_value.SourceValue, ...],
+    found: change.Change,
+) -> None:
+    listed = {entry.key for entry in entries}
+    for record in held.instances:
+        if record.instance not in listed and record.revision <= revision:
+            held.join_instance(
+                instance_record.tombstone(
+                    instance=record.instance,
+                    revision=revision,
+                ),
+                found,
+            )
+
+
 def _revision_of(
     held: replica.Replica,
     tree: source_tree.SourceTree,
--- a/medlarquay/replica/documents.py
+++ b/medlarquay/replica/documents.py
@@ -42,4 +42,5 @@
         peer_port=int(entry['peer_port']),
         slots=int(entry['slots']),
         state=states.InstanceState(entry['state']),
+        node=ids.InstanceId(str(entry.get('node', ''))),
     )
--- a/medlarquay/replica/instance_record.py
+++ b/medlarquay/replica/instance_record.py
@@ -35,6 +35,9 @@
         Requests that the backend server runs at once.
     state : states.InstanceState
         Live or leaving.
+    node : ids.InstanceId
+        Node beside the backend server, as its greeting names it; empty where
+        nodes are named after their instances.
     deleted : bool
         Whether the entry is a tombstone.
     """
@@ -50,8 +53,14 @@
     peer_port: int
     slots: int
     state: states.InstanceState
+    node: ids.InstanceId = ids.InstanceId('')
     deleted: bool = False
 
+    @property
+    def node_name(self) -> ids.InstanceId:
+        """Name in the greeting of the node beside the backend server."""
+        return self.node or self.instance
+
 
 def tombstone(
     *,
--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -25,6 +25,7 @@
 from medlarquay.routing.retry_denied import RetryDenied
 from medlarquay.routing.retry_granted import RetryGranted
 from medlarquay.routing.service_for_key import KEY_PATH, service_for_key
+from medlarquay.routing.split_turns import SplitTurns
 from medlarquay.routing.zone import Zone
 
 __all__ = (
@@ -52,6 +53,7 @@
     'Observations',
     'OwnerChosen',
     'RefusalObserved',
+    'SplitTurns',
     'Zone',
     'choose',
     'group_candidates',
--- a/medlarquay/routing/pick.py
+++ b/medlarquay/routing/pick.py
@@ -120,7 +120,7 @@
     now: float,
 ) -> tuple[replica.InstanceRecord, expected_wait.Estimate] | None:
     for backend in usable:
-        if backend.instance == state.instance:
+        if backend.node_name == state.instance:
             own = _estimate(backend, state, now)
             return (backend, own) if own.free else None
     return None
--- a/medlarquay/settings/__init__.py
+++ b/medlarquay/settings/__init__.py
@@ -2,14 +2,18 @@
 
 from medlarquay.settings.document_field import DocumentField
 from medlarquay.settings.http_method import HttpMethod
+from medlarquay.settings.limits import MAX_TIMEOUT_MS, SHARED_TEAM
 from medlarquay.settings.parse import parse_document
 from medlarquay.settings.route_field import RouteField
 from medlarquay.settings.route_settings import RouteSettings
 from medlarquay.settings.service_field import ServiceField
 from medlarquay.settings.service_settings import ServiceSettings
 from medlarquay.settings.team_document import TeamDocument
+from medlarquay.settings.weighted_service import WeightedService
 
 __all__ = (
+    'MAX_TIMEOUT_MS',
+    'SHARED_TEAM',
     'DocumentField',
     'HttpMethod',
     'RouteField',
@@ -17,5 +21,6 @@
     'ServiceField',
     'ServiceSettings',
     'TeamDocument',
+    'WeightedService',
     'parse_document',
 )
--- a/medlarquay/settings/check_routes.py
+++ b/medlarquay/settings/check_routes.py
@@ -36,12 +36,7 @@
     routes: dict[tuple[str, str], route_settings.RouteSettings] = {}
     for entry in entries:
         route = parse_route.parse_route(entry)
-        if route.service not in known:
-            raise document_value.DocumentValue(
-                team=entry.team,
-                path=f'{entry.path}.service',
-                content=route.service,
-            ).error('must name a service of the same team')
+        _check_services(entry, route, known)
         key = (route.host, route.path_prefix)
         if key in routes:
             raise entry.error('must not repeat a host and path_prefix')
@@ -49,5 +44,19 @@
     return tuple(sorted(routes.values(), key=_order))
 
 
+def _check_services(
+    entry: document_value.DocumentValue,
+    route: route_settings.RouteSettings,
+    known: Container[ids.ServiceName],
+) -> None:
+    for service in (route.service, *(part.service for part in route.split)):
+        if service not in known:
+            raise document_value.DocumentValue(
+                team=entry.team,
+                path=f'{entry.path}.service',
+                content=service,
+            ).error('must name a service of the same team')
+
+
 def _order(route: route_settings.RouteSettings) -> tuple[str, int, str]:
     return (route.host, -len(route.path_prefix), route.path_prefix)
--- a/medlarquay/settings/limits.py
+++ b/medlarquay/settings/limits.py
@@ -3,11 +3,13 @@
 from medlarquay.settings import http_method
 
 __all__ = (
+    'DEFAULT_ATTEMPTS',
     'DEFAULT_COLD_START_MS',
     'DEFAULT_METHODS',
     'DEFAULT_PREFIX',
     'DEFAULT_QUEUE_LIMIT',
     'DEFAULT_TIMEOUT_MS',
+    'MAX_ATTEMPTS',
     'MAX_COLD_START_MS',
     'MAX_DOCUMENT_BYTES',
     'MAX_FLOOR_SUM',
@@ -18,7 +20,10 @@
     'MAX_QUEUE_LIMIT',
     'MAX_ROUTES',
     'MAX_SERVICES',
+    'MAX_SPLIT',
     'MAX_TIMEOUT_MS',
+    'MAX_WEIGHT',
+    'SHARED_TEAM',
 )
 
 # The source holds values of at most 1 MB.
@@ -40,6 +45,13 @@
 DEFAULT_COLD_START_MS = 0
 MAX_COLD_START_MS = 600_000
 
+#: Team of a platform that publishes one document for all; its routes may
+#: name any host, since no other team has a subtree there.
+SHARED_TEAM = 'operators'
+DEFAULT_ATTEMPTS = 3
+MAX_ATTEMPTS = 16
+MAX_SPLIT = 16
+MAX_WEIGHT = 1_000_000
 DEFAULT_TIMEOUT_MS = 2000
 MAX_TIMEOUT_MS = 600_000
 
--- a/medlarquay/settings/parse_route.py
+++ b/medlarquay/settings/parse_route.py
@@ -10,6 +10,8 @@
     parse_service,
     route_field,
     route_settings,
+    split_field,
+    weighted_service,
 )
 
 __all__ = ('parse_route',)
@@ -33,19 +35,35 @@
         If any rule is broken.
     """
     found = entry.fields(route_field.RouteField)
-    for required in (
-        route_field.RouteField.HOST,
-        route_field.RouteField.SERVICE,
-    ):
-        if required not in found:
-            raise entry.error(f'must have the field {required.value}')
+    if route_field.RouteField.HOST not in found:
+        raise entry.error('must have the field host')
+    split = _parse_split(found)
+    if split:
+        service = split[0].service
+    elif route_field.RouteField.SERVICE in found:
+        service = _parse_service(found[route_field.RouteField.SERVICE])
+    else:
+        raise entry.error('must have the field service or split')
     return route_settings.RouteSettings(
         host=_parse_host(found[route_field.RouteField.HOST]),
         path_prefix=_parse_prefix(found),
-        service=_parse_service(found[route_field.RouteField.SERVICE]),
+        service=service,
         rank=_parse_rank(found),
         timeout_ms=_parse_timeout(found),
         idempotent_methods=_parse_methods(found),
+        split=split,
+        attempts=_parse_number(
+            found.get(route_field.RouteField.ATTEMPTS),
+            default=limits.DEFAULT_ATTEMPTS,
+            low=1,
+            high=limits.MAX_ATTEMPTS,
+        ),
+        target_ms=_parse_number(
+            found.get(route_field.RouteField.TARGET_MS),
+            default=0,
+            low=0,
+            high=limits.MAX_TIMEOUT_MS,
+        ),
     )
 
 
@@ -55,7 +73,8 @@
         length=limits.MAX_HOST_LENGTH,
         rule='must be a host name in lower case without port',
     )
-    if host.endswith(f'.{entry.team}'):
+    free = entry.team == limits.SHARED_TEAM
+    if free or host.endswith(f'.{entry.team}'):
         return host
     raise entry.error(f'must end in .{entry.team}')
 
@@ -89,10 +108,51 @@
 
 
 def _parse_timeout(found: _Fields) -> int:
-    entry = found.get(route_field.RouteField.TIMEOUT_MS)
+    return _parse_number(
+        found.get(route_field.RouteField.TIMEOUT_MS),
+        default=limits.DEFAULT_TIMEOUT_MS,
+        low=1,
+        high=limits.MAX_TIMEOUT_MS,
+    )
+
+
+def _parse_number(
+    entry: document_value.DocumentValue | None,
+    *,
+    default: int,
+    low: int,
+    high: int,
+) -> int:
+    return default if entry is None else entry.integer(low=low, high=high)
+
+
+def _parse_split(
+    found: _Fields,
+) -> tuple[weighted_service.WeightedService, ...]:
+    entry = found.get(route_field.RouteField.SPLIT)
     if entry is None:
-        return limits.DEFAULT_TIMEOUT_MS
-    return entry.integer(low=1, high=limits.MAX_TIMEOUT_MS)
+        return ()
+    parts = tuple(
+        _parse_part(part) for part in entry.elements(limit=limits.MAX_SPLIT)
+    )
+    if not any(part.weight for part in parts):
+        raise entry.error('must have a part with a weight above 0')
+    return tuple(part for part in parts if part.weight)
+
+
+def _parse_part(
+    entry: document_value.DocumentValue,
+) -> weighted_service.WeightedService:
+    found = entry.fields(split_field.SplitField)
+    if len(found) < len(split_field.SplitField):
+        raise entry.error('must have the fields service and weight')
+    return weighted_service.WeightedService(
+        service=_parse_service(found[split_field.SplitField.SERVICE]),
+        weight=found[split_field.SplitField.WEIGHT].integer(
+            low=0,
+            high=limits.MAX_WEIGHT,
+        ),
+    )
 
 
 def _parse_methods(found: _Fields) -> tuple[str, ...]:
--- a/medlarquay/settings/route_field.py
+++ b/medlarquay/settings/route_field.py
@@ -14,3 +14,6 @@
     RANK = 'rank'
     TIMEOUT_MS = 'timeout_ms'
     IDEMPOTENT_METHODS = 'idempotent_methods'
+    SPLIT = 'split'
+    ATTEMPTS = 'attempts'
+    TARGET_MS = 'target_ms'
--- a/medlarquay/settings/route_settings.py
+++ b/medlarquay/settings/route_settings.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from medlarquay import ids, states
+from medlarquay.settings import limits, weighted_service
 
 __all__ = ('RouteSettings',)
 
@@ -25,6 +26,14 @@
         Longest time for a call, in milliseconds.
     idempotent_methods : tuple[str, ...]
         Methods that may run more than once.
+    split : tuple[weighted_service.WeightedService, ...]
+        Services that share the requests by weight, ``service`` first; empty
+        when all go to ``service``.
+    attempts : int
+        Most backend servers that one request is sent to.
+    target_ms : int
+        Time within which an answer is worth most, in milliseconds; 0 if the
+        operators state none.
     """
 
     host: str
@@ -33,3 +42,6 @@
     rank: states.Rank
     timeout_ms: int
     idempotent_methods: tuple[str, ...]
+    split: tuple[weighted_service.WeightedService, ...] = ()
+    attempts: int = limits.DEFAULT_ATTEMPTS
+    target_ms: int = 0
--- /dev/null
+++ b/medlarquay/settings/split_field.py
@@ -0,0 +1,12 @@
+"""Fields of one part of a split route in a team's document."""
+
+import enum
+
+__all__ = ('SplitField',)
+
+
+class SplitField(enum.Enum):
+    """Fields of one part of a split route in a team's document."""
+
+    SERVICE = 'service'
+    WEIGHT = 'weight'
--- a/medlarquay/snapshots/bind_team.py
+++ b/medlarquay/snapshots/bind_team.py
@@ -15,6 +15,7 @@
 __all__ = ('bind_team', 'bound_before')
 
 _Backends = Mapping[service_key.ServiceKey, tuple[replica.InstanceRecord, ...]]
+_Split = tuple[tuple[service.Service, int], ...]
 _Services = dict[service_key.ServiceKey, service.Service]
 
 
@@ -92,22 +93,39 @@
     routes: dict[bytes, list[route.Route]] = {}
     for parameters in document.routes:
         target = services[document.team, parameters.service]
+        split = tuple(
+            (services[document.team, part.service], part.weight)
+            for part in parameters.split
+        )
         bound = reusable.get(parameters)
-        if bound is None or bound.service is not target:
-            bound = _bind_route(parameters, target)
+        if bound is None or not _is_bound(bound, target, split):
+            bound = _bind_route(parameters, target, split)
         routes.setdefault(parameters.host.encode(), []).append(bound)
     return {host: _longest_first(found) for host, found in routes.items()}
 
 
+def _is_bound(
+    bound: route.Route,
+    target: service.Service,
+    split: _Split,
+) -> bool:
+    if bound.service is not target or len(bound.split) != len(split):
+        return False
+    pairs = zip(bound.split, split, strict=True)
+    return all(held[0] is wanted[0] for held, wanted in pairs)
+
+
 def _bind_route(
     parameters: settings.RouteSettings,
     target: service.Service,
+    split: _Split,
 ) -> route.Route:
     return route.Route(
         parameters=parameters,
         prefix=parameters.path_prefix.encode(),
         idempotent_methods=_encode_methods(parameters.idempotent_methods),
         service=target,
+        split=split,
     )
 
 
--- a/medlarquay/snapshots/route.py
+++ b/medlarquay/snapshots/route.py
@@ -22,9 +22,13 @@
         Methods that may run more than once.
     service : service.Service
         Service of the same snapshot.
+    split : tuple of (Service, int)
+        Services that share the requests, with their weights; empty when all
+        go to ``service``.
     """
 
     parameters: settings.RouteSettings
     prefix: bytes
     idempotent_methods: frozenset[bytes]
     service: service.Service
+    split: tuple[tuple[service.Service, int], ...] = ()
--- a/medlarquay/tasks/backend.py
+++ b/medlarquay/tasks/backend.py
@@ -36,6 +36,9 @@
         Address of the backend server.
     clock : callable
         Returns seconds on the monotonic clock.
+    names : HeaderNames, optional
+        Header fields of the backend server; those of the product if left
+        out.
 
     Notes
     -----
@@ -54,6 +57,7 @@
         host: str,
         port: int,
         clock: Callable[[], float],
+        names: transport.HeaderNames | None = None,
     ) -> None:
         super().__init__(name='backend')
         self.active: dict[ids.ExchangeId, transport.BackendConnection] = {}
@@ -64,6 +68,7 @@
         self._probing = False
         self._timer: interfaces.IDelayedCall | None = None
         self._probe_delay: float = _FIRST_PROBE_S
+        self._names = transport.HeaderNames() if names is None else names
         self._reactor = reactor
         self._owner = owner
         self._clock = clock
@@ -144,6 +149,7 @@
             deliver=self._deliver,
             release=self.idle.append,
             closed=self._closed,
+            names=self._names,
         )
         return endpoints.connectProtocol(self._endpoint, connection)
 
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -163,6 +163,7 @@
         after=message.after,
         revision=message.revision,
         entries=message.entries,
+        whole=message.whole,
     )
     configuration.take_change(change)
     if states.ReplicaEvent.SOURCE_STALE in change.notes:
--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -11,11 +11,15 @@
     quarantine,
     states,
     telemetry,
+    transport,
 )
 from medlarquay.tasks import alarm, clocks, owner_jobs, owner_place, task
 
 __all__ = ('OwnerBase', 'Result')
 
+# A backend server that does not stop at the deadline may work this long.
+_HUNG_S = 600
+
 Result = messages.CallAnswered | messages.CallRefused | messages.CallUnknown
 
 # Replaced by the settings before the first request is admitted.
@@ -39,6 +43,12 @@
         Counts refusals.
     records : RecordLog
         Receives records of non-idempotent runs and crashes.
+    names : HeaderNames, optional
+        Header fields of the backend server; those of the product if left
+        out.
+    hung_s : float
+        Seconds past the deadline of a non-idempotent request after which the
+        backend server will not answer any more, and its slot is given up.
     """
 
     def __init__(
@@ -50,6 +60,8 @@
         clock: clocks.Clocks,
         counters: telemetry.Counters,
         records: telemetry.RecordLog,
+        names: transport.HeaderNames | None = None,
+        hung_s: float = _HUNG_S,
     ) -> None:
         super().__init__(name='owner')
         self.backend: task.Task | None = None
@@ -69,6 +81,9 @@
         self.jobs = owner_jobs.OwnerJobs()
         self.backend_state = states.BackendState.UP
         self.draining = False
+        self.names = transport.HeaderNames() if names is None else names
+        self.hung_s = hung_s
+        self._stopping = False
         self._links = links
         self._crashes = 0
         self._finished = False
@@ -117,13 +132,31 @@
         for peer in self.place.peers:
             self._links.post(
                 events.SendNotice(
-                    instance=peer.instance,
+                    instance=peer.node_name,
                     host=peer.host,
                     port=peer.peer_port,
                     message=message,
                 ),
             )
 
+    def follow_state(self, state: states.InstanceState) -> None:
+        """Take new work only while the instance list says live."""
+        if state is states.InstanceState.LEAVING:
+            self.drain()
+        elif self.draining and not self._stopping:
+            # Another backend server runs beside this node now.
+            self.draining = False
+            self._finished = False
+            self._log.info('taking work again')
+
+    def stop(self) -> None:
+        """Finish the work before the process ends."""
+        self._stopping = True
+        # What was reported when the instance list said leaving came before
+        # the lifecycle waited for it.
+        self._finished = False
+        self.drain()
+
     def drain(self) -> None:
         """Refuse new work from now on and tell all ingresses."""
         if self.draining:
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -25,13 +25,9 @@
 
 # A timer that fires later than this was held up by a pause of the process.
 _PAUSE_S = 1
-# A backend server that hangs this long past the deadline of a non-idempotent
-# request will not answer; the slot and the connection are given up.
-_HUNG_S = 600
 # Bounds the cost of ticks when many deadlines lie close together.
 _SHORTEST_WAKE_S = 0.01
-_SHED_STATUS = 503
-_SHED = (b'medlarquay-shed', b'1')
+_MISDIRECTED_STATUS = 421
 
 
 @functools.singledispatch
@@ -88,7 +84,10 @@
     job = owner.jobs.find(message.exchange)
     if job is None:
         return
-    if message.status == _SHED_STATUS and _SHED in message.headers:
+    if _is_misdirected(message, owner):
+        _misdirected(job, owner)
+        return
+    if any(name == owner.names.not_run for name, _ in message.headers):
         owner_results.release(job, owner)
         shed = admission.WasShed(exchange=job.exchange)
         decisions = admission.decide(shed, owner.admission, owner.now())
@@ -106,6 +105,23 @@
     owner_starts.readmit_held(owner)
 
 
+def _is_misdirected(
+    message: events.BackendAnswered,
+    owner: owner_base.OwnerBase,
+) -> bool:
+    expects = owner.names.expected_instance is not None
+    return expects and message.status == _MISDIRECTED_STATUS
+
+
+def _misdirected(job: owner_job.OwnerJob, owner: owner_base.OwnerBase) -> None:
+    """End a job that reached another backend server, which did not run it."""
+    owner_results.release(job, owner)
+    owner_results.refuse_job(job, states.RefusalReason.BACKEND_DOWN, owner)
+    freed = admission.Cancelled(exchange=job.exchange)
+    owner_starts.tell_admission(freed, owner)
+    owner_starts.readmit_held(owner)
+
+
 @handle.register
 def _failed(
     message: events.BackendFailed,
@@ -231,7 +247,7 @@
     message: events.DrainRequested,
     owner: owner_base.OwnerBase,
 ) -> None:
-    owner.drain()
+    owner.stop()
 
 
 @handle.register
@@ -271,7 +287,7 @@
                     reason=states.RefusalReason.DEADLINE_PASSED,
                 ),
             )
-    hung = not job.callers and deadline + _HUNG_S <= now
+    hung = not job.callers and deadline + owner.hung_s <= now
     if job.sent and not job.callers and (job.request.idempotent or hung):
         _abort(job, owner)
 
@@ -281,7 +297,7 @@
     earliest = math.inf if checked is None else checked
     for job in owner.jobs:
         deadlines = [caller.deadline for caller in job.callers]
-        deadlines.append(job.request.deadline + _HUNG_S)
+        deadlines.append(job.request.deadline + owner.hung_s)
         earliest = min(earliest, *deadlines)
     if earliest < math.inf:
         owner.wake_at(max(earliest, now + _SHORTEST_WAKE_S))
--- a/medlarquay/tasks/owner_place.py
+++ b/medlarquay/tasks/owner_place.py
@@ -13,12 +13,15 @@
 
     Attributes
     ----------
+    instance : InstanceId
+        Run of the backend server, as the instance list names it.
     team, service : TeamName, ServiceName
         Service of the local backend server.
     peers : tuple[InstanceRecord, ...]
         Other backend servers of the service.
     """
 
+    instance: ids.InstanceId
     team: ids.TeamName
     service: ids.ServiceName
     peers: tuple[replica.InstanceRecord, ...]
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -43,11 +43,29 @@
     snapshot: snapshots.Snapshot,
     instance: ids.InstanceId,
 ) -> replica.InstanceRecord | None:
+    found = None
     for service in snapshot.services.values():
         for record in service.backends:
-            if record.instance == instance:
-                return record
-    return None
+            if record.node_name == instance and _replaces(record, found):
+                found = record
+    return found
+
+
+def _replaces(
+    record: replica.InstanceRecord,
+    found: replica.InstanceRecord | None,
+) -> bool:
+    # The entry of an earlier run of the backend server may still be listed.
+    if found is None:
+        return True
+    return (_is_live(record), record.revision) > (
+        _is_live(found),
+        found.revision,
+    )
+
+
+def _is_live(record: replica.InstanceRecord) -> bool:
+    return record.state is states.InstanceState.LIVE
 
 
 def _follow_own(
@@ -55,14 +73,15 @@
     service: snapshots.Service,
     owner: owner_base.OwnerBase,
 ) -> None:
-    first = owner.place is None
+    first = owner.place is None or owner.place.instance != own.instance
     owner.place = owner_place.OwnerPlace(
+        instance=own.instance,
         team=own.team,
         service=own.service,
         peers=tuple(
             record
             for record in service.backends
-            if record.instance != own.instance
+            if record.node_name != own.node_name
         ),
     )
     parameters = service.parameters
@@ -76,6 +95,6 @@
     if first:
         # The node starts with its backend server, which is cold then.
         owner_starts.tell_admission(admission.BackendStarted(), owner)
+    if owner.quarantine.service != own.service:
         owner.quarantine = quarantine.Quarantine(service=own.service)
-    if own.state is states.InstanceState.LEAVING:
-        owner.drain()
+    owner.follow_state(own.state)
--- a/medlarquay/tasks/owner_starts.py
+++ b/medlarquay/tasks/owner_starts.py
@@ -138,8 +138,16 @@
             headers=(
                 *(pair for pair in request.headers if pair[0] != _TIMEOUT),
                 (_TIMEOUT, b'%d' % left_ms),
+                *_expected(owner),
             ),
             body=request.body,
             deadline=request.deadline,
         ),
     )
+
+
+def _expected(owner: owner_base.OwnerBase) -> tuple[tuple[bytes, bytes], ...]:
+    name = owner.names.expected_instance
+    if name is None or owner.place is None:
+        return ()
+    return ((name, owner.place.instance.encode()),)
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -16,6 +16,7 @@
 _HOUSEKEEPING_S = 1.0
 
 _Failure = messages.CallRefused | messages.CallUnknown
+_NodeEvent = events.PeerGreeted | events.PeerLost | messages.Draining
 # The caller set the deadline, so its passing says nothing about the owner.
 _NOT_A_FAULT = frozenset((
     states.RefusalReason.DEADLINE_PASSED,
@@ -38,6 +39,9 @@
         Counts and records what callers were told.
     random : Random
         Source of random numbers for the choice of owners.
+    front : Front, optional
+        Header fields and service of the callers' side; those of the product
+        if left out.
     """
 
     def __init__(
@@ -49,6 +53,7 @@
         clock: Callable[[], float],
         reporter: ingress.CallReporter,
         random: random_module.Random,
+        front: ingress.Front | None = None,
     ) -> None:
         super().__init__(name='router')
         self.listener: task.Task | None = None
@@ -80,6 +85,8 @@
             reporter=reporter,
             answer=self.answer,
         )
+        self.front = ingress.Front() if front is None else front
+        self.turns = routing.SplitTurns()
         self.budget = routing.RetryBudget()
         self.draining = False
         self.clock = clock
@@ -100,10 +107,23 @@
         if self.draining:
             self._report_if_finished()
 
+    def request_id(self, message: events.RequestReceived) -> str:
+        """Return the id that the caller gave a request, or nothing."""
+        wanted = self.front.names.request_id
+        for name, content in message.headers:
+            if name == wanted:
+                return content.decode('ascii', 'replace')
+        return ''
+
     def observe(self, event: object) -> None:
         """Update the observations of owners."""
         routing.observe(event, self.chooser.observations, self.clock())
 
+    def observe_node(self, event: _NodeEvent) -> None:
+        """Update the observations of all backend servers beside a node."""
+        for instance in self.table.instances_at(event.instance):
+            self.observe(dataclasses.replace(event, instance=instance))
+
     def refuse_request(
         self,
         message: events.RequestReceived | events.RequestRejected,
@@ -128,6 +148,7 @@
             self.tell_refusal(call, found.reason, final=False)
             return
         call.instance = found.backend.instance
+        call.node = found.backend.node_name
         call.tried = (*call.tried, call.instance)
         call.generation = self.table.generation
         call.sent_at = now
@@ -135,7 +156,7 @@
         self.observe(routing.CallSent(instance=call.instance))
         if self.alarm is not None:
             self.alarm.wake_at(call.deadline)
-        self.sender.send(found.backend, ingress.call_request(call))
+        self.sender.send(found.backend, ingress.call_request(call, self.front))
 
     def finish(self, call_id: ids.CallId) -> ingress.IngressCall | None:
         """Forget an attempt; count a result that belongs to none."""
@@ -210,7 +231,7 @@
     ) -> routing.Attempt:
         other = routing.choose(
             routing.AnyOwnerWanted(
-                candidates=self.table.candidates(call.route.service),
+                candidates=self.table.candidates(call.service),
                 excluded=call.tried,
             ),
             self.chooser,
@@ -283,6 +304,7 @@
 @_handle.register
 def _replaced(message: events.SnapshotReplaced, router: Router) -> None:
     router.table.replace(message.snapshot)
+    router.turns.keep_only(message.snapshot)
     router.chooser.observations.forget_except(router.table.instances())
     router.wake()
 
@@ -298,12 +320,13 @@
         router.refuse_request(message, states.RefusalReason.DRAINING)
         return
     now = router.clock()
-    opened = ingress.open_call(message, router.table, now)
+    opened = ingress.open_call(message, router.table, router.turns, now)
     if isinstance(opened, routing.ChoiceRefused):
         router.refuse_request(message, opened.reason)
     elif isinstance(opened, ingress.KeyWanted):
         router.key_issuer.request(opened, router.chooser, now)
     else:
+        opened.request_id = router.request_id(message)
         router.budget.count_first_attempt()
         router.attempt(opened)
 
@@ -314,7 +337,7 @@
     call = router.calls.finish_caller(message.caller)
     if call is not None:
         router.observe(routing.CallWithdrawn(instance=call.instance))
-        router.sender.cancel(call.instance, call.call_id)
+        router.sender.cancel(call.node, call.call_id)
 
 
 @_handle.register
@@ -374,7 +397,7 @@
     router.observe(message)
     for call in router.calls.expired(message.now):
         # A call that was not sent yet is refused before it expires below.
-        router.sender.cancel(call.instance, call.call_id, expired=True)
+        router.sender.cancel(call.node, call.call_id, expired=True)
         router.post(events.CallExpired(call_id=call.call_id))
     router.key_issuer.expire(message.now)
     router.wake()
@@ -382,19 +405,19 @@
 
 @_handle.register
 def _greeted(message: events.PeerGreeted, router: Router) -> None:
-    router.observe(message)
+    router.observe_node(message)
     router.key_issuer.greet(message)
 
 
 @_handle.register
 def _peer_lost(message: events.PeerLost, router: Router) -> None:
-    router.observe(message)
+    router.observe_node(message)
     router.key_issuer.lose(message, router.chooser)
 
 
 @_handle.register
 def _peer_drains(message: messages.Draining, router: Router) -> None:
-    router.observe(message)
+    router.observe_node(message)
 
 
 @_handle.register
--- a/medlarquay/tasks/source_fetcher.py
+++ b/medlarquay/tasks/source_fetcher.py
@@ -84,7 +84,7 @@
         If the answer is malformed.
     """
     try:
-        revision, entries = _parse(content)
+        revision, entries, whole = _parse(content)
     except Exception as cause:
         # A malformed answer fails in many ways, all answered alike.
         raise errors.SourceError(
@@ -97,16 +97,18 @@
         after=after,
         revision=revision,
         entries=entries,
+        whole=whole,
         asked_at=asked_at,
     )
 
 
 def _parse(
     content: bytes,
-) -> tuple[ids.Revision, tuple[replica.SourceValue, ...]]:
+) -> tuple[ids.Revision, tuple[replica.SourceValue, ...], bool]:
     answer = json.loads(content)
     entries = tuple(_value_of(found) for found in answer['entries'])
-    return ids.Revision(int(answer['revision'])), entries
+    revision = ids.Revision(int(answer['revision']))
+    return revision, entries, bool(answer.get('whole', False))
 
 
 def _value_of(found: dict[str, Any]) -> replica.SourceValue:
--- a/medlarquay/topology/members.py
+++ b/medlarquay/topology/members.py
@@ -67,7 +67,7 @@
 
 def _peer_of(entry: replica.InstanceRecord) -> peer.Peer:
     return peer.Peer(
-        instance=entry.instance,
+        instance=entry.node_name,
         region=entry.region,
         data_centre=entry.data_centre,
         host=entry.host,
--- a/medlarquay/transport/__init__.py
+++ b/medlarquay/transport/__init__.py
@@ -3,6 +3,7 @@
 from medlarquay.transport.backend_connection import BackendConnection
 from medlarquay.transport.caller_connection import CallerConnection
 from medlarquay.transport.factories import BuildingFactory
+from medlarquay.transport.header_names import HeaderNames
 from medlarquay.transport.http_text import HOP_BY_HOP, format_answer
 from medlarquay.transport.link import Link
 
@@ -11,6 +12,7 @@
     'BackendConnection',
     'BuildingFactory',
     'CallerConnection',
+    'HeaderNames',
     'Link',
     'format_answer',
 )
--- a/medlarquay/transport/backend_connection.py
+++ b/medlarquay/transport/backend_connection.py
@@ -3,11 +3,14 @@
 import socket
 from collections.abc import Callable
 
-from twisted.internet import protocol
+from twisted.internet import error, protocol
+from twisted.python import failure
 
 from medlarquay import events, ids
 from medlarquay.transport import (
     answer_assembler,
+    header_names,
+    http_limits,
     http_text,
     prompt_write,
 )
@@ -15,6 +18,7 @@
 __all__ = ('BackendConnection',)
 
 _HEAD = b'HEAD'
+_PLAIN = header_names.HeaderNames()
 
 
 class BackendConnection(protocol.Protocol):
@@ -28,12 +32,17 @@
         Receives this connection when it can carry another exchange.
     closed : callable
         Receives this connection when it has been closed by either side.
+    names : HeaderNames
+        Fields by which an answer of the backend server is known.
+    max_answer_bytes : int
+        Largest body of an answer.
 
     Notes
     -----
     An answer counts when it is whole: its length or its last chunk proves
     that. An answer that only ends with the connection is a failure, because
-    the end of a crashed backend server looks the same. The connection is
+    the end of a crashed backend server looks the same, unless the backend
+    servers give receipts and the close is orderly. The connection is
     used again only if nothing followed the answer, since such bytes would be
     read as the answer to the next request.
     """
@@ -47,7 +56,11 @@
         ],
         release: Callable[['BackendConnection'], None],
         closed: Callable[['BackendConnection'], None],
+        names: header_names.HeaderNames = _PLAIN,
+        max_answer_bytes: int = http_limits.MAX_ANSWER_BYTES,
     ) -> None:
+        self._names = names
+        self._max_answer_bytes = max_answer_bytes
         self._deliver = deliver
         self._release = release
         self._closed = closed
@@ -74,6 +87,9 @@
         self._exchange = message.exchange
         self._answer = answer_assembler.AnswerAssembler(
             head=message.method == _HEAD,
+            names=self._names,
+            request_id=_field(message, self._names.request_id),
+            max_bytes=self._max_answer_bytes,
         )
         prompt_write.write_promptly(
             self.transport,
@@ -103,6 +119,11 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report a broken exchange."""
         self._lost = True
+        orderly = isinstance(reason, failure.Failure) and reason.check(
+            error.ConnectionDone,
+        )
+        if orderly and self._answer is not None:
+            self._answer.end()
         self._closed(self)
         if self._exchange is not None and self._answer is not None:
             self._finish(self._answer)
@@ -138,6 +159,13 @@
         return True
 
 
+def _field(message: events.StartRequest, wanted: bytes | None) -> bytes | None:
+    for name, content in message.headers:
+        if name == wanted:
+            return content
+    return None
+
+
 def _result(
     exchange: ids.ExchangeId,
     answer: answer_assembler.AnswerAssembler,
--- /dev/null
+++ b/medlarquay/transport/header_names.py
@@ -0,0 +1,38 @@
+"""Names of the header fields that the system reads and sets."""
+
+import dataclasses
+
+__all__ = ('HeaderNames',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class HeaderNames:
+    """Names of the header fields that the system reads and sets.
+
+    Names are in lower case. A name that is None is neither read nor set.
+
+    Attributes
+    ----------
+    request_id : bytes or None
+        Id of one attempt of a caller; a backend server repeats it.
+    calling_service : bytes or None
+        Service on the machine where the request began.
+    expected_instance : bytes or None
+        Backend server that alone may run the request.
+    not_run : bytes
+        Set by a backend server that did not run the request.
+    receipt : bytes or None
+        Set by a backend server on each successful answer.
+    """
+
+    request_id: bytes | None = None
+    calling_service: bytes | None = None
+    expected_instance: bytes | None = None
+    not_run: bytes = b'medlarquay-shed'
+    receipt: bytes | None = None
+
+    @property
+    def set_by_system(self) -> frozenset[bytes]:
+        """Fields that replace whatever the caller sent."""
+        names = (self.calling_service, self.expected_instance)
+        return frozenset(name for name in names if name is not None)
