Log what decided each request and let callers go before a stop

Cause: a failed request could not be explained from the logs, and a node that was asked to stop refused callers that had not yet learnt of it. Change: one structured line for the end of each request at the ingress and at the owner and for each decision on a retry, on a stream with a bounded rate that never blocks; the router serves callers for a while after SIGTERM.

--- a/medlarquay/daemon/deployment.py
+++ b/medlarquay/daemon/deployment.py
@@ -27,9 +27,16 @@
     hung_s : float
         Seconds past the deadline of a request after which its backend server
         will not answer any more.
+    linger_s : float
+        Seconds for which callers still send requests after the node was
+        asked to stop.
+    flush_s : float
+        Seconds for which answers may leave the socket buffers at a stop.
     """
 
     fetcher: source_fetcher.SourceFetcher
     front: ingress.Front = dataclasses.field(default_factory=ingress.Front)
     readiness: addresses.NodeAddress | None = None
     hung_s: float = _HUNG_S
+    linger_s: float = 0
+    flush_s: float = 1
--- a/medlarquay/daemon/lifecycle.py
+++ b/medlarquay/daemon/lifecycle.py
@@ -31,6 +31,12 @@
         Receive ``LifecycleChanged``.
     drain_timeout_s : float
         Longest time from the request to stop until the stop, in seconds.
+    linger_s : float
+        Time for which callers may still send requests after the request to
+        stop, in seconds.
+    flush_s : float
+        Time for which answers that were written may leave the socket
+        buffers, in seconds.
     """
 
     def __init__(
@@ -41,6 +47,8 @@
         parts: Collection[task.Task],
         subscribers: Collection[task.Task],
         drain_timeout_s: float,
+        linger_s: float = 0,
+        flush_s: float = _FLUSH_S,
     ) -> None:
         super().__init__(name='lifecycle')
         self.machine = lifecycle_machine.build_machine(self)
@@ -51,6 +59,8 @@
         self._parts = parts
         self._subscribers = subscribers
         self._drain_timeout_s = drain_timeout_s
+        self._linger_s = linger_s
+        self._flush_s = flush_s
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
 
     def receive(self, message: object) -> None:
@@ -65,13 +75,15 @@
 
     def start_drain(self) -> None:
         """Ask the parts to finish their work before the drain deadline."""
-        self.stop_by(self._clock() + self._drain_timeout_s)
+        now = self._clock()
+        self.stop_by(now + self._drain_timeout_s)
+        requested = events.DrainRequested(refuse_at=now + self._linger_s)
         for part in self._parts:
-            part.post(events.DrainRequested())
+            part.post(requested)
 
     def flush(self) -> None:
         """Stop once the answers written have left the socket buffers."""
-        self.stop_by(self._clock() + _FLUSH_S)
+        self.stop_by(self._clock() + self._flush_s)
 
     def stop_by(self, deadline: float) -> None:
         """Stop at a time, in seconds on the monotonic clock, or earlier."""
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -73,6 +73,8 @@
         parts=(path.owner, path.router, path.callers, path.links),
         subscribers=(operators, ready),
         drain_timeout_s=settings.drain_timeout_s,
+        linger_s=deployment.linger_s,
+        flush_s=deployment.flush_s,
     )
     path.owner.lifecycle = life
     path.router.lifecycle = life
--- a/medlarquay/ingress/call_reporter.py
+++ b/medlarquay/ingress/call_reporter.py
@@ -2,13 +2,19 @@
 
 import enum
 import functools
+import time
 from collections.abc import Callable
 
+import logbook
+
 from medlarquay import events, ids, states, telemetry
 from medlarquay.ingress import ingress_call
 
 __all__ = ('CallReporter',)
 
+_LOG = logbook.Logger('ingress')
+_MS_PER_SECOND = 1000
+
 
 class CallReporter:
     """Counts refusals, retries and drops, and records what callers were told.
@@ -21,6 +27,8 @@
         Call records of the node.
     wall_clock : callable
         Returns Unix time in seconds.
+    clock : callable
+        Returns seconds on the monotonic clock.
     """
 
     def __init__(
@@ -29,7 +37,9 @@
         counters: telemetry.Counters,
         records: telemetry.RecordLog,
         wall_clock: Callable[[], float],
+        clock: Callable[[], float] = time.monotonic,
     ) -> None:
+        self._clock = clock
         self._counters = counters
         self._records = records
         self._wall_clock = wall_clock
@@ -63,6 +73,8 @@
         reason : RefusalReason or None
             None if a backend server made the answer.
         """
+        if call.request_id:
+            self._log_told(call, answer, outcome, reason)
         if reason is not None:
             self.count(reason)
         elif call.parameters.idempotent:
@@ -83,15 +95,44 @@
             ),
         )
 
+    def retried(
+        self,
+        call: ingress_call.IngressCall,
+        reason: enum.Enum,
+    ) -> None:
+        """Count a decision on a retry, and log it with the attempt's end."""
+        self.count(reason)
+        if call.request_id:
+            _LOG.info(
+                telemetry.format_fields(
+                    request=call.request_id,
+                    decision=reason.value,
+                    owner=call.node,
+                    instance=call.instance,
+                    attempts=len(call.tried),
+                    sent_ms=self._age_ms(call.sent_at),
+                ),
+            )
+
     def record_refusal(
         self,
         message: events.RequestReceived | events.RequestRejected,
         answer: events.AnswerReady,
         reason: states.RefusalReason,
+        request_id: str = '',
     ) -> None:
         """Record a refusal before a route and its parameters were known."""
         self.count(reason)
         method, target = _request_line(message)
+        _LOG.info(
+            telemetry.format_fields(
+                request=request_id or None,
+                told=answer.status,
+                outcome=states.Outcome.NOT_RUN.value,
+                reason=reason.value,
+                target=target.decode('ascii', 'replace'),
+            ),
+        )
         self._records.append(
             telemetry.CallRecord(
                 recorded_at=self._wall_clock(),
@@ -108,6 +149,34 @@
         )
 
 
+    def _age_ms(self, moment: float) -> int:
+        return int((self._clock() - moment) * _MS_PER_SECOND)
+
+    def _log_told(
+        self,
+        call: ingress_call.IngressCall,
+        answer: events.AnswerReady,
+        outcome: states.Outcome,
+        reason: states.RefusalReason | None,
+    ) -> None:
+        _LOG.info(
+            telemetry.format_fields(
+                request=call.request_id,
+                told=answer.status,
+                outcome=outcome.value,
+                reason=None if reason is None else reason.value,
+                service=call.service.parameters.name,
+                rank=call.parameters.rank.value,
+                owner=call.node or None,
+                instance=call.instance or None,
+                attempts=len(call.tried),
+                snapshot=call.generation,
+                after_ms=self._age_ms(call.received_at),
+                left_ms=-self._age_ms(call.parameters.deadline),
+            ),
+        )
+
+
 @functools.singledispatch
 def _request_line(message: object) -> tuple[bytes, bytes]:
     return b'', b''
--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -22,7 +22,10 @@
     except errors.SettingError as failure:
         sys.stderr.write(f'medlarquay: {failure}\n')
         sys.exit(_BAD_SETTINGS)
-    telemetry.set_up_logs(stream=sys.stdout, level='info')
+    telemetry.set_up_logs(
+        stream=telemetry.BoundedStream(descriptor=sys.stdout.fileno()),
+        level='info',
+    )
     # The reactor is imported after the settings were checked.
     from twisted.internet import reactor  # noqa: PLC0415
 
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -22,6 +22,9 @@
 # A backend server stops work at the time limit that it receives; its answer
 # needs a moment more.
 _HUNG_S = 0.5
+# Readiness is asked once a second and counts after two misses.
+_LINGER_S = 2.3
+_FLUSH_S = 0.3
 
 
 def node_settings_of(
@@ -68,4 +71,6 @@
         ),
         readiness=own.readiness,
         hung_s=_HUNG_S,
+        linger_s=_LINGER_S,
+        flush_s=_FLUSH_S,
     )
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -52,6 +52,7 @@
         exchange=owner.jobs.next_exchange(),
         request=request,
         fingerprint=quarantine.fingerprint_of(request),
+        arrived_at=owner.now(),
     )
     if request.request_key is None or request.idempotent:
         owner.jobs.add(job)
--- a/medlarquay/tasks/owner_job.py
+++ b/medlarquay/tasks/owner_job.py
@@ -26,6 +26,9 @@
         Attempts that wait; empty when all have gone.
     sent : bool
         Whether it was given to the backend task.
+    arrived_at, sent_at : float
+        Arrival at the owner and sending to the backend server, seconds on
+        the monotonic clock.
     recorded : bool
         Whether a call record of its outcome was written.
     """
@@ -38,4 +41,6 @@
         default_factory=list,
     )
     sent: bool = False
+    arrived_at: float = 0
+    sent_at: float = 0
     recorded: bool = False
--- /dev/null
+++ b/medlarquay/tasks/owner_log.py
@@ -0,0 +1,52 @@
+"""Log lines of the owner on the requests that it decides about."""
+
+import logbook
+
+from medlarquay import states, telemetry
+from medlarquay.tasks import owner_base, owner_job
+
+__all__ = ('log_end',)
+
+_LOG = logbook.Logger('owner')
+_MS_PER_SECOND = 1000
+
+
+def log_end(
+    job: owner_job.OwnerJob,
+    outcome: states.Outcome,
+    owner: owner_base.OwnerBase,
+    *,
+    status: int | None = None,
+    reason: states.RefusalReason | None = None,
+) -> None:
+    """Log how a request ended here and what decided it.
+
+    Notes
+    -----
+    A request without an id cannot be looked up, so it is not logged.
+    """
+    request_id = owner.names.request_id_of(job.request.headers)
+    if not request_id:
+        return
+    now = owner.now()
+    started_at = job.sent_at if job.sent else now
+    place = owner.place
+    _LOG.info(
+        telemetry.format_fields(
+            request=request_id,
+            outcome=outcome.value,
+            status=status,
+            reason=None if reason is None else reason.value,
+            rank=job.request.rank.value,
+            instance=None if place is None else place.instance,
+            waited_ms=_ms(started_at - job.arrived_at),
+            ran_ms=_ms(now - started_at),
+            left_ms=_ms(job.request.deadline - now),
+            running=len(owner.admission.running),
+            queued=len(owner.admission.queued_ranks),
+        ),
+    )
+
+
+def _ms(seconds: float) -> int:
+    return int(seconds * _MS_PER_SECOND)
--- a/medlarquay/tasks/owner_results.py
+++ b/medlarquay/tasks/owner_results.py
@@ -9,7 +9,12 @@
     states,
     telemetry,
 )
-from medlarquay.tasks import owner_base, owner_job, waiting_caller
+from medlarquay.tasks import (
+    owner_base,
+    owner_job,
+    owner_log,
+    waiting_caller,
+)
 
 __all__ = (
     'answer_dropped',
@@ -50,6 +55,7 @@
 ) -> None:
     """End a job that was not run."""
     owner.jobs.pop(job.exchange)
+    owner_log.log_end(job, states.Outcome.NOT_RUN, owner, reason=reason)
     if job.key is not None:
         tell_ledger(ledger.Withdrawn(key=job.key), owner)
     for caller in job.callers:
@@ -63,6 +69,7 @@
 ) -> None:
     """End a job whose outcome cannot be known."""
     owner.jobs.pop(job.exchange)
+    owner_log.log_end(job, states.Outcome.UNKNOWN, owner, reason=reason)
     if job.key is not None:
         tell_ledger(ledger.OutcomeLost(key=job.key, reason=reason), owner)
     if not job.request.idempotent:
@@ -81,6 +88,7 @@
 ) -> None:
     """End a job with the answer of the backend server."""
     owner.jobs.pop(job.exchange)
+    owner_log.log_end(job, states.Outcome.RUN, owner, status=message.status)
     if job.key is not None:
         recorded = ledger.RecordedAnswer(
             status=message.status,
--- a/medlarquay/tasks/owner_starts.py
+++ b/medlarquay/tasks/owner_starts.py
@@ -128,6 +128,7 @@
     now: float,
 ) -> None:
     job.sent = True
+    job.sent_at = now
     request = job.request
     left_ms = max(1, int((request.deadline - now) * _MS_PER_SECOND))
     owner.ask_backend(
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -89,6 +89,7 @@
         self.turns = routing.SplitTurns()
         self.budget = routing.RetryBudget()
         self.draining = False
+        self.refuse_at: float = 0
         self.clock = clock
         self.reporter = reporter
 
@@ -109,11 +110,7 @@
 
     def request_id(self, message: events.RequestReceived) -> str:
         """Return the id that the caller gave a request, or nothing."""
-        wanted = self.front.names.request_id
-        for name, content in message.headers:
-            if name == wanted:
-                return content.decode('ascii', 'replace')
-        return ''
+        return self.front.names.request_id_of(message.headers)
 
     def observe(self, event: object) -> None:
         """Update the observations of owners."""
@@ -131,7 +128,10 @@
     ) -> None:
         """Refuse a request that did not become a call."""
         answer = ingress.refusal(caller=message.caller, reason=reason)
-        self.reporter.record_refusal(message, answer, reason)
+        request_id = ''
+        if isinstance(message, events.RequestReceived):
+            request_id = self.request_id(message)
+        self.reporter.record_refusal(message, answer, reason, request_id)
         self.answer(answer)
 
     def attempt(self, call: ingress.IngressCall) -> None:
@@ -216,13 +216,13 @@
 
     def wake(self) -> None:
         """Ask for the next tick."""
-        if self.alarm is not None:
-            self.alarm.wake_at(
-                min(
-                    self.calls.next_deadline(),
-                    self.clock() + _HOUSEKEEPING_S,
-                ),
-            )
+        if self.alarm is None:
+            return
+        now = self.clock()
+        wanted = min(self.calls.next_deadline(), now + _HOUSEKEEPING_S)
+        if now < self.refuse_at:
+            wanted = min(wanted, self.refuse_at)
+        self.alarm.wake_at(wanted)
 
     def _tried(
         self,
@@ -255,6 +255,8 @@
     def _report_if_finished(self) -> None:
         if len(self.calls) or len(self.incarnations) or self.lifecycle is None:
             return
+        if self.clock() < self.refuse_at:
+            return
         lifecycle = self.lifecycle
         # Reported once; refusing a request after that is not work.
         self.lifecycle = None
@@ -278,7 +280,7 @@
     call: ingress.IngressCall,
     router: Router,
 ) -> None:
-    router.reporter.count(decision.reason)
+    router.reporter.retried(call, decision.reason)
     router.attempt(call)
 
 
@@ -289,7 +291,7 @@
     call: ingress.IngressCall,
     router: Router,
 ) -> None:
-    router.reporter.count(decision.denial)
+    router.reporter.retried(call, decision.denial)
     if isinstance(failure, messages.CallRefused):
         router.tell_refusal(call, failure.reason, final=True)
     else:
@@ -316,10 +318,10 @@
 
 @_handle.register
 def _received(message: events.RequestReceived, router: Router) -> None:
-    if router.draining:
+    now = router.clock()
+    if router.draining and now >= router.refuse_at:
         router.refuse_request(message, states.RefusalReason.DRAINING)
         return
-    now = router.clock()
     opened = ingress.open_call(message, router.table, router.turns, now)
     if isinstance(opened, routing.ChoiceRefused):
         router.refuse_request(message, opened.reason)
@@ -423,3 +425,5 @@
 @_handle.register
 def _drain(message: events.DrainRequested, router: Router) -> None:
     router.draining = True
+    router.refuse_at = message.refuse_at
+    router.wake()
--- a/medlarquay/transport/header_names.py
+++ b/medlarquay/transport/header_names.py
@@ -1,6 +1,7 @@
 """Names of the header fields that the system reads and sets."""
 
 import dataclasses
+from collections.abc import Iterable
 
 __all__ = ('HeaderNames',)
 
@@ -31,6 +32,15 @@
     not_run: bytes = b'medlarquay-shed'
     receipt: bytes | None = None
 
+    def request_id_of(self, headers: Iterable[tuple[bytes, bytes]]) -> str:
+        """Return the id of a request for logs; empty if it has none."""
+        if self.request_id is None:
+            return ''
+        for name, content in headers:
+            if name == self.request_id:
+                return content.decode('ascii', 'replace')
+        return ''
+
     @property
     def set_by_system(self) -> frozenset[bytes]:
         """Fields that replace whatever the caller sent."""
