--- /dev/null
+++ b/medlarquay/platform/tests/test_settings_file.py
@@ -0,0 +1,72 @@
+"""Tests of the settings file."""
+
+import pytest
+
+from medlarquay import errors
+from medlarquay.platform import settings_file
+
+LINES = (
+    'node_name=sidecar-x-1',
+    'ip=10.1.0.41',
+    'zone=north-a',
+    'region=north',
+    'zones.north-a=north',
+    'zones.south-a=south',
+    'bind.outbound=10.1.0.41:8629',
+    'bind.readiness=10.1.0.41:8625',
+    'internal_ports=7600,7615',
+    'bounds=drain=2500ms,grace=6s',
+    'app_addr=10.1.0.41:8628',
+    'service=desk',
+    'platform.address=10.200.1.7:8627',
+)
+
+
+def _with(name: str, text: str) -> str:
+    kept = [line for line in LINES if not line.startswith(f'{name}=')]
+    return '\n'.join([*kept, f'{name}={text}'])
+
+
+def test_a_whole_file_is_read() -> None:
+    """Guards against a field that is read from another line."""
+    found = settings_file.parse_settings('\n'.join(LINES))
+    assert (found.host, found.peer_port, found.admin_port) == (
+        '10.1.0.41',
+        7600,
+        7615,
+    )
+    assert found.regions == {'north-a': 'north', 'south-a': 'south'}
+    assert str(found.callers) == '10.1.0.41:8629'
+    assert str(found.backend) == '10.1.0.41:8628'
+    assert str(found.store) == '10.200.1.7:8627'
+    assert found.drain_timeout_s == 6
+
+
+def test_unknown_fields_and_other_lines_are_ignored() -> None:
+    """Guards against a start that a new field of the platform prevents."""
+    content = '\n'.join([*LINES, 'new.field=1', '', 'no field'])
+    assert settings_file.parse_settings(content).service == 'desk'
+
+
+@pytest.mark.parametrize(
+    ('name', 'text'),
+    [
+        ('ip', ''),
+        ('internal_ports', '7600'),
+        ('internal_ports', '7615,7600'),
+        ('app_addr', '10.1.0.41'),
+        ('bind.readiness', '10.1.0.41:0'),
+        ('platform.address', 'store:80'),
+        ('bounds', 'grace=soon'),
+    ],
+)
+def test_a_bad_field_is_named(name: str, text: str) -> None:
+    """Guards against a start with an address that nobody can reach."""
+    with pytest.raises(errors.SettingError, match=name):
+        settings_file.parse_settings(_with(name, text))
+
+
+def test_a_missing_file_is_an_error_of_its_path() -> None:
+    """Guards against a traceback in place of one line."""
+    with pytest.raises(errors.SettingError, match='/nowhere'):
+        settings_file.read_settings('/nowhere/settings.conf')
--- /dev/null
+++ b/medlarquay/platform/tests/test_store_fetcher.py
@@ -0,0 +1,143 @@
+"""Tests of reads of the platform's store."""
+
+import base64
+import json
+from collections.abc import Mapping
+from typing import Any
+
+import pytest
+from twisted.internet import defer
+
+from medlarquay import errors, ids, replica
+from medlarquay.platform import settings_file, store_fetcher
+from medlarquay.platform.tests import test_settings_file
+
+_OWN = settings_file.parse_settings('\n'.join(test_settings_file.LINES))
+
+
+class ScriptedStore:
+    """Answers calls in the order of a script."""
+
+    def __init__(self, *script: object) -> None:
+        self.calls: list[tuple[str, dict[str, object]]] = []
+        self._script = list(script)
+
+    async def get(
+        self,
+        path: str,
+        query: Mapping[str, object],
+        *,
+        timeout_s: float,
+    ) -> Any:
+        """Return or raise the next entry of the script."""
+        self.calls.append((path, dict(query)))
+        found = self._script.pop(0)
+        if isinstance(found, Exception):
+            raise found
+        return found
+
+
+def _item(key: str, content: object, revision: int = 5) -> dict[str, object]:
+    encoded = base64.b64encode(json.dumps(content).encode()).decode()
+    return {'key': key, 'value': encoded, 'revision': revision}
+
+
+def _server(name: str) -> dict[str, object]:
+    return _item(
+        f'servers/{name}',
+        {
+            'address': '10.1.0.9:8080',
+            'info': {'service': 'desk', 'zone': 'south-a', 'capacity': 6},
+            'status': {'state': 'ready'},
+        },
+    )
+
+
+def _fetch(
+    store: ScriptedStore,
+    tree: replica.SourceTree,
+    after: int,
+) -> Any:
+    fetcher = store_fetcher.StoreFetcher(
+        client=store,  # type: ignore[arg-type]
+        own=_OWN,
+    )
+    reading = fetcher.fetch(tree, after=ids.Revision(after), wait_ms=1000)
+    found: list[Any] = []
+    failed: list[Any] = []
+    defer.ensureDeferred(reading).addCallbacks(found.append, failed.append)
+    if failed:
+        failed[0].raiseException()
+    return json.loads(found[0])
+
+
+def test_the_first_read_lists_all_pages() -> None:
+    """Guards against backend servers beyond the first page."""
+    store = ScriptedStore(
+        {'items': [_server('a')], 'has_more': True, 'at': 7},
+        {'items': [_server('b')], 'has_more': False, 'at': 9},
+    )
+    found = _fetch(store, replica.SourceTree.INSTANCES, 0)
+    assert [entry['key'] for entry in found['entries']] == ['a', 'b']
+    # A change between the pages is newer than the first page.
+    assert (found['revision'], found['whole']) == (7, True)
+    assert store.calls[1][1]['after'] == 'servers/a'
+
+
+def test_later_reads_watch() -> None:
+    """Guards against a list at each change."""
+    gone = {'key': 'servers/a', 'revision': 11, 'is_deleted': True}
+    store = ScriptedStore({'events': [gone], 'at': 11})
+    found = _fetch(store, replica.SourceTree.INSTANCES, 7)
+    assert found == {
+        'revision': 11,
+        'entries': [{'key': 'a', 'revision': 11, 'value': None}],
+    }
+
+
+def test_without_history_all_is_listed_again() -> None:
+    """Guards against changes that were missed for good."""
+    store = ScriptedStore(
+        errors.SourceError('gone', step='call', status=410),
+        {'items': [_server('b')], 'has_more': False, 'at': 30},
+    )
+    found = _fetch(store, replica.SourceTree.INSTANCES, 7)
+    assert (found['revision'], found['whole']) == (30, True)
+
+
+def test_a_refusal_is_passed_on() -> None:
+    """Guards against a list that every refused watch costs."""
+    store = ScriptedStore(errors.SourceError('busy', step='call', status=503))
+    with pytest.raises(errors.SourceError, match='busy'):
+        _fetch(store, replica.SourceTree.INSTANCES, 7)
+    assert len(store.calls) == 1
+
+
+def test_a_malformed_entry_names_no_backend_server() -> None:
+    """Guards against one entry that holds back the others."""
+    store = ScriptedStore({
+        'items': [
+            _item('servers/x', {'address': 1}),
+            {'key': 'servers/y', 'value': '***', 'revision': 5},
+            _server('a'),
+        ],
+        'has_more': False,
+        'at': 7,
+    })
+    found = _fetch(store, replica.SourceTree.INSTANCES, 0)
+    values = {entry['key']: entry['value'] for entry in found['entries']}
+    assert values['x'] is None
+    assert values['y'] is None
+    assert values['a'] is not None
+
+
+def test_a_malformed_configuration_is_left_to_the_product_to_reject() -> None:
+    """Guards against a malformed configuration taken for a deletion."""
+    store = ScriptedStore({
+        'items': [_item('op/config', {'routes': 1}), _item('op/other', {})],
+        'has_more': False,
+        'at': 7,
+    })
+    found = _fetch(store, replica.SourceTree.TEAMS, 0)
+    assert [entry['key'] for entry in found['entries']] == ['operators']
+    assert found['entries'][0]['value'] == 'unreadable'
--- /dev/null
+++ b/medlarquay/platform/tests/test_translation.py
@@ -0,0 +1,191 @@
+"""Tests of the translation of the store's values."""
+
+import json
+
+import hypothesis
+import pytest
+from hypothesis import strategies
+
+from medlarquay import errors, ids, replica, settings, states
+from medlarquay.platform import (
+    backend_entry,
+    duration,
+    operators_document,
+    settings_file,
+)
+from medlarquay.platform.tests import test_settings_file
+
+_OWN = settings_file.parse_settings('\n'.join(test_settings_file.LINES))
+_ROUTE = {
+    'host': 'Desk.example',
+    'path_prefix': '/a/',
+    'kind': 'non_idempotent',
+    'timeout': '0.8s',
+    'target_latency': '400ms',
+    'priority': 1,
+    'service': 'desk',
+    'attempts': 2,
+}
+_ENTRY = {
+    'address': '10.1.0.9:8080',
+    'info': {
+        'service': 'desk',
+        'version': 'v1',
+        'zone': 'south-a',
+        'capacity': 6,
+    },
+    'status': {'state': 'ready', 'sequence': 4, 'warmup_left': '0ms'},
+}
+
+
+def _translate(**changes: object) -> settings.TeamDocument:
+    content = {
+        'version': 'r7',
+        'services': {'desk': {}, 'portal': {}},
+        'routes': {'r-1': {**_ROUTE, **changes}},
+    }
+    document = operators_document.translate_configuration(
+        json.dumps(content).encode(),
+    )
+    return settings.parse_document(
+        team=ids.TeamName(settings.SHARED_TEAM),
+        content=document,
+    )
+
+
+def test_a_route_becomes_a_route_of_the_product() -> None:
+    """Guards against a request that is repeated though it must not be."""
+    route = _translate().routes[0]
+    assert (route.host, route.path_prefix) == ('desk.example', '/a/')
+    assert route.idempotent_methods == ()
+    assert (route.timeout_ms, route.target_ms, route.attempts) == (800, 400, 2)
+    assert route.rank is states.Rank.NORMAL
+
+
+@pytest.mark.parametrize('kind', ['idempotent', 'download'])
+def test_any_method_of_a_repeatable_kind_may_be_repeated(kind: str) -> None:
+    """Guards against a repetition that follows from the method."""
+    methods = _translate(kind=kind).routes[0].idempotent_methods
+    assert 'POST' in methods
+
+
+def test_a_split_keeps_its_weights() -> None:
+    """Guards against requests that all go to one part."""
+    parts = [
+        {'service': 'portal', 'weight': 90},
+        {'service': 'desk', 'weight': 10},
+    ]
+    route = _translate(split=parts).routes[0]
+    assert [(part.service, part.weight) for part in route.split] == [
+        ('portal', 90),
+        ('desk', 10),
+    ]
+
+
+@pytest.mark.parametrize(
+    'content',
+    [
+        b'',
+        b'[]',
+        b'{"services": {}}',
+        b'{"services": {}, "routes": {"r": 1}}',
+        b'{"services": {}, "routes": {"r": {"host": 1}}}',
+    ],
+)
+def test_a_malformed_configuration_is_a_typed_error(content: bytes) -> None:
+    """Guards against a reader that ends at a malformed value."""
+    with pytest.raises(errors.SourceError):
+        operators_document.translate_configuration(content)
+
+
+def _entry(content: object) -> replica.InstanceRecord:
+    translated = backend_entry.translate_entry(
+        'i-1',
+        json.dumps(content).encode(),
+        own=_OWN,
+    )
+    return replica.parse_instance(
+        content=translated,
+        revision=ids.Revision(3),
+    )
+
+
+def test_an_entry_names_the_node_beside_the_backend_server() -> None:
+    """Guards against calls that go to the backend server's own port."""
+    found = _entry(_ENTRY)
+    assert (found.instance, found.node) == ('i-1', '10.1.0.9')
+    assert (found.host, found.peer_port) == ('10.1.0.9', _OWN.peer_port)
+    assert (found.region, found.data_centre) == ('south', 'south-a')
+    assert (found.slots, found.state) == (6, states.InstanceState.LIVE)
+
+
+@pytest.mark.parametrize(
+    ('part', 'field', 'content'),
+    [
+        ('info', 'service', 7),
+        ('info', 'zone', 'nowhere'),
+        ('info', 'capacity', '6'),
+        ('info', 'capacity', 0),
+        ('info', 'capacity', True),
+        ('status', 'state', 'resting'),
+    ],
+)
+def test_a_bad_entry_is_a_typed_error(
+    part: str,
+    field: str,
+    content: object,
+) -> None:
+    """Guards against an entry of another writer that names a server."""
+    changed = json.loads(json.dumps(_ENTRY))
+    changed[part][field] = content
+    with pytest.raises(errors.SourceError, match='i-1'):
+        _entry(changed)
+
+
+_JSON = strategies.recursive(
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats()
+    | strategies.text(),
+    lambda inner: (
+        strategies.lists(inner)
+        | strategies.dictionaries(
+            strategies.sampled_from(
+                ['address', 'info', 'status', 'routes', 'services', 'host'],
+            ),
+            inner,
+        )
+    ),
+    max_leaves=12,
+)
+
+
+@hypothesis.settings(derandomize=True, deadline=None)
+@hypothesis.given(strategies.binary() | _JSON.map(json.dumps).map(str.encode))
+def test_any_value_is_translated_or_refused(content: bytes) -> None:
+    """Guards against an error of another type, which ends the read."""
+    for translate in (
+        operators_document.translate_configuration,
+        lambda value: backend_entry.translate_entry('i', value, own=_OWN),
+    ):
+        try:
+            translate(content)
+        except errors.SourceError:
+            continue
+
+
+@pytest.mark.parametrize(
+    ('text', 'expected'),
+    [('1500ms', 1500), ('2.5s', 2500), ('0ms', 0)],
+)
+def test_durations_have_their_unit(text: str, expected: int) -> None:
+    """Guards against seconds that are taken for milliseconds."""
+    assert duration.parse_duration_ms(text, field='f') == expected
+
+
+@pytest.mark.parametrize('text', ['', '5', '-1ms', '1 s', 'ms', None, 3])
+def test_other_texts_are_no_durations(text: object) -> None:
+    """Guards against a time limit that is guessed."""
+    with pytest.raises(errors.SourceError, match='f is'):
+        duration.parse_duration_ms(text, field='f')
