Estimate service times by route and spend the retry budget by service

Ruled out: queues (queued=0) and links (1 ms). Change: estimates by rank and route, due order within a rank, no caution while a slot is free; refusals that no backend server saw need no budget; budgets by service; an idempotent request whose answer is a failure is asked again.

--- a/medlarquay/admission/decide.py
+++ b/medlarquay/admission/decide.py
@@ -59,12 +59,15 @@
     reason = _refusal_on_arrival(event, state, now)
     if reason is not None:
         return (refuse.Refuse(exchange=event.exchange, reason=reason),)
-    if not state.queued_ranks and _may_start(event.rank, state, now):
-        return (_start(event.exchange, event.rank, state, now),)
-    state.queues[event.rank][event.exchange] = queued_work.QueuedWork(
+    work = queued_work.QueuedWork(
         exchange=event.exchange,
         deadline=event.deadline,
+        due=min(event.due, event.deadline),
+        route=event.route,
     )
+    if not state.queued_ranks and _may_start(event.rank, state, now):
+        return (_start(work, event.rank, state, now),)
+    state.queues[event.rank][event.exchange] = work
     state.queued_ranks[event.exchange] = event.rank
     return _fill_slots(state, now)
 
@@ -78,7 +81,7 @@
     state.shares.advance(now)
     work = _release(event.exchange, state)
     if work is not None:
-        state.times.add(work.rank, now - work.started_at)
+        state.times.add(work.rank, work.route, now - work.started_at)
     return _fill_slots(state, now)
 
 
@@ -168,12 +171,14 @@
         return states.RefusalReason.DEADLINE_PASSED
     if len(state.queues[event.rank]) >= state.bounds.queue_limit:
         return _load_reason(states.RefusalReason.QUEUE_FULL, state, now)
-    service = state.times.cautious(event.rank)
-    wait: float = 0
     if len(state.running) >= state.limit.usable(now):
-        wait = expected_wait.expected_wait(state, event.rank, now)
-    if now + wait + service > event.deadline:
-        state.times.relax(event.rank)
+        wait = expected_wait.expected_wait(state, event, now)
+        needed = wait + state.times.cautious(event.rank, event.route)
+    else:
+        # A free slot costs nothing, so an even chance is worth a try.
+        needed = state.times.of_route(event.rank, event.route)
+    if now + needed > event.deadline:
+        state.times.relax(event.rank, event.route)
         return _load_reason(
             states.RefusalReason.DEADLINE_UNREACHABLE, state, now
         )
@@ -206,31 +211,34 @@
     state: admission.Admission,
     now: float,
 ) -> start.Start | refuse.Refuse:
-    exchange, work = state.queues[rank].popitem(last=False)
+    queue = state.queues[rank]
+    exchange = min(queue, key=lambda queued: queue[queued].due)
+    work = queue.pop(exchange)
     state.queued_ranks.pop(exchange)
     reason = None
     if work.deadline <= now:
         reason = states.RefusalReason.DEADLINE_PASSED
-    elif now + state.times.cautious(rank) > work.deadline:
-        state.times.relax(rank)
+    elif now + state.times.of_route(rank, work.route) > work.deadline:
+        state.times.relax(rank, work.route)
         reason = states.RefusalReason.DEADLINE_UNREACHABLE
     if reason is not None:
         return refuse.Refuse(exchange=exchange, reason=reason)
-    return _start(exchange, rank, state, now)
+    return _start(work, rank, state, now)
 
 
 def _start(
-    exchange: ids.ExchangeId,
+    work: queued_work.QueuedWork,
     rank: states.Rank,
     state: admission.Admission,
     now: float,
 ) -> start.Start:
-    state.running[exchange] = running_work.RunningWork(
+    state.running[work.exchange] = running_work.RunningWork(
         rank=rank,
         started_at=now,
+        route=work.route,
     )
     state.shares.change(rank, 1)
-    return start.Start(exchange=exchange)
+    return start.Start(exchange=work.exchange)
 
 
 def _may_start(
--- a/medlarquay/admission/expected_wait.py
+++ b/medlarquay/admission/expected_wait.py
@@ -1,7 +1,7 @@
 """Expected wait in a queue."""
 
 from medlarquay import states
-from medlarquay.admission import admission
+from medlarquay.admission import admission, inputs
 
 __all__ = ('expected_wait',)
 
@@ -14,10 +14,10 @@
 
 def expected_wait(
     state: admission.Admission,
-    rank: states.Rank,
+    event: inputs.Arrived,
     now: float,
 ) -> float:
-    """Return the expected wait of a new request of a rank, in seconds.
+    """Return the expected wait of a new request, in seconds.
 
     Notes
     -----
@@ -26,13 +26,19 @@
     behind its own queue only. The shorter wait counts.
     """
     slots = state.limit.usable(now)
-    own = len(state.queues[rank]) * state.times.expected(rank)
+    rank = event.rank
+    # Within a rank the earliest due is served first.
+    own = state.times.queued(
+        rank,
+        state.queues[rank],
+        due=min(event.due, event.deadline),
+    )
     ahead = own
     taken: float = 0
     for other in states.Rank:
         if other is rank:
             break
-        ahead += len(state.queues[other]) * state.times.expected(other)
+        ahead += state.times.queued(other, state.queues[other])
         taken += state.shares.held(other)
     left = max(slots - taken, _SMALLEST_SHARE * slots)
     floor = max(state.bounds.floors.get(rank, 0), _SMALLEST_SHARE)
--- a/medlarquay/admission/inputs/arrived.py
+++ b/medlarquay/admission/inputs/arrived.py
@@ -1,6 +1,7 @@
 """A request asks for a slot."""
 
 import dataclasses
+import math
 
 from medlarquay import ids, states
 
@@ -19,8 +20,15 @@
         Priority class.
     deadline : float
         Seconds on the monotonic clock.
+    route : RouteName
+        Route; its requests take similar times.
+    due : float
+        Time by which an answer is worth most, on the same clock; orders the
+        requests of one rank.
     """
 
     exchange: ids.ExchangeId
     rank: states.Rank
     deadline: float
+    route: ids.RouteName = ids.RouteName('')
+    due: float = math.inf
--- a/medlarquay/admission/queued_work.py
+++ b/medlarquay/admission/queued_work.py
@@ -15,9 +15,14 @@
     ----------
     exchange : ExchangeId
         Number of the exchange at the owner.
-    deadline : float
-        Seconds on the monotonic clock.
+    deadline, due : float
+        When the caller stops waiting, and by when an answer is worth most;
+        seconds on the monotonic clock.
+    route : RouteName
+        Route of the request.
     """
 
     exchange: ids.ExchangeId
     deadline: float
+    due: float
+    route: ids.RouteName
--- a/medlarquay/admission/running_work.py
+++ b/medlarquay/admission/running_work.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import states
+from medlarquay import ids, states
 
 __all__ = ('RunningWork',)
 
@@ -17,7 +17,10 @@
         Priority class.
     started_at : float
         Seconds on the monotonic clock.
+    route : RouteName
+        Route of the request.
     """
 
     rank: states.Rank
     started_at: float
+    route: ids.RouteName
--- a/medlarquay/admission/tests/test_decide.py
+++ b/medlarquay/admission/tests/test_decide.py
@@ -163,3 +163,55 @@
         _arrive(state, number, now=now, deadline=999, rank=bulk)
     assert admission.load_of(state, now).running == 6 - 1
     assert _arrive(state, 200, now=now, deadline=999, rank=urgent)
+
+
+def _served(
+    state: admission.Admission,
+    number: int,
+    *,
+    route: str,
+    seconds: float,
+    now: float,
+) -> None:
+    event = admission.Arrived(
+        exchange=ids.ExchangeId(number),
+        rank=states.Rank.NORMAL,
+        deadline=now + 10,
+        route=ids.RouteName(route),
+    )
+    admission.decide(event, state, now)
+    _finish(state, number, now + seconds)
+
+
+def test_a_long_route_does_not_refuse_the_short_one_of_its_rank() -> None:
+    """Guards against look-ups refused by the times of approvals.
+
+    Both routes had one estimate, so that look-ups with a limit of 200 ms were
+    refused by an idle backend server.
+    """
+    state = _state()
+    for number in range(1, 20):
+        _served(state, number, route='approve', seconds=0.3, now=number)
+    for number in range(20, 30):
+        _served(state, number, route='look-up', seconds=0.015, now=number)
+    asked = admission.Arrived(
+        exchange=ids.ExchangeId(99),
+        rank=states.Rank.NORMAL,
+        deadline=40.2,
+        route=ids.RouteName('look-up'),
+    )
+    assert admission.decide(asked, state, 40) == (_start(99),)
+
+
+def test_the_earliest_due_of_a_rank_is_served_first() -> None:
+    """Guards against a call of a run that waits behind slower work."""
+    state = _state()
+    for number, due in ((1, 5.0), (2, 4.0), (3, 0.06)):
+        event = admission.Arrived(
+            exchange=ids.ExchangeId(number),
+            rank=states.Rank.NORMAL,
+            deadline=10,
+            due=due,
+        )
+        admission.decide(event, state, 0)
+    assert _finish(state, 1, 0.01) == (_start(3),)
--- a/medlarquay/codec/call_decoders.py
+++ b/medlarquay/codec/call_decoders.py
@@ -32,6 +32,8 @@
         rank=reader.take_choice(states.Rank),
         idempotent=reader.take(bool),
         deadline=now + reader.take(int) / _MS_PER_SECOND,
+        route=ids.RouteName(reader.take(str)),
+        due=now + reader.take(int) / _MS_PER_SECOND,
         request_key=_optional_key(reader),
     )
 
--- a/medlarquay/codec/encode.py
+++ b/medlarquay/codec/encode.py
@@ -61,6 +61,8 @@
         message.rank.value,
         message.idempotent,
         int((message.deadline - now) * _MS_PER_SECOND),
+        message.route,
+        int((min(message.due, message.deadline) - now) * _MS_PER_SECOND),
         message.request_key,
     ]
 
--- a/medlarquay/codec/tests/test_round_trip.py
+++ b/medlarquay/codec/tests/test_round_trip.py
@@ -15,6 +15,8 @@
     rank=states.Rank.URGENT,
     idempotent=False,
     deadline=12.5,
+    route=ids.RouteName('editorial-desk.agency/'),
+    due=11.25,
     request_key=ids.RequestKey('k'),
 )
 
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -8,9 +8,6 @@
 from medlarquay import admin
 from medlarquay.daemon import (
     call_path,
-)
-from medlarquay.daemon import deployment as deployments
-from medlarquay.daemon import (
     distribution,
     known_peers,
     lifecycle,
@@ -19,6 +16,7 @@
     signals,
     surroundings,
 )
+from medlarquay.daemon import deployment as deployments
 from medlarquay.tasks import (
     connector,
     peer_links,
--- a/medlarquay/ids/__init__.py
+++ b/medlarquay/ids/__init__.py
@@ -13,6 +13,7 @@
 from medlarquay.ids.region_name import RegionName
 from medlarquay.ids.request_key import RequestKey
 from medlarquay.ids.revision import Revision
+from medlarquay.ids.route_name import RouteName
 from medlarquay.ids.service_name import ServiceName
 from medlarquay.ids.team_name import TeamName
 
@@ -30,6 +31,7 @@
     'RegionName',
     'RequestKey',
     'Revision',
+    'RouteName',
     'ServiceName',
     'TeamName',
 )
--- /dev/null
+++ b/medlarquay/ids/route_name.py
@@ -0,0 +1,7 @@
+"""Name of a route: its host and path prefix."""
+
+import typing
+
+__all__ = ('RouteName',)
+
+RouteName = typing.NewType('RouteName', str)
--- a/medlarquay/ingress/call_reporter.py
+++ b/medlarquay/ingress/call_reporter.py
@@ -148,7 +148,6 @@
             ),
         )
 
-
     def _age_ms(self, moment: float) -> int:
         return int((self._clock() - moment) * _MS_PER_SECOND)
 
--- a/medlarquay/ingress/call_request.py
+++ b/medlarquay/ingress/call_request.py
@@ -31,5 +31,7 @@
         rank=call.parameters.rank,
         idempotent=call.parameters.idempotent,
         deadline=call.parameters.deadline,
+        route=call.route.name,
+        due=call.parameters.due,
         request_key=None if key is None else key.text,
     )
--- a/medlarquay/ingress/ingress_call.py
+++ b/medlarquay/ingress/ingress_call.py
@@ -38,6 +38,8 @@
         Start of the current attempt, seconds on the monotonic clock.
     generation : int
         Snapshot by which the owner was chosen.
+    sends : int
+        Attempts that a backend server may have seen.
     tried : tuple of InstanceId
         Owners of all attempts, the current one last.
     """
@@ -54,6 +56,7 @@
     node: ids.InstanceId = ids.InstanceId('')
     sent_at: float = 0
     generation: int = 0
+    sends: int = 0
     tried: tuple[ids.InstanceId, ...] = ()
 
     @property
--- a/medlarquay/messages/call_request.py
+++ b/medlarquay/messages/call_request.py
@@ -1,6 +1,7 @@
 """A request on its way from an ingress to the owner of a backend server."""
 
 import dataclasses
+import math
 
 from medlarquay import ids, states
 
@@ -33,6 +34,11 @@
         Whether the request may run more than once.
     deadline : float
         Seconds on the local monotonic clock; the codec sends the remaining time.
+    route : ids.RouteName
+        Route of the request; requests of one route take similar times.
+    due : float
+        Time by which an answer is worth most to the caller, on the same
+        clock; the deadline if the route states none.
     request_key : ids.RequestKey | None
         Key of a non-idempotent request, if it has one.
     """
@@ -47,4 +53,6 @@
     rank: states.Rank
     idempotent: bool
     deadline: float
+    route: ids.RouteName = ids.RouteName('')
+    due: float = math.inf
     request_key: ids.RequestKey | None = None
--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -22,6 +22,7 @@
 from medlarquay.routing.read_parameters import read_parameters
 from medlarquay.routing.refusal_observed import RefusalObserved
 from medlarquay.routing.retry_budget import RetryBudget
+from medlarquay.routing.retry_budgets import RetryBudgets
 from medlarquay.routing.retry_denied import RetryDenied
 from medlarquay.routing.retry_granted import RetryGranted
 from medlarquay.routing.service_for_key import KEY_PATH, service_for_key
@@ -36,6 +37,7 @@
     'RetryGranted',
     'RetryDenied',
     'RetryBudget',
+    'RetryBudgets',
     'expected_time',
     'decide_retry',
     'Attempt',
--- a/medlarquay/routing/attempt.py
+++ b/medlarquay/routing/attempt.py
@@ -17,6 +17,10 @@
         Whether a key ties the request to one owner.
     retries : int
         Retries of this request so far.
+    sends : int
+        Backend servers that may have seen the request so far.
+    max_sends : int
+        Most backend servers that the request may be sent to.
     deadline : float
         Deadline of the request, seconds on the monotonic clock.
     expected_time : float
@@ -34,3 +38,5 @@
     expected_time: float
     other_backend: bool
     newer_snapshot: bool
+    sends: int = 0
+    max_sends: int = 3
--- a/medlarquay/routing/call_parameters.py
+++ b/medlarquay/routing/call_parameters.py
@@ -17,6 +17,8 @@
         Priority class.
     deadline : float
         Deadline at the owner, seconds on the monotonic clock.
+    due : float
+        Time by which an answer is worth most, on the same clock.
     idempotent : bool
         Whether the request may run more than once.
     key : BoundKey, PlainKey or None
@@ -25,5 +27,6 @@
 
     rank: states.Rank
     deadline: float
+    due: float
     idempotent: bool
     key: keys.BoundKey | keys.PlainKey | None
--- a/medlarquay/routing/decide_retry.py
+++ b/medlarquay/routing/decide_retry.py
@@ -17,6 +17,12 @@
 
 # Keeps one request from using the budget of ten others.
 _MAX_RETRIES = 2
+# A refusal that came before the backend server costs two messages; more of
+# them show that the choice of owners finds no room.
+_MAX_REFUSALS = 4
+_FIRST_FAILURE_STATUS = 500
+# The time of the request has passed, so another run would end the same.
+_TIMED_OUT_STATUS = 504
 
 # Refusals that another backend server may not repeat. All refusals prove
 # that the request was not run; the rest would be refused anywhere.
@@ -78,7 +84,9 @@
         return _deny(states.RetryDenial.NOT_RETRYABLE)
     if not _has_target(failure.reason, tried):
         return _deny(states.RetryDenial.NO_OTHER_BACKEND)
-    return _grant(reason, tried, budget, now)
+    if failure.reason is states.RefusalReason.SHED:
+        return _grant(reason, tried, budget, now)
+    return _grant_free(reason, tried, now)
 
 
 @decide_retry.register
@@ -105,10 +113,16 @@
     budget: retry_budget.RetryBudget,
     now: float,
 ) -> _Decision:
-    # The request ran; its answer is passed on whatever its status.
-    if failure.retry_allowed:
+    if not failure.retry_allowed:
+        return _deny(states.RetryDenial.MARKED_FINAL)
+    failed = failure.status >= _FIRST_FAILURE_STATUS
+    if not failed or failure.status == _TIMED_OUT_STATUS:
         return _deny(states.RetryDenial.NOT_RETRYABLE)
-    return _deny(states.RetryDenial.MARKED_FINAL)
+    if not tried.idempotent:
+        return _deny(states.RetryDenial.NOT_PROVED_UNRUN)
+    if not tried.other_backend:
+        return _deny(states.RetryDenial.NO_OTHER_BACKEND)
+    return _grant(states.RetryReason.ANSWERED_FAILURE, tried, budget, now)
 
 
 def _has_target(
@@ -128,10 +142,25 @@
 ) -> _Decision:
     if now + tried.expected_time >= tried.deadline:
         return _deny(states.RetryDenial.DEADLINE_TOO_CLOSE)
+    if tried.sends >= tried.max_sends:
+        return _deny(states.RetryDenial.ATTEMPTS_USED)
     if tried.retries >= _MAX_RETRIES or not budget.take():
         return _deny(states.RetryDenial.BUDGET_EXHAUSTED)
     return retry_granted.RetryGranted(reason=reason)
 
 
+def _grant_free(
+    reason: states.RetryReason,
+    tried: attempt.Attempt,
+    now: float,
+) -> _Decision:
+    """Grant a retry of a request that no backend server has seen."""
+    if now + tried.expected_time >= tried.deadline:
+        return _deny(states.RetryDenial.DEADLINE_TOO_CLOSE)
+    if tried.retries >= _MAX_REFUSALS:
+        return _deny(states.RetryDenial.ATTEMPTS_USED)
+    return retry_granted.RetryGranted(reason=reason)
+
+
 def _deny(denial: states.RetryDenial) -> retry_denied.RetryDenied:
     return retry_denied.RetryDenied(denial=denial)
--- a/medlarquay/routing/read_parameters.py
+++ b/medlarquay/routing/read_parameters.py
@@ -66,9 +66,12 @@
 ) -> call_parameters.CallParameters:
     idempotent = message.method in route.idempotent_methods
     timeout_ms = _timeout_ms(fields.get(_TIMEOUT), route)
+    deadline = now + timeout_ms / _MS_PER_SECOND
+    target_ms = route.parameters.target_ms or timeout_ms
     return call_parameters.CallParameters(
         rank=_rank(fields.get(_RANK), route),
-        deadline=now + timeout_ms / _MS_PER_SECOND,
+        deadline=deadline,
+        due=min(deadline, now + target_ms / _MS_PER_SECOND),
         idempotent=idempotent,
         # Idempotent requests need no home; their key is for the application.
         key=None if idempotent else _key(fields.get(_KEY)),
--- /dev/null
+++ b/medlarquay/routing/tests/test_split_turns.py
@@ -0,0 +1,78 @@
+"""Sharing of the requests of a route by weight."""
+
+import collections
+
+import pytest
+
+from medlarquay import ids, routing, settings, snapshots, states
+
+_TEAM = ids.TeamName('team')
+
+
+def _service(name: str) -> snapshots.Service:
+    return snapshots.Service(
+        team=_TEAM,
+        parameters=settings.ServiceSettings(
+            name=ids.ServiceName(name),
+            floors=(),
+            queue_limit=1,
+            cold_start_ms=0,
+        ),
+        backends=(),
+    )
+
+
+def _route(**weights: int) -> snapshots.Route:
+    services = {name: _service(name) for name in weights}
+    first = next(iter(services.values()))
+    return snapshots.Route(
+        parameters=settings.RouteSettings(
+            host='h',
+            path_prefix='/',
+            service=first.parameters.name,
+            rank=states.Rank.NORMAL,
+            timeout_ms=1000,
+            idempotent_methods=(),
+            split=tuple(
+                settings.WeightedService(
+                    service=ids.ServiceName(name),
+                    weight=weight,
+                )
+                for name, weight in weights.items()
+            ),
+        ),
+        prefix=b'/',
+        idempotent_methods=frozenset(),
+        service=first,
+        split=tuple(
+            (services[name], weight) for name, weight in weights.items()
+        ),
+    )
+
+
+@pytest.mark.parametrize(
+    'weights',
+    [{'a': 90, 'b': 10}, {'a': 1, 'b': 1}, {'a': 3, 'b': 5, 'c': 2}],
+)
+def test_the_shares_are_exact_after_one_round(weights: dict[str, int]) -> None:
+    """Guards against a part that gets less than the operators asked for."""
+    route = _route(**weights)
+    turns = routing.SplitTurns()
+    counted = collections.Counter(
+        turns.choose(route).parameters.name
+        for _ in range(sum(weights.values()))
+    )
+    assert counted == weights
+
+
+def test_a_small_part_is_served_between_the_others() -> None:
+    """Guards against bursts of one part, which overload a small service."""
+    route = _route(a=9, b=1)
+    turns = routing.SplitTurns()
+    chosen = [turns.choose(route).parameters.name for _ in range(40)]
+    gaps = [place for place, name in enumerate(chosen) if name == 'b']
+    assert [later - sooner for sooner, later in zip(gaps, gaps[1:])] == [
+        10,
+        10,
+        10,
+    ]
--- a/medlarquay/snapshots/route.py
+++ b/medlarquay/snapshots/route.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import settings
+from medlarquay import ids, settings
 from medlarquay.snapshots import service
 
 __all__ = ('Route',)
@@ -32,3 +32,9 @@
     idempotent_methods: frozenset[bytes]
     service: service.Service
     split: tuple[tuple[service.Service, int], ...] = ()
+
+    @property
+    def name(self) -> ids.RouteName:
+        """Host and path prefix, which name the route in its document."""
+        parameters = self.parameters
+        return ids.RouteName(f'{parameters.host}{parameters.path_prefix}')
--- a/medlarquay/states/retry_denial.py
+++ b/medlarquay/states/retry_denial.py
@@ -14,3 +14,4 @@
     NO_OTHER_BACKEND = 'no_other_backend'
     MARKED_FINAL = 'marked_final'
     NOT_RETRYABLE = 'not_retryable'
+    ATTEMPTS_USED = 'attempts_used'
--- a/medlarquay/states/retry_reason.py
+++ b/medlarquay/states/retry_reason.py
@@ -15,3 +15,4 @@
     REFUSED_NOT_READY = 'refused_not_ready'
     REFUSED_NOT_HOME = 'refused_not_home'
     OUTCOME_UNKNOWN = 'outcome_unknown'
+    ANSWERED_FAILURE = 'answered_failure'
--- a/medlarquay/tasks/owner_starts.py
+++ b/medlarquay/tasks/owner_starts.py
@@ -65,6 +65,8 @@
         exchange=job.exchange,
         rank=job.request.rank,
         deadline=job.request.deadline,
+        route=job.request.route,
+        due=job.request.due,
     )
     tell_admission(arrived, owner)
 
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -7,15 +7,25 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import events, ids, ingress, keys, messages, routing, states
+from medlarquay import (
+    events,
+    ids,
+    ingress,
+    keys,
+    messages,
+    replica,
+    routing,
+    states,
+)
 from medlarquay.tasks import alarm, task
 
 __all__ = ('Router',)
 
 # A pause is noticed by a late timer also while no call is under way.
 _HOUSEKEEPING_S = 1.0
+_FIRST_FAILURE_STATUS = 500
 
-_Failure = messages.CallRefused | messages.CallUnknown
+_Failure = messages.CallRefused | messages.CallUnknown | messages.CallAnswered
 _NodeEvent = events.PeerGreeted | events.PeerLost | messages.Draining
 # The caller set the deadline, so its passing says nothing about the owner.
 _NOT_A_FAULT = frozenset((
@@ -87,7 +97,7 @@
         )
         self.front = ingress.Front() if front is None else front
         self.turns = routing.SplitTurns()
-        self.budget = routing.RetryBudget()
+        self.budgets = routing.RetryBudgets()
         self.draining = False
         self.refuse_at: float = 0
         self.clock = clock
@@ -147,8 +157,17 @@
         if isinstance(found, routing.ChoiceRefused):
             self.tell_refusal(call, found.reason, final=False)
             return
-        call.instance = found.backend.instance
-        call.node = found.backend.node_name
+        self.send(call, found.backend)
+
+    def send(
+        self,
+        call: ingress.IngressCall,
+        backend: replica.InstanceRecord,
+    ) -> None:
+        """Send a call to the owner of a backend server."""
+        now = self.clock()
+        call.instance = backend.instance
+        call.node = backend.node_name
         call.tried = (*call.tried, call.instance)
         call.generation = self.table.generation
         call.sent_at = now
@@ -156,7 +175,7 @@
         self.observe(routing.CallSent(instance=call.instance))
         if self.alarm is not None:
             self.alarm.wake_at(call.deadline)
-        self.sender.send(found.backend, ingress.call_request(call, self.front))
+        self.sender.send(backend, ingress.call_request(call, self.front))
 
     def finish(self, call_id: ids.CallId) -> ingress.IngressCall | None:
         """Forget an attempt; count a result that belongs to none."""
@@ -168,13 +187,41 @@
     def fail(self, call: ingress.IngressCall, failure: _Failure) -> None:
         """Attempt a failed call again, or tell its caller."""
         now = self.clock()
+        if not _is_unsent(failure):
+            call.sends += 1
+        other = routing.choose(
+            routing.AnyOwnerWanted(
+                candidates=self.table.candidates(call.service),
+                excluded=call.tried,
+            ),
+            self.chooser,
+            now,
+        )
         decision = routing.decide_retry(
             failure,
-            self._tried(call, now),
-            self.budget,
+            self._tried(call, other, now),
+            self.budgets.of(call.service),
             now,
         )
-        _conclude(decision, failure, call, self)
+        if isinstance(decision, routing.RetryDenied):
+            self.reporter.retried(call, decision.denial)
+            _give_up(failure, call, self)
+            return
+        self.reporter.retried(call, decision.reason)
+        if isinstance(other, routing.OwnerChosen):
+            self.send(call, other.backend)
+        else:
+            self.attempt(call)
+
+    def tell_answer(
+        self,
+        call: ingress.IngressCall,
+        message: messages.CallAnswered,
+    ) -> None:
+        """Give the caller of a call the answer of a backend server."""
+        answer = ingress.answer(caller=call.caller, message=message)
+        self.reporter.told(call, answer, states.Outcome.RUN, None)
+        self.answer(answer)
 
     def tell_refusal(
         self,
@@ -227,16 +274,9 @@
     def _tried(
         self,
         call: ingress.IngressCall,
+        other: routing.OwnerChosen | routing.ChoiceRefused,
         now: float,
     ) -> routing.Attempt:
-        other = routing.choose(
-            routing.AnyOwnerWanted(
-                candidates=self.table.candidates(call.service),
-                excluded=call.tried,
-            ),
-            self.chooser,
-            now,
-        )
         chosen = isinstance(other, routing.OwnerChosen)
         return routing.Attempt(
             idempotent=call.parameters.idempotent,
@@ -250,6 +290,8 @@
             ),
             other_backend=chosen,
             newer_snapshot=self.table.generation > call.generation,
+            sends=call.sends,
+            max_sends=call.route.parameters.attempts,
         )
 
     def _report_if_finished(self) -> None:
@@ -263,39 +305,46 @@
         lifecycle.post(events.WorkFinished(part=states.NodePart.ROUTER))
 
 
+def _is_unsent(failure: _Failure) -> bool:
+    """Return whether a failure proves that no backend server was asked."""
+    refused = isinstance(failure, messages.CallRefused)
+    return refused and failure.reason is not states.RefusalReason.SHED
+
+
 @functools.singledispatch
-def _conclude(
-    decision: object,
-    failure: _Failure,
+def _give_up(
+    failure: object,
     call: ingress.IngressCall,
     router: Router,
 ) -> None:
-    raise TypeError(f'unexpected decision {type(decision).__name__}')
+    raise TypeError(f'unexpected failure {type(failure).__name__}')
 
 
-@_conclude.register
-def _retry(
-    decision: routing.RetryGranted,
-    failure: _Failure,
+@_give_up.register
+def _tell_refused(
+    failure: messages.CallRefused,
     call: ingress.IngressCall,
     router: Router,
 ) -> None:
-    router.reporter.retried(call, decision.reason)
-    router.attempt(call)
+    router.tell_refusal(call, failure.reason, final=True)
 
 
-@_conclude.register
-def _give_up(
-    decision: routing.RetryDenied,
-    failure: _Failure,
+@_give_up.register
+def _tell_unknown(
+    failure: messages.CallUnknown,
     call: ingress.IngressCall,
     router: Router,
 ) -> None:
-    router.reporter.retried(call, decision.denial)
-    if isinstance(failure, messages.CallRefused):
-        router.tell_refusal(call, failure.reason, final=True)
-    else:
-        router.tell_unknown(call, failure.reason)
+    router.tell_unknown(call, failure.reason)
+
+
+@_give_up.register
+def _tell_answer(
+    failure: messages.CallAnswered,
+    call: ingress.IngressCall,
+    router: Router,
+) -> None:
+    router.tell_answer(call, failure)
 
 
 @functools.singledispatch
@@ -307,6 +356,7 @@
 def _replaced(message: events.SnapshotReplaced, router: Router) -> None:
     router.table.replace(message.snapshot)
     router.turns.keep_only(message.snapshot)
+    router.budgets.keep_only(message.snapshot)
     router.chooser.observations.forget_except(router.table.instances())
     router.wake()
 
@@ -329,7 +379,7 @@
         router.key_issuer.request(opened, router.chooser, now)
     else:
         opened.request_id = router.request_id(message)
-        router.budget.count_first_attempt()
+        router.budgets.of(opened.service).count_first_attempt()
         router.attempt(opened)
 
 
@@ -354,9 +404,10 @@
             load=message.load,
         ),
     )
-    answer = ingress.answer(caller=call.caller, message=message)
-    router.reporter.told(call, answer, states.Outcome.RUN, None)
-    router.answer(answer)
+    if message.status >= _FIRST_FAILURE_STATUS and call.parameters.idempotent:
+        router.fail(call, message)
+    else:
+        router.tell_answer(call, message)
 
 
 @_handle.register
--- a/medlarquay/tasks/tests/ingress_bench.py
+++ b/medlarquay/tasks/tests/ingress_bench.py
@@ -105,10 +105,16 @@
         self.router.start(reactor=self.clock)
         self.router.listener = self.listener
         self.router.lifecycle = self.lifecycle
-        # Enough tokens for any test; the budget has tests of its own.
-        self.router.budget.tenths = 100
         if backends:
             self.configure(*backends)
+            self._fill_budgets()
+
+    def _fill_budgets(self) -> None:
+        """Give enough tokens for any test; the budget has its own tests."""
+        snapshot = self.router.table.snapshot
+        assert snapshot is not None
+        for service in snapshot.services.values():
+            self.router.budgets.of(service).tenths = 100
 
     def configure(self, *backends: replica.InstanceRecord) -> None:
         """Replace the snapshot."""
