Split the owner's deadlines from its handlers and keep the linter clean

Change: names and times of the local backend server, and times of a stop, are types of their own; the deadlines of the owner are a module.

--- a/bench/owner_cost.py
+++ b/bench/owner_cost.py
@@ -114,6 +114,7 @@
     )
     built.backend = Discard(name='backend')
     built.place = owner_place.OwnerPlace(
+        instance=_INSTANCE,
         team=_TEAM,
         service=_SERVICE,
         peers=(),
--- a/medlarquay/admission/service_times.py
+++ b/medlarquay/admission/service_times.py
@@ -1,6 +1,7 @@
 """Smoothed service times by route."""
 
 import collections
+import math
 from collections.abc import Mapping
 
 from medlarquay import ids, states
@@ -61,7 +62,7 @@
         rank: states.Rank,
         queue: _Queue,
         *,
-        due: float = float('inf'),
+        due: float = math.inf,
     ) -> float:
         """Return the expected time of the queued requests due before a time."""
         return sum(
--- a/medlarquay/codec/control_decoders.py
+++ b/medlarquay/codec/control_decoders.py
@@ -108,8 +108,8 @@
     revision = ids.Revision(_count(reader))
     if reader.length == _TOMBSTONE_FIELDS:
         return replica.tombstone(instance=instance, revision=revision)
-    team, service = _text(reader), _text(reader)
-    region, data_centre, host = (_text(reader) for _ in range(3))
+    team, service = _texts(reader, 2)
+    region, data_centre, host = _texts(reader, 3)
     record = replica.InstanceRecord(
         instance=instance,
         revision=revision,
@@ -156,6 +156,10 @@
     raise reader.error('is too long')
 
 
+def _texts(reader: checked.Checked, count: int) -> list[str]:
+    return [_text(reader) for _ in range(count)]
+
+
 def _digest(reader: checked.Checked) -> ids.Digest:
     found = reader.take(bytes)
     if len(found) in {0, control_limits.DIGEST_BYTES}:
--- a/medlarquay/daemon/build_owner.py
+++ b/medlarquay/daemon/build_owner.py
@@ -2,7 +2,7 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import ledger, messages, telemetry
+from medlarquay import admin, ledger
 from medlarquay.daemon import deployment as deployments
 from medlarquay.daemon import node_settings
 from medlarquay.tasks import backend, clocks, owner, task
@@ -14,27 +14,25 @@
     *,
     reactor: interfaces.IReactorCore,
     settings: node_settings.NodeSettings,
-    hello: messages.Hello,
+    observed: admin.ObservedNode,
     links: task.Task,
-    counters: telemetry.Counters,
-    records: telemetry.RecordLog,
     deployment: deployments.Deployment,
 ) -> owner.Owner:
     """Build the owner and the backend task and connect them."""
     clock = clocks.Clocks()
     own = owner.Owner(
-        hello=hello,
+        hello=observed.hello,
         links=links,
         reactor=reactor,
         clock=clock,
-        counters=counters,
-        records=records,
-        names=deployment.front.names,
-        hung_s=deployment.hung_s,
+        counters=observed.counters,
+        records=observed.records,
     )
+    own.local.names = deployment.front.names
+    own.local.hung_s = deployment.hung_s
     own.ledger = ledger.Ledger(
-        instance=hello.instance,
-        incarnation=hello.incarnation,
+        instance=observed.hello.instance,
+        incarnation=observed.hello.incarnation,
         retention_s=settings.key_retention_s,
     )
     own.backend = backend.Backend(
--- a/medlarquay/daemon/build_router.py
+++ b/medlarquay/daemon/build_router.py
@@ -32,8 +32,8 @@
         ),
         # SystemRandom makes a system call for each choice.
         random=random.Random(),
-        front=front,
     )
+    routing.front = front
     routing.start(reactor=reactor)
     callers = caller_listener.CallerListener(router=routing, reactor=reactor)
     routing.listener = callers
--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -52,10 +52,8 @@
     own = build_owner.build_owner(
         reactor=reactor,
         settings=settings,
-        hello=observed.hello,
+        observed=observed,
         links=links,
-        counters=observed.counters,
-        records=observed.records,
         deployment=deployment,
     )
     routing, callers = build_router.build_router(
--- a/medlarquay/daemon/deployment.py
+++ b/medlarquay/daemon/deployment.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from medlarquay import addresses, ingress
+from medlarquay.daemon import stop_pace
 from medlarquay.tasks import source_fetcher
 
 __all__ = ('Deployment',)
@@ -27,16 +28,14 @@
     hung_s : float
         Seconds past the deadline of a request after which its backend server
         will not answer any more.
-    linger_s : float
-        Seconds for which callers still send requests after the node was
-        asked to stop.
-    flush_s : float
-        Seconds for which answers may leave the socket buffers at a stop.
+    pace : StopPace
+        Times of a graceful stop.
     """
 
     fetcher: source_fetcher.SourceFetcher
     front: ingress.Front = dataclasses.field(default_factory=ingress.Front)
     readiness: addresses.NodeAddress | None = None
     hung_s: float = _HUNG_S
-    linger_s: float = 0
-    flush_s: float = 1
+    pace: stop_pace.StopPace = dataclasses.field(
+        default_factory=stop_pace.StopPace,
+    )
--- a/medlarquay/daemon/lifecycle.py
+++ b/medlarquay/daemon/lifecycle.py
@@ -6,15 +6,11 @@
 from twisted.internet import interfaces
 
 from medlarquay import events, states
-from medlarquay.daemon import lifecycle_effects, lifecycle_machine
+from medlarquay.daemon import lifecycle_effects, lifecycle_machine, stop_pace
 from medlarquay.tasks import alarm, task
 
 __all__ = ('Lifecycle',)
 
-# Answers that were written may still be in socket buffers when the last part
-# has finished; stopping the reactor would cut them off.
-_FLUSH_S = 1
-
 
 class Lifecycle(task.Task, lifecycle_effects.LifecycleEffects):
     """Owns the state of the node and its graceful stop.
@@ -31,12 +27,8 @@
         Receive ``LifecycleChanged``.
     drain_timeout_s : float
         Longest time from the request to stop until the stop, in seconds.
-    linger_s : float
-        Time for which callers may still send requests after the request to
-        stop, in seconds.
-    flush_s : float
-        Time for which answers that were written may leave the socket
-        buffers, in seconds.
+    pace : StopPace, optional
+        Shorter times within it.
     """
 
     def __init__(
@@ -47,8 +39,7 @@
         parts: Collection[task.Task],
         subscribers: Collection[task.Task],
         drain_timeout_s: float,
-        linger_s: float = 0,
-        flush_s: float = _FLUSH_S,
+        pace: stop_pace.StopPace | None = None,
     ) -> None:
         super().__init__(name='lifecycle')
         self.machine = lifecycle_machine.build_machine(self)
@@ -59,8 +50,7 @@
         self._parts = parts
         self._subscribers = subscribers
         self._drain_timeout_s = drain_timeout_s
-        self._linger_s = linger_s
-        self._flush_s = flush_s
+        self._pace = stop_pace.StopPace() if pace is None else pace
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
 
     def receive(self, message: object) -> None:
@@ -77,13 +67,13 @@
         """Ask the parts to finish their work before the drain deadline."""
         now = self._clock()
         self.stop_by(now + self._drain_timeout_s)
-        requested = events.DrainRequested(refuse_at=now + self._linger_s)
+        requested = events.DrainRequested(refuse_at=now + self._pace.linger_s)
         for part in self._parts:
             part.post(requested)
 
     def flush(self) -> None:
         """Stop once the answers written have left the socket buffers."""
-        self.stop_by(self._clock() + self._flush_s)
+        self.stop_by(self._clock() + self._pace.flush_s)
 
     def stop_by(self, deadline: float) -> None:
         """Stop at a time, in seconds on the monotonic clock, or earlier."""
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -71,8 +71,7 @@
         parts=(path.owner, path.router, path.callers, path.links),
         subscribers=(operators, ready),
         drain_timeout_s=settings.drain_timeout_s,
-        linger_s=deployment.linger_s,
-        flush_s=deployment.flush_s,
+        pace=deployment.pace,
     )
     path.owner.lifecycle = life
     path.router.lifecycle = life
--- a/medlarquay/platform/backend_entry.py
+++ b/medlarquay/platform/backend_entry.py
@@ -1,6 +1,7 @@
 """Entries of backend servers as entries of the product's instance list."""
 
 import json
+from types import MappingProxyType
 
 from medlarquay import addresses, errors, settings
 from medlarquay.platform import platform_settings
@@ -8,7 +9,9 @@
 __all__ = ('translate_entry',)
 
 _STEP = 'translate instance entry'
-_STATES = {'ready': 'live', 'draining': 'leaving'}
+_STATES = MappingProxyType({'ready': 'live', 'draining': 'leaving'})
+# What the parsing of a value of another shape raises.
+_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
 
 
 def translate_entry(
@@ -36,7 +39,7 @@
     """
     try:
         return json.dumps(_translate(instance, content, own)).encode()
-    except (AttributeError, KeyError, TypeError, ValueError) as cause:
+    except _MALFORMED as cause:
         raise errors.SourceError(
             f'malformed entry: {cause!r}',
             step=_STEP,
@@ -54,7 +57,7 @@
     # The address of the backend server; its node has the same IP address.
     host = addresses.parse_address(found['address']).host
     slots = about['capacity']
-    if type(slots) is not int or slots < 1:
+    if isinstance(slots, bool) or not isinstance(slots, int) or slots < 1:
         raise ValueError('capacity must be a whole number above 0')
     return {
         'instance': instance,
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -5,7 +5,7 @@
 from twisted.internet import interfaces
 
 from medlarquay import ids, ingress
-from medlarquay.daemon import deployment, node_settings
+from medlarquay.daemon import deployment, node_settings, stop_pace
 from medlarquay.platform import (
     header_names,
     platform_settings,
@@ -71,6 +71,5 @@
         ),
         readiness=own.readiness,
         hung_s=_HUNG_S,
-        linger_s=_LINGER_S,
-        flush_s=_FLUSH_S,
+        pace=stop_pace.StopPace(linger_s=_LINGER_S, flush_s=_FLUSH_S),
     )
--- a/medlarquay/platform/operators_document.py
+++ b/medlarquay/platform/operators_document.py
@@ -16,7 +16,9 @@
     'non_idempotent': False,
 })
 _RANKS = tuple(states.Rank)
-_METHODS = [method.value for method in settings.HttpMethod]
+_METHODS = tuple(method.value for method in settings.HttpMethod)
+# What the parsing of a value of another shape raises.
+_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
 
 
 def translate_configuration(content: bytes) -> bytes:
@@ -38,12 +40,8 @@
         If a field is missing or malformed.
     """
     try:
-        found = json.loads(content)
-        document = {
-            'services': {name: {} for name in found['services']},
-            'routes': [_route(entry) for entry in found['routes'].values()],
-        }
-    except (AttributeError, KeyError, TypeError, ValueError) as cause:
+        document = _document(json.loads(content))
+    except _MALFORMED as cause:
         raise errors.SourceError(
             f'malformed configuration: {cause!r}',
             step=_STEP,
@@ -51,6 +49,13 @@
     return json.dumps(document, separators=(',', ':')).encode()
 
 
+def _document(found: dict[str, Any]) -> dict[str, object]:
+    return {
+        'services': {name: {} for name in found['services']},
+        'routes': [_route(entry) for entry in found['routes'].values()],
+    }
+
+
 def _route(entry: dict[str, Any]) -> dict[str, object]:
     # An unknown kind is not known to bear a second run.
     repeatable = _MAY_REPEAT.get(entry['kind'], False)
@@ -69,14 +74,13 @@
         'idempotent_methods': _METHODS if repeatable else [],
         'attempts': entry['attempts'],
     }
-    if 'split' in entry:
-        route['split'] = [
-            {'service': part['service'], 'weight': part['weight']}
-            for part in entry['split']
-        ]
-    else:
-        route['service'] = entry['service']
-    return route
+    split = entry.get('split')
+    if split is None:
+        return {**route, 'service': entry['service']}
+    parts = [
+        {'service': part['service'], 'weight': part['weight']} for part in split
+    ]
+    return {**route, 'split': parts}
 
 
 def _rank(priority: int) -> states.Rank:
--- a/medlarquay/platform/store_client.py
+++ b/medlarquay/platform/store_client.py
@@ -1,9 +1,9 @@
 """HTTP client of the platform's store."""
 
 import json
-import urllib.parse
 from collections.abc import Callable, Mapping
 from typing import Any
+from urllib import parse as urls
 
 from twisted.internet import defer, endpoints, interfaces
 
@@ -83,7 +83,7 @@
             If the store does not answer in time, refuses or sends no JSON;
             its ``status`` tells a refusal.
         """
-        target = f'{path}?{urllib.parse.urlencode(query)}'
+        target = f'{path}?{urls.urlencode(query)}'
         answer = await self._exchange(target, timeout_s)
         if isinstance(answer, events.BackendFailed):
             raise self._error(f'{path}: the connection was lost')
--- a/medlarquay/platform/tests/test_translation.py
+++ b/medlarquay/platform/tests/test_translation.py
@@ -1,6 +1,8 @@
 """Tests of the translation of the store's values."""
 
+import contextlib
 import json
+from types import MappingProxyType
 
 import hypothesis
 import pytest
@@ -16,7 +18,7 @@
 from medlarquay.platform.tests import test_settings_file
 
 _OWN = settings_file.parse_settings('\n'.join(test_settings_file.LINES))
-_ROUTE = {
+_ROUTE = MappingProxyType({
     'host': 'Desk.example',
     'path_prefix': '/a/',
     'kind': 'non_idempotent',
@@ -25,8 +27,8 @@
     'priority': 1,
     'service': 'desk',
     'attempts': 2,
-}
-_ENTRY = {
+})
+_ENTRY = MappingProxyType({
     'address': '10.1.0.9:8080',
     'info': {
         'service': 'desk',
@@ -35,7 +37,7 @@
         'capacity': 6,
     },
     'status': {'state': 'ready', 'sequence': 4, 'warmup_left': '0ms'},
-}
+})
 
 
 def _translate(**changes: object) -> settings.TeamDocument:
@@ -112,7 +114,7 @@
 
 def test_an_entry_names_the_node_beside_the_backend_server() -> None:
     """Guards against calls that go to the backend server's own port."""
-    found = _entry(_ENTRY)
+    found = _entry(dict(_ENTRY))
     assert (found.instance, found.node) == ('i-1', '10.1.0.9')
     assert (found.host, found.peer_port) == ('10.1.0.9', _OWN.peer_port)
     assert (found.region, found.data_centre) == ('south', 'south-a')
@@ -136,7 +138,7 @@
     content: object,
 ) -> None:
     """Guards against an entry of another writer that names a server."""
-    changed = json.loads(json.dumps(_ENTRY))
+    changed = json.loads(json.dumps(dict(_ENTRY)))
     changed[part][field] = content
     with pytest.raises(errors.SourceError, match='i-1'):
         _entry(changed)
@@ -165,14 +167,10 @@
 @hypothesis.given(strategies.binary() | _JSON.map(json.dumps).map(str.encode))
 def test_any_value_is_translated_or_refused(content: bytes) -> None:
     """Guards against an error of another type, which ends the read."""
-    for translate in (
-        operators_document.translate_configuration,
-        lambda value: backend_entry.translate_entry('i', value, own=_OWN),
-    ):
-        try:
-            translate(content)
-        except errors.SourceError:
-            continue
+    with contextlib.suppress(errors.SourceError):
+        operators_document.translate_configuration(content)
+    with contextlib.suppress(errors.SourceError):
+        backend_entry.translate_entry('i', content, own=_OWN)
 
 
 @pytest.mark.parametrize(
--- a/medlarquay/routing/chooser.py
+++ b/medlarquay/routing/chooser.py
@@ -4,7 +4,7 @@
 import random
 
 from medlarquay import ids
-from medlarquay.routing import observations
+from medlarquay.routing import observations, retry_budgets, split_turns
 
 __all__ = ('Chooser',)
 
@@ -21,8 +21,18 @@
         What this ingress observed.
     random : Random
         Source of random numbers; seeded in tests.
+    turns : SplitTurns
+        Shares the requests of split routes.
+    budgets : RetryBudgets
+        Tokens for retries.
     """
 
     instance: ids.InstanceId
     observations: observations.Observations
     random: random.Random
+    turns: split_turns.SplitTurns = dataclasses.field(
+        default_factory=split_turns.SplitTurns,
+    )
+    budgets: retry_budgets.RetryBudgets = dataclasses.field(
+        default_factory=retry_budgets.RetryBudgets,
+    )
--- a/medlarquay/settings/parse_route.py
+++ b/medlarquay/settings/parse_route.py
@@ -40,10 +40,8 @@
     split = _parse_split(found)
     if split:
         service = split[0].service
-    elif route_field.RouteField.SERVICE in found:
-        service = _parse_service(found[route_field.RouteField.SERVICE])
     else:
-        raise entry.error('must have the field service or split')
+        service = _parse_service(entry, found)
     return route_settings.RouteSettings(
         host=_parse_host(found[route_field.RouteField.HOST]),
         path_prefix=_parse_prefix(found),
@@ -90,7 +88,17 @@
     )
 
 
-def _parse_service(entry: document_value.DocumentValue) -> ids.ServiceName:
+def _parse_service(
+    entry: document_value.DocumentValue,
+    found: _Fields,
+) -> ids.ServiceName:
+    named = found.get(route_field.RouteField.SERVICE)
+    if named is None:
+        raise entry.error('must have the field service or split')
+    return _service_name(named)
+
+
+def _service_name(entry: document_value.DocumentValue) -> ids.ServiceName:
     return ids.ServiceName(
         entry.text(
             parse_service.NAME_PATTERN,
@@ -147,7 +155,7 @@
     if len(found) < len(split_field.SplitField):
         raise entry.error('must have the fields service and weight')
     return weighted_service.WeightedService(
-        service=_parse_service(found[split_field.SplitField.SERVICE]),
+        service=_service_name(found[split_field.SplitField.SERVICE]),
         weight=found[split_field.SplitField.WEIGHT].integer(
             low=0,
             high=limits.MAX_WEIGHT,
--- a/medlarquay/snapshots/route.py
+++ b/medlarquay/snapshots/route.py
@@ -7,6 +7,8 @@
 
 __all__ = ('Route',)
 
+_Split = tuple[tuple[service.Service, int], ...]
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Route:
@@ -31,7 +33,7 @@
     prefix: bytes
     idempotent_methods: frozenset[bytes]
     service: service.Service
-    split: tuple[tuple[service.Service, int], ...] = ()
+    split: _Split = ()
 
     @property
     def name(self) -> ids.RouteName:
--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -11,15 +11,18 @@
     quarantine,
     states,
     telemetry,
-    transport,
 )
-from medlarquay.tasks import alarm, clocks, owner_jobs, owner_place, task
+from medlarquay.tasks import (
+    alarm,
+    clocks,
+    local_backend,
+    owner_jobs,
+    owner_place,
+    task,
+)
 
 __all__ = ('OwnerBase', 'Result')
 
-# A backend server that does not stop at the deadline may work this long.
-_HUNG_S = 600
-
 Result = messages.CallAnswered | messages.CallRefused | messages.CallUnknown
 
 # Replaced by the settings before the first request is admitted.
@@ -43,12 +46,6 @@
         Counts refusals.
     records : RecordLog
         Receives records of non-idempotent runs and crashes.
-    names : HeaderNames, optional
-        Header fields of the backend server; those of the product if left
-        out.
-    hung_s : float
-        Seconds past the deadline of a non-idempotent request after which the
-        backend server will not answer any more, and its slot is given up.
     """
 
     def __init__(
@@ -60,8 +57,6 @@
         clock: clocks.Clocks,
         counters: telemetry.Counters,
         records: telemetry.RecordLog,
-        names: transport.HeaderNames | None = None,
-        hung_s: float = _HUNG_S,
     ) -> None:
         super().__init__(name='owner')
         self.backend: task.Task | None = None
@@ -79,10 +74,8 @@
         )
         self.quarantine = quarantine.Quarantine(service=ids.ServiceName(''))
         self.jobs = owner_jobs.OwnerJobs()
-        self.backend_state = states.BackendState.UP
+        self.local = local_backend.LocalBackend()
         self.draining = False
-        self.names = transport.HeaderNames() if names is None else names
-        self.hung_s = hung_s
         self._stopping = False
         self._links = links
         self._crashes = 0
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -1,7 +1,6 @@
 """Handlers of the messages to the owner task."""
 
 import functools
-import math
 
 from medlarquay import (
     admission,
@@ -13,6 +12,7 @@
 )
 from medlarquay.tasks import (
     owner_base,
+    owner_deadlines,
     owner_job,
     owner_keys,
     owner_results,
@@ -25,8 +25,6 @@
 
 # A timer that fires later than this was held up by a pause of the process.
 _PAUSE_S = 1
-# Bounds the cost of ticks when many deadlines lie close together.
-_SHORTEST_WAKE_S = 0.01
 _MISDIRECTED_STATUS = 421
 
 
@@ -88,7 +86,7 @@
     if _is_misdirected(message, owner):
         _misdirected(job, owner)
         return
-    if any(name == owner.names.not_run for name, _ in message.headers):
+    if any(name == owner.local.names.not_run for name, _ in message.headers):
         owner_results.release(job, owner)
         shed = admission.WasShed(exchange=job.exchange)
         decisions = admission.decide(shed, owner.admission, owner.now())
@@ -110,7 +108,7 @@
     message: events.BackendAnswered,
     owner: owner_base.OwnerBase,
 ) -> bool:
-    expects = owner.names.expected_instance is not None
+    expects = owner.local.names.expected_instance is not None
     return expects and message.status == _MISDIRECTED_STATUS
 
 
@@ -175,7 +173,7 @@
     message: events.BackendChanged,
     owner: owner_base.OwnerBase,
 ) -> None:
-    owner.backend_state = message.state
+    owner.local.state = message.state
     if message.state is states.BackendState.UP:
         owner_starts.tell_admission(admission.BackendStarted(), owner)
         return
@@ -207,9 +205,9 @@
     if job is None or job.callers:
         return
     if not job.sent:
-        _withdraw(job, owner)
+        owner_deadlines.withdraw(job, owner)
     elif job.key is None:
-        _abort(job, owner)
+        owner_deadlines.abort(job, owner)
 
 
 @handle.register
@@ -221,10 +219,10 @@
     # Queued requests go first: an abort frees a slot that one would take.
     for queued in abandoned:
         if not queued.sent:
-            _withdraw(queued, owner)
+            owner_deadlines.withdraw(queued, owner)
     for job in abandoned:
         if job.sent and job.request.idempotent:
-            _abort(job, owner)
+            owner_deadlines.abort(job, owner)
 
 
 @handle.register
@@ -260,69 +258,8 @@
     for job in owner.jobs:
         # The end of one job can end others.
         if owner.jobs.find(job.exchange) is job:
-            _check_deadlines(job, owner, now)
-    _wake_again(owner, now)
-
-
-def _check_deadlines(
-    job: owner_job.OwnerJob,
-    owner: owner_base.OwnerBase,
-    now: float,
-) -> None:
-    """Let callers go whose deadline has passed.
-
-    A queued or held job ends as not run when its own deadline passes. The
-    outcome of a sent job is not known at that time.
-    """
-    deadline = job.request.deadline
-    if not job.sent and deadline <= now:
-        _withdraw(job, owner, states.RefusalReason.DEADLINE_PASSED)
-        return
-    for caller in job.callers:
-        if caller.deadline <= now:
-            owner.jobs.leave(caller.link, caller.call_id)
-            owner.reply(
-                caller.link,
-                messages.CallUnknown(
-                    call_id=caller.call_id,
-                    reason=states.RefusalReason.DEADLINE_PASSED,
-                ),
-            )
-    hung = not job.callers and deadline + owner.hung_s <= now
-    if job.sent and not job.callers and (job.request.idempotent or hung):
-        _abort(job, owner)
-
-
-def _wake_again(owner: owner_base.OwnerBase, now: float) -> None:
-    checked = admission.next_check(owner.admission, now)
-    earliest = math.inf if checked is None else checked
-    for job in owner.jobs:
-        deadlines = [caller.deadline for caller in job.callers]
-        deadlines.append(job.request.deadline + owner.hung_s)
-        earliest = min(earliest, *deadlines)
-    if earliest < math.inf:
-        owner.wake_at(max(earliest, now + _SHORTEST_WAKE_S))
-
-
-def _withdraw(
-    job: owner_job.OwnerJob,
-    owner: owner_base.OwnerBase,
-    reason: states.RefusalReason = states.RefusalReason.CANCELLED,
-) -> None:
-    """End a job that was not sent."""
-    owner_results.refuse_job(job, reason, owner)
-    freed = admission.Cancelled(exchange=job.exchange)
-    owner_starts.tell_admission(freed, owner)
-
-
-def _abort(job: owner_job.OwnerJob, owner: owner_base.OwnerBase) -> None:
-    """Cancel a job at the backend server."""
-    owner.ask_backend(events.AbortRequest(exchange=job.exchange))
-    owner_results.release(job, owner)
-    owner_results.lose_job(job, states.RefusalReason.CANCELLED, owner)
-    freed = admission.Cancelled(exchange=job.exchange)
-    owner_starts.tell_admission(freed, owner)
-    owner_starts.readmit_held(owner)
+            owner_deadlines.check_deadlines(job, owner, now)
+    owner_deadlines.wake_again(owner, now)
 
 
 def _tell_quarantine(event: object, owner: owner_base.OwnerBase) -> None:
--- a/medlarquay/tasks/owner_log.py
+++ b/medlarquay/tasks/owner_log.py
@@ -25,7 +25,7 @@
     -----
     A request without an id cannot be looked up, so it is not logged.
     """
-    request_id = owner.names.request_id_of(job.request.headers)
+    request_id = owner.local.names.request_id_of(job.request.headers)
     if not request_id:
         return
     now = owner.now()
--- a/medlarquay/tasks/owner_starts.py
+++ b/medlarquay/tasks/owner_starts.py
@@ -58,7 +58,7 @@
     job: owner_job.OwnerJob,
     owner: owner_base.OwnerBase,
 ) -> None:
-    if owner.backend_state is states.BackendState.DOWN:
+    if owner.local.state is states.BackendState.DOWN:
         owner_results.refuse_job(job, states.RefusalReason.BACKEND_DOWN, owner)
         return
     arrived = admission.Arrived(
@@ -150,7 +150,7 @@
 
 
 def _expected(owner: owner_base.OwnerBase) -> tuple[tuple[bytes, bytes], ...]:
-    name = owner.names.expected_instance
+    name = owner.local.names.expected_instance
     if name is None or owner.place is None:
         return ()
     return ((name, owner.place.instance.encode()),)
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -49,9 +49,6 @@
         Counts and records what callers were told.
     random : Random
         Source of random numbers for the choice of owners.
-    front : Front, optional
-        Header fields and service of the callers' side; those of the product
-        if left out.
     """
 
     def __init__(
@@ -63,7 +60,6 @@
         clock: Callable[[], float],
         reporter: ingress.CallReporter,
         random: random_module.Random,
-        front: ingress.Front | None = None,
     ) -> None:
         super().__init__(name='router')
         self.listener: task.Task | None = None
@@ -95,9 +91,7 @@
             reporter=reporter,
             answer=self.answer,
         )
-        self.front = ingress.Front() if front is None else front
-        self.turns = routing.SplitTurns()
-        self.budgets = routing.RetryBudgets()
+        self.front = ingress.Front()
         self.draining = False
         self.refuse_at: float = 0
         self.clock = clock
@@ -200,7 +194,7 @@
         decision = routing.decide_retry(
             failure,
             self._tried(call, other, now),
-            self.budgets.of(call.service),
+            self.chooser.budgets.of(call.service),
             now,
         )
         if isinstance(decision, routing.RetryDenied):
@@ -307,8 +301,9 @@
 
 def _is_unsent(failure: _Failure) -> bool:
     """Return whether a failure proves that no backend server was asked."""
-    refused = isinstance(failure, messages.CallRefused)
-    return refused and failure.reason is not states.RefusalReason.SHED
+    if isinstance(failure, messages.CallRefused):
+        return failure.reason is not states.RefusalReason.SHED
+    return False
 
 
 @functools.singledispatch
@@ -355,8 +350,8 @@
 @_handle.register
 def _replaced(message: events.SnapshotReplaced, router: Router) -> None:
     router.table.replace(message.snapshot)
-    router.turns.keep_only(message.snapshot)
-    router.budgets.keep_only(message.snapshot)
+    router.chooser.turns.keep_only(message.snapshot)
+    router.chooser.budgets.keep_only(message.snapshot)
     router.chooser.observations.forget_except(router.table.instances())
     router.wake()
 
@@ -372,14 +367,14 @@
     if router.draining and now >= router.refuse_at:
         router.refuse_request(message, states.RefusalReason.DRAINING)
         return
-    opened = ingress.open_call(message, router.table, router.turns, now)
+    opened = ingress.open_call(message, router.table, router.chooser.turns, now)
     if isinstance(opened, routing.ChoiceRefused):
         router.refuse_request(message, opened.reason)
     elif isinstance(opened, ingress.KeyWanted):
         router.key_issuer.request(opened, router.chooser, now)
     else:
         opened.request_id = router.request_id(message)
-        router.budgets.of(opened.service).count_first_attempt()
+        router.chooser.budgets.of(opened.service).count_first_attempt()
         router.attempt(opened)
 
 
--- a/medlarquay/tasks/tests/ingress_bench.py
+++ b/medlarquay/tasks/tests/ingress_bench.py
@@ -109,13 +109,6 @@
             self.configure(*backends)
             self._fill_budgets()
 
-    def _fill_budgets(self) -> None:
-        """Give enough tokens for any test; the budget has its own tests."""
-        snapshot = self.router.table.snapshot
-        assert snapshot is not None
-        for service in snapshot.services.values():
-            self.router.budgets.of(service).tenths = 100
-
     def configure(self, *backends: replica.InstanceRecord) -> None:
         """Replace the snapshot."""
         document = settings.TeamDocument(
@@ -235,3 +228,10 @@
                 reason=states.RefusalReason.OWNER_LOST,
             ),
         )
+
+    def _fill_budgets(self) -> None:
+        """Give enough tokens for any test; the budget has its own tests."""
+        snapshot = self.router.table.snapshot
+        assert snapshot is not None
+        for service in snapshot.services.values():
+            self.router.chooser.budgets.of(service).tenths = 100
--- a/medlarquay/telemetry/logs.py
+++ b/medlarquay/telemetry/logs.py
@@ -1,5 +1,6 @@
 """Set-up of the logs."""
 
+import io
 from typing import TextIO
 
 import logbook
@@ -16,7 +17,9 @@
 _TWISTED = logbook.Logger('twisted')
 
 
-def set_up_logs(*, stream: TextIO, level: str) -> logbook.Handler:
+def set_up_logs(
+    *, stream: io.TextIOBase | TextIO, level: str
+) -> logbook.Handler:
     """Write log lines, each with the name of its part, to a stream.
 
     Parameters
