Hold back removals that follow an outage of the source

Cause: entries lapse while the source is away and come back within two seconds of its return; acting on their removal empties every service. Change: a node whose data was not confirmed for 3 s holds removals back for 2.2 s; the decision needs no message. Routes that a change leaves as they are are not checked again, and log lines are written together.

--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -22,10 +22,8 @@
     except errors.SettingError as failure:
         sys.stderr.write(f'medlarquay: {failure}\n')
         sys.exit(_BAD_SETTINGS)
-    telemetry.set_up_logs(
-        stream=telemetry.BoundedStream(descriptor=sys.stdout.fileno()),
-        level='info',
-    )
+    stream = telemetry.BoundedStream(descriptor=sys.stdout.fileno())
+    telemetry.set_up_logs(stream=stream, level='info')
     # The reactor is imported after the settings were checked.
     from twisted.internet import reactor  # noqa: PLC0415
 
@@ -43,7 +41,9 @@
             clock=time.monotonic,
         ),
     )
+    stream.gather_lines(reactor.callLater)
     reactor.run()
+    stream.flush()
 
 
 if __name__ == '__main__':
--- a/medlarquay/replica/__init__.py
+++ b/medlarquay/replica/__init__.py
@@ -9,6 +9,7 @@
 from medlarquay.replica.freshness import Freshness
 from medlarquay.replica.instance_record import InstanceRecord, tombstone
 from medlarquay.replica.join import join_records
+from medlarquay.replica.lapse_guard import LapseGuard
 from medlarquay.replica.replica import Replica
 from medlarquay.replica.source_tree import SourceTree
 from medlarquay.replica.source_value import SourceValue
@@ -17,6 +18,7 @@
 from medlarquay.replica.version_vector import VersionVector
 
 __all__ = (
+    'LapseGuard',
     'FRESH_S',
     'STARTUP_S',
     'Change',
--- a/medlarquay/replica/acceptance.py
+++ b/medlarquay/replica/acceptance.py
@@ -1,6 +1,7 @@
 """Whole-or-nothing acceptance of one team's document."""
 
 import dataclasses
+import functools
 
 from medlarquay import ids, settings
 from medlarquay.replica import documents, team_record
@@ -84,12 +85,7 @@
     record: team_record.TeamRecord,
 ) -> settings.TeamDocument | None:
     """Return the accepted document; None if there is none."""
-    if record.content:
-        return settings.parse_document(
-            team=record.team,
-            content=record.content,
-        )
-    return None
+    return _parse(record.team, record.content) if record.content else None
 
 
 def _is_consistent(record: team_record.TeamRecord) -> bool:
@@ -100,9 +96,15 @@
     return not record.rejection and digest_of_accepted(record) == record.digest
 
 
+# A document is checked when it arrives and used right after that.
+@functools.lru_cache(maxsize=2)
+def _parse(team: ids.TeamName, content: bytes) -> settings.TeamDocument:
+    return settings.parse_document(team=team, content=content)
+
+
 def _find_fault(team: ids.TeamName, content: bytes) -> str:
     try:
-        settings.parse_document(team=team, content=content)
+        _parse(team, content)
     except Exception as failure:
         # Any failure of the validation rejects this document only; raising
         # would also hold back the documents of other teams.
--- /dev/null
+++ b/medlarquay/replica/lapse_guard.py
@@ -0,0 +1,43 @@
+"""Entries that lapsed while the source was away, told from removed ones."""
+
+import math
+
+__all__ = ('LapseGuard',)
+
+# Data that the source confirmed longer ago means that it was away: a watch
+# waits 1 s, and each level of the tree adds half a second.
+_AWAY_S = 3.0
+# An instance that lives is listed again within this time of the return.
+_HOLD_S = 2.2
+
+
+class LapseGuard:
+    """Tells how long a removal from the instance list is not acted on.
+
+    Notes
+    -----
+    An entry lapses when its backend server cannot reach the source, and comes
+    back when it can. Acting on the removals at the return of the source
+    would empty every service for two seconds. Each node decides by the age of
+    its own data, so nothing is sent for it.
+    """
+
+    def __init__(self) -> None:
+        self._hold_until = -math.inf
+
+    def hold_until(self, *, now: float, confirmed_at: float) -> float:
+        """Return until when removals that arrive now are held back.
+
+        It is -inf when they are acted on at once.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        confirmed_at : float
+            When the source last confirmed what the node held before; -inf
+            for a node that has just started.
+        """
+        if -math.inf < confirmed_at < now - _AWAY_S:
+            self._hold_until = now + _HOLD_S
+        return self._hold_until if now < self._hold_until else -math.inf
--- a/medlarquay/settings/check_routes.py
+++ b/medlarquay/settings/check_routes.py
@@ -1,9 +1,16 @@
 """Rules that hold between the routes and services of one document."""
 
+import functools
+import json
 from collections.abc import Container, Iterable
 
-from medlarquay import ids
-from medlarquay.settings import document_value, parse_route, route_settings
+from medlarquay import errors, ids
+from medlarquay.settings import (
+    document_value,
+    limits,
+    parse_route,
+    route_settings,
+)
 
 __all__ = ('check_routes',)
 
@@ -35,7 +42,7 @@
     """
     routes: dict[tuple[str, str], route_settings.RouteSettings] = {}
     for entry in entries:
-        route = parse_route.parse_route(entry)
+        route = _parse(entry)
         _check_services(entry, route, known)
         key = (route.host, route.path_prefix)
         if key in routes:
@@ -44,6 +51,29 @@
     return tuple(sorted(routes.values(), key=_order))
 
 
+def _parse(
+    entry: document_value.DocumentValue,
+) -> route_settings.RouteSettings:
+    try:
+        return _parse_text(entry.team, json.dumps(entry.content))
+    except errors.DocumentError:
+        # The text alone does not tell where in the document it stands.
+        return parse_route.parse_route(entry)
+
+
+# A change of the configuration leaves most routes as they are, and checking
+# 300 of them anew stopped the node for 20 ms.
+@functools.lru_cache(maxsize=limits.MAX_ROUTES)
+def _parse_text(team: ids.TeamName, text: str) -> route_settings.RouteSettings:
+    return parse_route.parse_route(
+        document_value.DocumentValue(
+            team=team,
+            path='route',
+            content=json.loads(text),
+        ),
+    )
+
+
 def _check_services(
     entry: document_value.DocumentValue,
     route: route_settings.RouteSettings,
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -65,6 +65,7 @@
         self._clock = clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
         self._builder = snapshot_builder.SnapshotBuilder()
+        self._guard = replica.LapseGuard()
         # Whether the replica holds what the last snapshot does not.
         self._unpublished = False
 
@@ -86,6 +87,8 @@
             self.read_at.clear()
             self.freshness.expire(now=tick.now)
             self._tell_freshness()
+        if self._builder.release(tick.now):
+            self._unpublished = True
         self._publish_when_allowed()
         self._alarm.wake_at(tick.now + _CHECK_S)
 
@@ -98,7 +101,13 @@
         if not change.anything:
             return
         self._unpublished = True
-        self._builder.note(change)
+        self._builder.note(
+            change,
+            hold_until=self._guard.hold_until(
+                now=self._clock(),
+                confirmed_at=self.freshness.confirmed_at,
+            ),
+        )
         changed = events.ReplicaChanged(
             vector=self.replica.vector,
             digest=self.replica.digest,
--- a/medlarquay/tasks/tests/test_snapshot_builder.py
+++ b/medlarquay/tasks/tests/test_snapshot_builder.py
@@ -86,3 +86,39 @@
                 tree_revision=held.vector.tree_revision,
                 list_revision=held.vector.list_revision,
             )
+
+
+def test_a_held_removal_is_acted_on_when_its_time_has_come() -> None:
+    """Guards against an instance that is gone and stays in use for good."""
+    held = replica.Replica()
+    builder = snapshot_builder.SnapshotBuilder()
+    listed = _apply(held, 1, 1, _entry(1, 'valid'))
+    builder.note(listed)
+    assert builder.build(held).instances.by_instance
+    gone = _apply(held, 1, 2, None)
+    builder.note(gone, hold_until=5)
+    assert builder.build(held).instances.by_instance
+    assert not builder.release(4)
+    assert builder.release(5)
+    assert not builder.build(held).instances.by_instance
+
+
+def _apply(
+    held: replica.Replica,
+    number: int,
+    revision: int,
+    content: bytes | None,
+) -> replica.Change:
+    return replica.apply_source(
+        held,
+        tree=replica.SourceTree.INSTANCES,
+        after=ids.Revision(revision - 1),
+        revision=ids.Revision(revision),
+        entries=(
+            replica.SourceValue(
+                key=f'i{number}',
+                revision=ids.Revision(revision),
+                content=content,
+            ),
+        ),
+    )
--- a/medlarquay/telemetry/bounded_stream.py
+++ b/medlarquay/telemetry/bounded_stream.py
@@ -11,6 +11,13 @@
 # 250 bytes each, 125 KB a second.
 _LINES_PER_SECOND = 500
 _BURST_LINES = 2000
+# A write for each line is a fifth of a node's system calls. A killed process
+# loses at most the lines of this time.
+_FLUSH_S = 0.2
+# Lines that wait while nobody reads the descriptor.
+_MAX_WAITING_BYTES = 1 << 18
+
+_Schedule = Callable[[float, Callable[[], None]], object]
 
 
 class BoundedStream(io.TextIOBase):
@@ -25,10 +32,9 @@
 
     Notes
     -----
-    A token bucket bounds the rate. A line over the rate, or one that the
-    reader of the descriptor is too slow for, is dropped and counted; the
-    count is written with the next line that gets through. A line that was
-    written in part is completed before the next.
+    A token bucket bounds the rate. A line over the rate, or one for which
+    there is no room since the reader of the descriptor is slow, is dropped
+    and counted; the count is written before the next line that is kept.
     """
 
     def __init__(
@@ -41,9 +47,11 @@
         os.set_blocking(descriptor, False)
         self._descriptor = descriptor
         self._clock = clock
+        self._schedule: _Schedule | None = None
+        self._scheduled = False
         self._tokens: float = _BURST_LINES
         self._filled_at = clock()
-        self._unwritten = b''
+        self._waiting = bytearray()
         self._unreported = 0
         self._dropped = 0
 
@@ -52,21 +60,44 @@
         """Lines dropped since the start."""
         return self._dropped
 
+    def gather_lines(self, schedule: _Schedule) -> None:
+        """Write the lines of a short time together from now on.
+
+        Parameters
+        ----------
+        schedule : callable
+            Calls a function after a number of seconds.
+        """
+        self._schedule = schedule
+
     def write(self, text: str) -> int:
-        """Write one line, or drop it; return the length of the text."""
-        if self._take_token() and self._flush_rest():
-            content = text.encode()
-            if self._unreported:
-                content = b'logs: dropped=%d\n%b' % (self._unreported, content)
-            written = self._put(content)
-            if written:
-                self._unreported = 0
-                self._unwritten = content[written:]
-                return len(text)
-        self._dropped += 1
-        self._unreported += 1
+        """Keep one line for writing, or drop it; return its length."""
+        room = len(self._waiting) < _MAX_WAITING_BYTES
+        if not self._take_token() or not room:
+            self._dropped += 1
+            self._unreported += 1
+            return len(text)
+        if self._unreported:
+            self._waiting += b'logs: dropped=%d\n' % self._unreported
+            self._unreported = 0
+        self._waiting += text.encode()
+        if self._schedule is None:
+            self.flush()
+        elif not self._scheduled:
+            self._scheduled = True
+            self._schedule(_FLUSH_S, self.flush)
         return len(text)
 
+    def flush(self) -> None:
+        """Write what the descriptor takes; the rest waits."""
+        self._scheduled = False
+        try:
+            written = os.write(self._descriptor, self._waiting)
+        except OSError:
+            # Nobody reads; lines without room are counted as dropped.
+            return
+        del self._waiting[:written]
+
     def _take_token(self) -> bool:
         now = self._clock()
         earned = (now - self._filled_at) * _LINES_PER_SECOND
@@ -76,15 +107,3 @@
             return False
         self._tokens -= 1
         return True
-
-    def _flush_rest(self) -> bool:
-        if self._unwritten:
-            self._unwritten = self._unwritten[self._put(self._unwritten) :]
-        return not self._unwritten
-
-    def _put(self, content: bytes) -> int:
-        try:
-            return os.write(self._descriptor, content)
-        except OSError:
-            # Nobody reads; the line is counted as dropped.
-            return 0
