Find a route by the length of its prefix and format log lines for less

Change: the routes of a host are indexed by prefix; the whole second of a log line's time is kept for the next line.

--- a/medlarquay/snapshots/bind_team.py
+++ b/medlarquay/snapshots/bind_team.py
@@ -6,6 +6,7 @@
 from medlarquay import ids, replica, settings
 from medlarquay.snapshots import (
     route,
+    route_group,
     service,
     service_key,
     snapshot,
@@ -84,7 +85,7 @@
     document: settings.TeamDocument,
     services: _Services,
     earlier: team_binding.TeamBinding,
-) -> dict[bytes, tuple[route.Route, ...]]:
+) -> dict[bytes, route_group.RouteGroup]:
     reusable = {
         found.parameters: found
         for group in earlier.routes.values()
@@ -101,7 +102,9 @@
         if bound is None or not _is_bound(bound, target, split):
             bound = _bind_route(parameters, target, split)
         routes.setdefault(parameters.host.encode(), []).append(bound)
-    return {host: _longest_first(found) for host, found in routes.items()}
+    return {
+        host: route_group.RouteGroup(found) for host, found in routes.items()
+    }
 
 
 def _is_bound(
@@ -133,9 +136,3 @@
 @functools.lru_cache(maxsize=128)
 def _encode_methods(methods: tuple[str, ...]) -> frozenset[bytes]:
     return frozenset(method.encode() for method in methods)
-
-
-def _longest_first(routes: list[route.Route]) -> tuple[route.Route, ...]:
-    return tuple(
-        sorted(routes, key=lambda entry: len(entry.prefix), reverse=True),
-    )
--- a/medlarquay/snapshots/match.py
+++ b/medlarquay/snapshots/match.py
@@ -4,9 +4,6 @@
 
 __all__ = ('match_route',)
 
-# What may follow a prefix: nothing, a further segment or the query.
-_SEGMENT_ENDS = (b'', b'/', b'?')
-
 
 def match_route(
     current: snapshot.Snapshot,
@@ -31,16 +28,5 @@
         The route with the longest prefix that matches whole path segments,
         if any.
     """
-    for candidate in current.routes.get(host.lower(), ()):
-        if _covers(candidate.prefix, target):
-            return candidate
-    return None
-
-
-def _covers(prefix: bytes, target: bytes) -> bool:
-    if not target.startswith(prefix):
-        return False
-    if prefix.endswith(b'/'):
-        return True
-    end = len(prefix)
-    return target[end : end + 1] in _SEGMENT_ENDS
+    group = current.routes.get(host.lower())
+    return None if group is None else group.find(target)
--- a/medlarquay/snapshots/snapshot.py
+++ b/medlarquay/snapshots/snapshot.py
@@ -4,7 +4,7 @@
 from collections.abc import Mapping
 
 from medlarquay import ids, settings
-from medlarquay.snapshots import pool, route, service, service_key
+from medlarquay.snapshots import pool, route_group, service, service_key
 
 __all__ = ('Snapshot',)
 
@@ -19,7 +19,7 @@
         Revision of the settings tree.
     list_revision : ids.Revision
         Revision of the instance list.
-    routes : Mapping[bytes, tuple[route.Route, ...]]
+    routes : Mapping[bytes, RouteGroup]
         Routes by host, longest prefix first.
     services : Mapping[ServiceKey, service.Service]
         Services by team and name.
@@ -31,7 +31,7 @@
 
     tree_revision: ids.Revision
     list_revision: ids.Revision
-    routes: Mapping[bytes, tuple[route.Route, ...]]
+    routes: Mapping[bytes, route_group.RouteGroup]
     services: Mapping[service_key.ServiceKey, service.Service]
     documents: Mapping[ids.TeamName, settings.TeamDocument] = dataclasses.field(
         default_factory=dict
--- a/medlarquay/snapshots/team_binding.py
+++ b/medlarquay/snapshots/team_binding.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from medlarquay.snapshots import route, service, service_key
+from medlarquay.snapshots import route_group, service, service_key
 
 __all__ = ('TeamBinding',)
 
@@ -16,9 +16,9 @@
     ----------
     services : Mapping[ServiceKey, service.Service]
         Services of the team.
-    routes : Mapping[bytes, tuple[route.Route, ...]]
+    routes : Mapping[bytes, RouteGroup]
         Routes by host, longest prefix first.
     """
 
     services: Mapping[service_key.ServiceKey, service.Service]
-    routes: Mapping[bytes, tuple[route.Route, ...]]
+    routes: Mapping[bytes, route_group.RouteGroup]
--- a/medlarquay/telemetry/logs.py
+++ b/medlarquay/telemetry/logs.py
@@ -6,14 +6,12 @@
 import logbook
 from twisted import logger
 
+from medlarquay.telemetry import line_formatter
+
 __all__ = ('LOG_LEVELS', 'set_up_logs')
 
 LOG_LEVELS = ('debug', 'info', 'warning', 'error')
 
-_FORMAT = (
-    '{record.time:%Y-%m-%dT%H:%M:%S.%fZ} {record.level_name} '
-    '{record.channel}: {record.message}'
-)
 _TWISTED = logbook.Logger('twisted')
 
 
@@ -38,8 +36,8 @@
     handler = logbook.StreamHandler(
         stream,
         level=logbook.lookup_level(level.upper()),
-        format_string=_FORMAT,
     )
+    handler.formatter = line_formatter.LineFormatter()
     handler.push_application()
     logger.globalLogBeginner.beginLoggingTo(
         [_observe_twisted],
