--- /dev/null
+++ b/medlarquay/testing/platform_store.py
@@ -0,0 +1,212 @@
+"""Stand-in of the platform's store."""
+
+import base64
+import functools
+import json
+from collections.abc import Callable
+from typing import Any
+from urllib import parse as urls
+
+from twisted.internet import interfaces
+
+from medlarquay import events, ids, transport
+from medlarquay.testing import store_fault, store_watch
+
+__all__ = ('PlatformStore',)
+
+_MS_PER_SECOND = 1000
+_PAGE = 50
+
+
+class PlatformStore:
+    """Serves the platform's key-value store over HTTP.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Ends watches that wait.
+
+    Notes
+    -----
+    ``fault`` chooses how it misbehaves; ``forget`` drops its history.
+    """
+
+    def __init__(self, *, reactor: interfaces.IReactorTime) -> None:
+        self.fault = store_fault.StoreFault.NONE
+        self.calls = 0
+        self._reactor = reactor
+        self._items: dict[str, dict[str, Any]] = {}
+        self._log: list[dict[str, Any]] = []
+        self._revision = 1
+        self._oldest = 0
+        self._connections: dict[ids.CallerId, transport.CallerConnection] = {}
+        self._watches: list[store_watch.StoreWatch] = []
+        self._last = 0
+
+    def listen(
+        self,
+        reactor: interfaces.IReactorTCP,
+        *,
+        host: str,
+    ) -> interfaces.IListeningPort:
+        """Accept calls on a port that the kernel chooses."""
+        factory = transport.BuildingFactory(build=self._build)
+        return reactor.listenTCP(0, factory, interface=host)
+
+    def put(self, key: str, content: bytes) -> int:
+        """Write a value; return its revision."""
+        self._revision += 1
+        item = {
+            'key': key,
+            'value': base64.b64encode(content).decode(),
+            'revision': self._revision,
+            'created_at': self._revision,
+            'lease': 0,
+        }
+        self._items[key] = item
+        self._append(item)
+        return self._revision
+
+    def delete(self, key: str) -> None:
+        """Remove a value."""
+        self._revision += 1
+        self._items.pop(key, None)
+        self._append({
+            'key': key,
+            'revision': self._revision,
+            'is_deleted': True,
+        })
+
+    def forget(self) -> None:
+        """Drop the history."""
+        self._log.clear()
+        self._oldest = self._revision
+
+    def close(self, caller: ids.CallerId) -> None:
+        """Forget a connection and its watch."""
+        self._connections.pop(caller, None)
+        self._watches = [
+            watch for watch in self._watches if watch.caller != caller
+        ]
+
+    def serve(self, message: events.RequestReceived) -> None:
+        """Answer a call, unless the fault says otherwise."""
+        self.calls += 1
+        if self.fault is store_fault.StoreFault.SILENT:
+            return
+        if self.fault is store_fault.StoreFault.BUSY:
+            self._answer(message.caller, 503, {})
+            return
+        path, _, query = message.target.decode().partition('?')
+        found = dict(urls.parse_qsl(query))
+        serving: dict[str, Callable[[ids.CallerId, dict[str, str]], None]] = {
+            '/kv-range': self._range,
+            '/kv-watch': self._watch,
+        }
+        serving[path](message.caller, found)
+
+    def _append(self, event: dict[str, Any]) -> None:
+        self._log.append(event)
+        for watch in tuple(self._watches):
+            if event['key'].startswith(watch.prefix):
+                self._end_watch(watch)
+
+    def _build(self) -> transport.CallerConnection:
+        self._last += 1
+        caller = ids.CallerId(self._last)
+        connection = transport.CallerConnection(
+            caller=caller,
+            deliver=lambda message: _take(message, self),
+            reactor=self._reactor,
+        )
+        self._connections[caller] = connection
+        return connection
+
+    def _range(self, caller: ids.CallerId, query: dict[str, str]) -> None:
+        keys = sorted(
+            key
+            for key in self._items
+            if key.startswith(query['path_prefix'])
+            and key > query.get('after', '')
+        )
+        page = [self._items[key] for key in keys[:_PAGE]]
+        self._answer(
+            caller,
+            200,
+            {
+                'items': page,
+                'has_more': len(keys) > _PAGE,
+                'at': self._revision,
+            },
+        )
+
+    def _watch(self, caller: ids.CallerId, query: dict[str, str]) -> None:
+        after = int(query['after'])
+        if after < self._oldest:
+            self._answer(caller, 410, {})
+            return
+        watch = store_watch.StoreWatch(
+            caller=caller,
+            prefix=query['path_prefix'],
+            after=after,
+        )
+        self._watches.append(watch)
+        wait_ms = int(query['wait_ms'])
+        if self._events(watch) or not wait_ms:
+            self._end_watch(watch)
+        else:
+            self._reactor.callLater(
+                wait_ms / _MS_PER_SECOND,
+                self._end_watch,
+                watch,
+            )
+
+    def _events(self, watch: store_watch.StoreWatch) -> list[dict[str, Any]]:
+        return [
+            event
+            for event in self._log
+            if event['revision'] > watch.after
+            and event['key'].startswith(watch.prefix)
+        ]
+
+    def _end_watch(self, watch: store_watch.StoreWatch) -> None:
+        if watch not in self._watches:
+            return
+        self._watches.remove(watch)
+        self._answer(
+            watch.caller,
+            200,
+            {'events': self._events(watch), 'at': self._revision},
+        )
+
+    def _answer(
+        self,
+        caller: ids.CallerId,
+        status: int,
+        content: dict[str, Any],
+    ) -> None:
+        connection = self._connections.get(caller)
+        if connection is not None:
+            connection.answer(
+                events.AnswerReady(
+                    caller=caller,
+                    status=status,
+                    headers=((b'content-type', b'application/json'),),
+                    body=json.dumps(content).encode(),
+                ),
+            )
+
+
+@functools.singledispatch
+def _take(message: object, store: PlatformStore) -> None:
+    raise TypeError(f'unexpected message {type(message).__name__}')
+
+
+@_take.register
+def _asked(message: events.RequestReceived, store: PlatformStore) -> None:
+    store.serve(message)
+
+
+@_take.register
+def _gone(message: events.CallerGone, store: PlatformStore) -> None:
+    store.close(message.caller)
--- /dev/null
+++ b/medlarquay/testing/platform_world.py
@@ -0,0 +1,121 @@
+"""Process with the stand-ins of a small platform.
+
+It serves the store on 127.0.0.1 and one backend server on each further
+address 127.0.0.N, and prints the port of the store. A line on its standard
+input changes it: ``fault NAME``, ``forget``, ``delete KEY`` or
+``route PREFIX SERVICE``.
+"""
+
+import argparse
+import json
+import sys
+
+from twisted.internet import reactor, stdio
+from twisted.protocols import basic
+
+from medlarquay.testing import platform_backend, platform_store, store_fault
+
+__all__ = ('run',)
+
+_SERVICES = ('desk', 'portal')
+
+
+class World(basic.LineReceiver):
+    """Changes the stand-ins as the lines of the standard input say.
+
+    Parameters
+    ----------
+    store : PlatformStore
+        Store.
+    """
+
+    delimiter = b'\n'
+
+    def __init__(self, *, store: platform_store.PlatformStore) -> None:
+        self._store = store
+        self._version = 1
+        self._routes = {'/desk/': 'desk', '/portal/': 'portal'}
+
+    def lineReceived(self, line: bytes) -> None:  # noqa: N802
+        """Carry out one line."""
+        words = line.decode().split()
+        if words[0] == 'fault':
+            self._store.fault = store_fault.StoreFault(words[1])
+        elif words[0] == 'forget':
+            self._store.forget()
+        elif words[0] == 'delete':
+            self._store.delete(words[1])
+        else:
+            self._routes[words[1]] = words[2]
+            self.publish()
+
+    def publish(self) -> None:
+        """Write the next version of the configuration."""
+        self._version += 1
+        routes = {
+            f'r{number}': _route(prefix, service)
+            for number, (prefix, service) in enumerate(self._routes.items())
+        }
+        content = {
+            'version': f'r{self._version}',
+            'services': {name: {} for name in _SERVICES},
+            'routes': routes,
+        }
+        self._store.put('op/config', json.dumps(content).encode())
+
+
+def _route(prefix: str, service: str) -> dict[str, object]:
+    return {
+        'host': 'app.example',
+        'path_prefix': prefix,
+        'kind': 'non_idempotent' if service == 'desk' else 'idempotent',
+        'timeout': '2000ms',
+        'target_latency': '200ms',
+        'priority': 1,
+        'service': service,
+        'attempts': 2,
+    }
+
+
+def _serve_backends(
+    store: platform_store.PlatformStore,
+    *,
+    nodes: int,
+    port: int,
+) -> None:
+    for number in range(nodes):
+        host = f'127.0.0.{number + 2}'
+        service = _SERVICES[number % len(_SERVICES)]
+        backend = platform_backend.PlatformBackend(
+            reactor=reactor,
+            instance=f'i-{number}',
+            service=service,
+        )
+        backend.listen(reactor, host=host, port=port)
+        entry = {
+            'address': f'{host}:{port}',
+            'info': {'service': service, 'zone': 'z', 'capacity': 2},
+            'status': {'state': 'ready'},
+        }
+        store.put(f'servers/{backend.instance}', json.dumps(entry).encode())
+
+
+def run() -> None:
+    """Serve until the process is ended."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument('--nodes', type=int, required=True)
+    parser.add_argument('--port', type=int, required=True)
+    arguments = parser.parse_args()
+    store = platform_store.PlatformStore(reactor=reactor)
+    world = World(store=store)
+    world.publish()
+    _serve_backends(store, nodes=arguments.nodes, port=arguments.port)
+    port = store.listen(reactor, host='127.0.0.1')
+    sys.stdout.write(f'listening {port.getHost().port}\n')
+    sys.stdout.flush()
+    stdio.StandardIO(world)
+    reactor.run()
+
+
+if __name__ == '__main__':
+    run()
