Serve what can still be answered when due and avoid servers that fail

Change: an owner that alone uses its slots takes a shed answer for a fault, not for a lack of room; owners but the last to be asked refuse what they cannot answer when due; late requests wait for the end of the peak; work that cannot be answered is refused before its deadline; the share of failures at each backend server enters the choice; refusals say when to come back.

--- a/medlarquay/admission/admission.py
+++ b/medlarquay/admission/admission.py
@@ -5,6 +5,7 @@
 from medlarquay import ids, states
 from medlarquay.admission import (
     limits,
+    next_work,
     queued_work,
     running_work,
     service_times,
@@ -40,3 +41,15 @@
             states.Rank,
             collections.OrderedDict[ids.ExchangeId, queued_work.QueuedWork],
         ] = {rank: collections.OrderedDict() for rank in states.Rank}
+
+    def pop_next(
+        self,
+        rank: states.Rank,
+        now: float,
+    ) -> queued_work.QueuedWork:
+        """Take the next request out of the queue of a rank."""
+        queue = self.queues[rank]
+        work = next_work.next_work(queue.values(), now)
+        queue.pop(work.exchange)
+        self.queued_ranks.pop(work.exchange)
+        return work
--- a/medlarquay/admission/decide.py
+++ b/medlarquay/admission/decide.py
@@ -59,9 +59,11 @@
     reason = _refusal_on_arrival(event, state, now)
     if reason is not None:
         return (refuse.Refuse(exchange=event.exchange, reason=reason),)
+    service = state.times.of_route(event.rank, event.route)
     work = queued_work.QueuedWork(
         exchange=event.exchange,
         deadline=event.deadline,
+        latest_start=event.deadline - service,
         due=min(event.due, event.deadline),
         route=event.route,
     )
@@ -107,7 +109,8 @@
     now: float,
 ) -> Decision:
     state.shares.advance(now)
-    if _release(event.exchange, state) is not None:
+    held = _release(event.exchange, state) is not None
+    if held and not state.bounds.exclusive:
         state.limit.reduce(now)
     return _fill_slots(state, now)
 
@@ -119,16 +122,24 @@
     now: float,
 ) -> Decision:
     state.shares.advance(now)
-    passed = [
-        work.exchange
-        for queue in state.queues.values()
-        for work in queue.values()
-        if work.deadline <= now
+    waiting = [
+        work for queue in state.queues.values() for work in queue.values()
     ]
     refused = _refuse_queued(
-        passed, states.RefusalReason.DEADLINE_PASSED, state
+        [work.exchange for work in waiting if work.deadline <= now],
+        states.RefusalReason.DEADLINE_PASSED,
+        state,
     )
-    return refused + _fill_slots(state, now)
+    hopeless = _refuse_queued(
+        [
+            work.exchange
+            for work in waiting
+            if work.latest_start <= now < work.deadline
+        ],
+        states.RefusalReason.DEADLINE_UNREACHABLE,
+        state,
+    )
+    return refused + hopeless + _fill_slots(state, now)
 
 
 @decide.register
@@ -174,6 +185,11 @@
     if len(state.running) >= state.limit.usable(now):
         wait = expected_wait.expected_wait(state, event, now)
         needed = wait + state.times.cautious(event.rank, event.route)
+        if not event.last and now + needed > event.due:
+            # Another owner may answer in time.
+            return _load_reason(
+                states.RefusalReason.DEADLINE_UNREACHABLE, state, now
+            )
     else:
         # A free slot costs nothing, so an even chance is worth a try.
         needed = state.times.of_route(event.rank, event.route)
@@ -211,10 +227,8 @@
     state: admission.Admission,
     now: float,
 ) -> start.Start | refuse.Refuse:
-    queue = state.queues[rank]
-    exchange = min(queue, key=lambda queued: queue[queued].due)
-    work = queue.pop(exchange)
-    state.queued_ranks.pop(exchange)
+    work = state.pop_next(rank, now)
+    exchange = work.exchange
     reason = None
     if work.deadline <= now:
         reason = states.RefusalReason.DEADLINE_PASSED
--- a/medlarquay/admission/inputs/arrived.py
+++ b/medlarquay/admission/inputs/arrived.py
@@ -25,6 +25,9 @@
     due : float
         Time by which an answer is worth most, on the same clock; orders the
         requests of one rank.
+    last : bool
+        Whether no other owner will be asked, so that a late answer is better
+        than a refusal.
     """
 
     exchange: ids.ExchangeId
@@ -32,3 +35,4 @@
     deadline: float
     route: ids.RouteName = ids.RouteName('')
     due: float = math.inf
+    last: bool = True
--- a/medlarquay/admission/limits.py
+++ b/medlarquay/admission/limits.py
@@ -20,6 +20,9 @@
         Floor share of slot time for each rank, 0 to 1.
     queue_limit : int
         Most queued requests for each rank.
+    exclusive : bool
+        Whether the owner alone uses the slots: it knows how many are in use,
+        so a shed answer is a fault of the backend server and no lack of room.
     cold_start : float
         Seconds over which slots are ramped up after a start.
     """
@@ -27,4 +30,5 @@
     slots: int
     floors: Mapping[states.Rank, float]
     queue_limit: int
+    exclusive: bool = False
     cold_start: float = 0
--- a/medlarquay/admission/next_check.py
+++ b/medlarquay/admission/next_check.py
@@ -17,7 +17,7 @@
         Seconds on the monotonic clock.
     """
     deadlines = [
-        work.deadline
+        work.latest_start
         for queue in state.queues.values()
         for work in queue.values()
     ]
--- /dev/null
+++ b/medlarquay/admission/next_work.py
@@ -0,0 +1,42 @@
+"""Choice among the queued requests of one rank."""
+
+import math
+from collections.abc import Iterable
+
+from medlarquay.admission import queued_work
+
+__all__ = ('next_work',)
+
+
+def next_work(
+    queue: Iterable[queued_work.QueuedWork],
+    now: float,
+) -> queued_work.QueuedWork:
+    """Return the request that is to start next.
+
+    Parameters
+    ----------
+    queue : iterable of QueuedWork
+        Queued requests of one rank, at least one.
+    now : float
+        Seconds on the monotonic clock.
+
+    Notes
+    -----
+    The earliest due goes first among those that can still be answered when
+    due. In an overload, the plain order by due time serves each request just
+    too late; here the late ones wait for the end of the peak.
+    """
+    return min(queue, key=lambda work: _order(work, now))
+
+
+def _order(
+    work: queued_work.QueuedWork,
+    now: float,
+) -> tuple[bool, float]:
+    if work.deadline <= now:
+        # Taken out at once, since it is refused.
+        return False, -math.inf
+    service = work.deadline - work.latest_start
+    late = work.due < now + service
+    return late, work.due
--- a/medlarquay/admission/queued_work.py
+++ b/medlarquay/admission/queued_work.py
@@ -18,11 +18,14 @@
     deadline, due : float
         When the caller stops waiting, and by when an answer is worth most;
         seconds on the monotonic clock.
+    latest_start : float
+        Start after which an answer by the deadline is not expected.
     route : RouteName
         Route of the request.
     """
 
     exchange: ids.ExchangeId
     deadline: float
+    latest_start: float
     due: float
     route: ids.RouteName
--- a/medlarquay/codec/call_decoders.py
+++ b/medlarquay/codec/call_decoders.py
@@ -34,6 +34,7 @@
         deadline=now + reader.take(int) / _MS_PER_SECOND,
         route=ids.RouteName(reader.take(str)),
         due=now + reader.take(int) / _MS_PER_SECOND,
+        last=reader.take(bool),
         request_key=_optional_key(reader),
     )
 
--- a/medlarquay/codec/encode.py
+++ b/medlarquay/codec/encode.py
@@ -63,6 +63,7 @@
         int((message.deadline - now) * _MS_PER_SECOND),
         message.route,
         int((min(message.due, message.deadline) - now) * _MS_PER_SECOND),
+        message.last,
         message.request_key,
     ]
 
--- a/medlarquay/daemon/build_owner.py
+++ b/medlarquay/daemon/build_owner.py
@@ -30,6 +30,7 @@
     )
     own.local.names = deployment.front.names
     own.local.hung_s = deployment.hung_s
+    own.local.exclusive = deployment.exclusive
     own.ledger = ledger.Ledger(
         instance=observed.hello.instance,
         incarnation=observed.hello.incarnation,
--- a/medlarquay/daemon/deployment.py
+++ b/medlarquay/daemon/deployment.py
@@ -28,6 +28,8 @@
     hung_s : float
         Seconds past the deadline of a request after which its backend server
         will not answer any more.
+    exclusive : bool
+        Whether the node alone sends its backend server work.
     pace : StopPace
         Times of a graceful stop.
     """
@@ -36,6 +38,7 @@
     front: ingress.Front = dataclasses.field(default_factory=ingress.Front)
     readiness: addresses.NodeAddress | None = None
     hung_s: float = _HUNG_S
+    exclusive: bool = False
     pace: stop_pace.StopPace = dataclasses.field(
         default_factory=stop_pace.StopPace,
     )
--- a/medlarquay/ingress/__init__.py
+++ b/medlarquay/ingress/__init__.py
@@ -16,6 +16,7 @@
 from medlarquay.ingress.key_wanted import KeyWanted
 from medlarquay.ingress.known_incarnations import KnownIncarnations
 from medlarquay.ingress.open_call import open_call
+from medlarquay.ingress.retry_after import with_return
 from medlarquay.ingress.routing_table import RoutingTable
 from medlarquay.ingress.wanted_owner import wanted_owner
 
@@ -36,4 +37,5 @@
     'refusal_outcome',
     'unknown',
     'wanted_owner',
+    'with_return',
 )
--- a/medlarquay/ingress/call_request.py
+++ b/medlarquay/ingress/call_request.py
@@ -9,6 +9,8 @@
 def call_request(
     call: ingress_call.IngressCall,
     own: front.Front,
+    *,
+    last: bool,
 ) -> messages.CallRequest:
     """Return the message that carries the current attempt to its owner."""
     key = call.parameters.key
@@ -33,5 +35,6 @@
         deadline=call.parameters.deadline,
         route=call.route.name,
         due=call.parameters.due,
+        last=last,
         request_key=None if key is None else key.text,
     )
--- a/medlarquay/ingress/front.py
+++ b/medlarquay/ingress/front.py
@@ -18,9 +18,13 @@
     service : bytes
         Service whose backend server runs beside this node; its requests and
         those of the callers on this machine carry it.
+    tells_return : bool
+        Whether refusals say when to come back, in fractions of a second;
+        HTTP itself knows whole seconds only.
     """
 
     names: transport.HeaderNames = dataclasses.field(
         default_factory=transport.HeaderNames,
     )
     service: bytes = b''
+    tells_return: bool = False
--- /dev/null
+++ b/medlarquay/ingress/retry_after.py
@@ -0,0 +1,69 @@
+"""When a refused caller should come back."""
+
+import dataclasses
+import random as random_module
+
+from medlarquay import events, states
+from medlarquay.ingress import front
+
+__all__ = ('with_return',)
+
+# A queue that is full now has moved on by about two service times of the
+# slower services. The spread keeps the callers that were refused together
+# from coming back together.
+_LOAD_S = 0.15
+_LOAD_SPREAD_S = 0.3
+# A node takes about this long from its start to its first configuration.
+_START_S = 0.5
+_START_SPREAD_S = 0.5
+
+_FOR_LOAD = frozenset((
+    states.RefusalReason.QUEUE_FULL,
+    states.RefusalReason.DEADLINE_UNREACHABLE,
+    states.RefusalReason.SHED,
+    states.RefusalReason.COLD_START,
+    states.RefusalReason.NO_BACKEND,
+    states.RefusalReason.BACKEND_DOWN,
+    states.RefusalReason.OWNER_UNREACHABLE,
+))
+_FOR_START = frozenset((
+    states.RefusalReason.NO_CONFIGURATION,
+    states.RefusalReason.DRAINING,
+))
+
+
+def with_return(
+    answer: events.AnswerReady,
+    reason: states.RefusalReason,
+    own: front.Front,
+    random: random_module.Random,
+) -> events.AnswerReady:
+    """Add to a refusal when the caller should come back.
+
+    Parameters
+    ----------
+    answer : AnswerReady
+        Refusal.
+    reason : RefusalReason
+        Why; after some of them coming back would change nothing.
+    own : Front
+        Whether callers are told at all.
+    random : Random
+        Spreads the callers.
+    """
+    seconds = _return_s(reason, random) if own.tells_return else None
+    if seconds is None:
+        return answer
+    field = (b'retry-after', b'%.2f' % seconds)
+    return dataclasses.replace(answer, headers=(*answer.headers, field))
+
+
+def _return_s(
+    reason: states.RefusalReason,
+    random: random_module.Random,
+) -> float | None:
+    if reason in _FOR_LOAD:
+        return _LOAD_S + _LOAD_SPREAD_S * random.random()
+    if reason in _FOR_START:
+        return _START_S + _START_SPREAD_S * random.random()
+    return None
--- a/medlarquay/messages/call_answered.py
+++ b/medlarquay/messages/call_answered.py
@@ -7,6 +7,9 @@
 
 __all__ = ('CallAnswered',)
 
+_FIRST_FAILURE_STATUS = 500
+_TIMED_OUT_STATUS = 504
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class CallAnswered:
@@ -37,3 +40,12 @@
     load: load_state.LoadState | None = None
     replayed: bool = False
     retry_allowed: bool = True
+
+    @property
+    def failed(self) -> bool:
+        """Whether the backend server failed.
+
+        A time limit passes also at one that works well.
+        """
+        failure = self.status >= _FIRST_FAILURE_STATUS
+        return failure and self.status != _TIMED_OUT_STATUS
--- a/medlarquay/messages/call_request.py
+++ b/medlarquay/messages/call_request.py
@@ -39,6 +39,8 @@
     due : float
         Time by which an answer is worth most to the caller, on the same
         clock; the deadline if the route states none.
+    last : bool
+        Whether the ingress will ask no other owner.
     request_key : ids.RequestKey | None
         Key of a non-idempotent request, if it has one.
     """
@@ -55,4 +57,5 @@
     deadline: float
     route: ids.RouteName = ids.RouteName('')
     due: float = math.inf
+    last: bool = True
     request_key: ids.RequestKey | None = None
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -68,8 +68,10 @@
         front=ingress.Front(
             names=header_names.HEADER_NAMES,
             service=own.service.encode(),
+            tells_return=True,
         ),
         readiness=own.readiness,
         hung_s=_HUNG_S,
+        exclusive=True,
         pace=stop_pace.StopPace(linger_s=_LINGER_S, flush_s=_FLUSH_S),
     )
--- a/medlarquay/routing/answer_observed.py
+++ b/medlarquay/routing/answer_observed.py
@@ -19,8 +19,11 @@
         Seconds since the call was sent.
     load : LoadState or None
         Load carried on the answer.
+    failed : bool
+        Whether the backend server answered with a failure of its own.
     """
 
     instance: ids.InstanceId
     latency: float
     load: messages.LoadState | None
+    failed: bool = False
--- a/medlarquay/routing/decide_retry.py
+++ b/medlarquay/routing/decide_retry.py
@@ -20,9 +20,6 @@
 # A refusal that came before the backend server costs two messages; more of
 # them show that the choice of owners finds no room.
 _MAX_REFUSALS = 4
-_FIRST_FAILURE_STATUS = 500
-# The time of the request has passed, so another run would end the same.
-_TIMED_OUT_STATUS = 504
 
 # Refusals that another backend server may not repeat. All refusals prove
 # that the request was not run; the rest would be refused anywhere.
@@ -115,8 +112,7 @@
 ) -> _Decision:
     if not failure.retry_allowed:
         return _deny(states.RetryDenial.MARKED_FINAL)
-    failed = failure.status >= _FIRST_FAILURE_STATUS
-    if not failed or failure.status == _TIMED_OUT_STATUS:
+    if not failure.failed:
         return _deny(states.RetryDenial.NOT_RETRYABLE)
     if not tried.idempotent:
         return _deny(states.RetryDenial.NOT_PROVED_UNRUN)
--- a/medlarquay/routing/expected_wait.py
+++ b/medlarquay/routing/expected_wait.py
@@ -11,6 +11,11 @@
 _LOAD_LIFE_S = 1.0
 # Service time assumed before anything is known.
 _DEFAULT_SERVICE_S = 0.01
+# What a failed attempt costs: it is made again elsewhere, if at all.
+_FAILURE_COST_S = 0.2
+# Two losses in a row are no pattern yet; servers that fail more often are
+# compared with those of other zones.
+_DOUBTFUL = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -67,9 +72,13 @@
     reported = _reported_wait(found, slots, now)
     if found.latency is not None:
         reported = min(reported, found.latency)
+    failing = found.failing_share(now)
+    if failing < _DOUBTFUL:
+        failing = 0
+    roomy = own <= 0 and reported <= 0 and found.full_until <= now
     return Estimate(
-        wait=max(own_wait, reported),
-        free=own <= 0 and reported <= 0 and found.full_until <= now,
+        wait=max(own_wait, reported) + failing * _FAILURE_COST_S,
+        free=roomy and not failing,
         share=found.in_flight / slots,
     )
 
--- a/medlarquay/routing/observation.py
+++ b/medlarquay/routing/observation.py
@@ -1,11 +1,17 @@
 """What this ingress observed of one backend server."""
 
 import dataclasses
+import math
 
 from medlarquay import messages
 
 __all__ = ('Observation',)
 
+# A server that is avoided sends no news; it is tried again after about this
+# time.
+_FADE_S = 3.0
+_SMOOTHING = 0.1
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class Observation:
@@ -24,6 +30,10 @@
         When the load was reported, seconds on the monotonic clock.
     in_flight_at_load : int
         Calls of this ingress that the report already counts.
+    failing : float
+        Smoothed share of the calls that failed, as of ``failing_at``.
+    failing_at : float
+        When a call last ended, seconds on the monotonic clock.
     failures : int
         Consecutive failures.
     ejections : int
@@ -43,8 +53,21 @@
     load: messages.LoadState | None = None
     load_at: float = 0
     in_flight_at_load: int = 0
+    failing: float = 0
+    failing_at: float = 0
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0
     full_until: float = 0
     draining_until: float = 0
+
+    def failing_share(self, now: float) -> float:
+        """Return the share of calls that fail; it fades without news."""
+        faded = math.exp((self.failing_at - now) / _FADE_S)
+        return self.failing * faded
+
+    def note_end(self, now: float, *, failed: bool) -> None:
+        """Count the end of a call."""
+        share = self.failing_share(now)
+        self.failing = share + _SMOOTHING * (failed - share)
+        self.failing_at = now
--- a/medlarquay/routing/observe.py
+++ b/medlarquay/routing/observe.py
@@ -32,7 +32,6 @@
 _FOR_LOAD = frozenset((
     states.RefusalReason.QUEUE_FULL,
     states.RefusalReason.DEADLINE_UNREACHABLE,
-    states.RefusalReason.SHED,
     states.RefusalReason.COLD_START,
 ))
 _FAILED = frozenset((
@@ -79,6 +78,11 @@
 ) -> None:
     found = state.of(event.instance)
     _finish(found)
+    found.note_end(now, failed=event.failed)
+    if event.failed:
+        # A failure may come much sooner than an answer would.
+        _take_load(found, event.load, now)
+        return
     if found.latency is None:
         found.latency = event.latency
     else:
@@ -104,7 +108,9 @@
     if event.reason in _FAILED:
         _fail(found, state, now)
         return
-    if event.reason in _FOR_LOAD:
+    if event.reason is states.RefusalReason.SHED:
+        found.note_end(now, failed=True)
+    elif event.reason in _FOR_LOAD:
         found.full_until = now + _FULL_S
     elif event.reason is states.RefusalReason.DRAINING:
         found.draining_until = now + _DRAINING_S
--- a/medlarquay/tasks/local_backend.py
+++ b/medlarquay/tasks/local_backend.py
@@ -21,6 +21,8 @@
     hung_s : float
         Seconds past the deadline of a non-idempotent request after which it
         will not answer any more, and its slot is given up.
+    exclusive : bool
+        Whether this node alone sends it work.
     state : BackendState
         Whether it accepts connections.
     """
@@ -29,4 +31,5 @@
         default_factory=transport.HeaderNames,
     )
     hung_s: float = _HUNG_S
+    exclusive: bool = False
     state: states.BackendState = states.BackendState.UP
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -89,6 +89,7 @@
         slots=own.slots,
         floors=dict(parameters.floors),
         queue_limit=parameters.queue_limit,
+        exclusive=owner.local.exclusive,
         cold_start=parameters.cold_start_ms / _MS_PER_SECOND,
     )
     owner_starts.tell_admission(admission.LimitsChanged(limits=limits), owner)
--- a/medlarquay/tasks/owner_starts.py
+++ b/medlarquay/tasks/owner_starts.py
@@ -67,6 +67,7 @@
         deadline=job.request.deadline,
         route=job.request.route,
         due=job.request.due,
+        last=job.request.last,
     )
     tell_admission(arrived, owner)
 
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -23,7 +23,9 @@
 
 # A pause is noticed by a late timer also while no call is under way.
 _HOUSEKEEPING_S = 1.0
-_FIRST_FAILURE_STATUS = 500
+# An owner that is not the last to be asked refuses what it cannot answer when
+# due; each further one costs a round trip.
+_OWNERS_ASKED = 3
 
 _Failure = messages.CallRefused | messages.CallUnknown | messages.CallAnswered
 _NodeEvent = events.PeerGreeted | events.PeerLost | messages.Draining
@@ -131,7 +133,12 @@
         reason: states.RefusalReason,
     ) -> None:
         """Refuse a request that did not become a call."""
-        answer = ingress.refusal(caller=message.caller, reason=reason)
+        answer = ingress.with_return(
+            ingress.refusal(caller=message.caller, reason=reason),
+            reason,
+            self.front,
+            self.chooser.random,
+        )
         request_id = ''
         if isinstance(message, events.RequestReceived):
             request_id = self.request_id(message)
@@ -169,7 +176,10 @@
         self.observe(routing.CallSent(instance=call.instance))
         if self.alarm is not None:
             self.alarm.wake_at(call.deadline)
-        self.sender.send(backend, ingress.call_request(call, self.front))
+        live = len(self.table.candidates(call.service).live)
+        last = len(call.tried) >= min(live, _OWNERS_ASKED)
+        request = ingress.call_request(call, self.front, last=last)
+        self.sender.send(backend, request)
 
     def finish(self, call_id: ids.CallId) -> ingress.IngressCall | None:
         """Forget an attempt; count a result that belongs to none."""
@@ -234,6 +244,12 @@
             keyed=call.parameters.key is not None,
             final=final,
         )
+        answer = ingress.with_return(
+            answer,
+            reason,
+            self.front,
+            self.chooser.random,
+        )
         outcome = ingress.refusal_outcome(reason)
         self.reporter.told(call, answer, outcome, reason)
         self.answer(answer)
@@ -397,9 +413,10 @@
             instance=call.instance,
             latency=router.clock() - call.sent_at,
             load=message.load,
+            failed=message.failed,
         ),
     )
-    if message.status >= _FIRST_FAILURE_STATUS and call.parameters.idempotent:
+    if message.failed and call.parameters.idempotent:
         router.fail(call, message)
     else:
         router.tell_answer(call, message)
