--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -1,11 +1,12 @@
 """Entry point of a node on the users' platform."""
 
+import gc
 import os
 import sys
 import time
 
 from medlarquay import errors, telemetry
-from medlarquay.platform import settings_file
+from medlarquay.platform import imports, settings_file
 
 __all__ = ('run',)
 
@@ -14,8 +15,7 @@
 
 def run() -> None:
     """Run a node until it is stopped."""
-    # Links are plain TCP; pyOpenSSL would cost 13 MB.
-    sys.modules.setdefault('OpenSSL', None)  # type: ignore[arg-type]
+    imports.leave_out_tls()
     path = os.environ.get(settings_file.PATH_VARIABLE, '')
     try:
         own = settings_file.read_settings(path)
@@ -41,9 +41,15 @@
             clock=time.monotonic,
         ),
     )
-    stream.gather_lines(reactor.callLater)
-    reactor.run()
-    stream.flush()
+    _settle_memory()
+    with stream.gathering(reactor.callLater):
+        reactor.run()
+
+
+def _settle_memory() -> None:
+    # What was loaded so far stays, so later collections leave it out.
+    gc.freeze()
+    gc.enable()
 
 
 if __name__ == '__main__':
--- a/medlarquay/telemetry/bounded_stream.py
+++ b/medlarquay/telemetry/bounded_stream.py
@@ -1,9 +1,10 @@
 """A stream of log lines with a bounded rate that never blocks."""
 
+import contextlib
 import io
 import os
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 __all__ = ('BoundedStream',)
 
@@ -60,8 +61,9 @@
         """Lines dropped since the start."""
         return self._dropped
 
-    def gather_lines(self, schedule: _Schedule) -> None:
-        """Write the lines of a short time together from now on.
+    @contextlib.contextmanager
+    def gathering(self, schedule: _Schedule) -> Iterator[None]:
+        """Write the lines of a short time together; write all at the end.
 
         Parameters
         ----------
@@ -69,6 +71,11 @@
             Calls a function after a number of seconds.
         """
         self._schedule = schedule
+        try:
+            yield
+        finally:
+            self._schedule = None
+            self.flush()
 
     def write(self, text: str) -> int:
         """Keep one line for writing, or drop it; return its length."""
--- a/medlarquay/telemetry/tests/test_bounded_stream.py
+++ b/medlarquay/telemetry/tests/test_bounded_stream.py
@@ -56,9 +56,11 @@
     """Guards against a system call for each line."""
     scheduled: list[Callable[[], None]] = []
     stream = telemetry.BoundedStream(descriptor=pipe[1], clock=ManualClock())
-    stream.gather_lines(lambda delay, call: scheduled.append(call))
-    stream.write('a\n')
-    stream.write('b\n')
-    assert len(scheduled) == 1
-    scheduled[0]()
-    assert os.read(pipe[0], 100) == b'a\nb\n'
+    with stream.gathering(lambda delay, call: scheduled.append(call)):
+        stream.write('a\n')
+        stream.write('b\n')
+        assert len(scheduled) == 1
+        scheduled[0]()
+        assert os.read(pipe[0], 100) == b'a\nb\n'
+        stream.write('c\n')
+    assert os.read(pipe[0], 100) == b'c\n'
