Tell the story of a request from log files

Cause: finding what ended a request meant reading the logs of several nodes side by side. Change: medlarquay story REQUEST LOGFILE... prints the lines of a request across nodes in order of time and the decision that ended it.

--- a/medlarquay/cli/parse_arguments.py
+++ b/medlarquay/cli/parse_arguments.py
@@ -8,6 +8,7 @@
     explain_command,
     show_command,
     show_topic,
+    story_command,
     validate_command,
 )
 
@@ -16,6 +17,7 @@
 _Command = (
     explain_command.ExplainCommand
     | show_command.ShowCommand
+    | story_command.StoryCommand
     | validate_command.ValidateCommand
 )
 
@@ -32,6 +34,9 @@
     _add_explain(
         commands.add_parser('explain', help='show how a request is routed'),
     )
+    _add_story(
+        commands.add_parser('story', help='tell what became of a request'),
+    )
     found = vars(parser.parse_args(arguments))
     build = found.pop('build')
     return build(**found)
@@ -64,6 +69,17 @@
     parser.set_defaults(build=explain_command.ExplainCommand)
 
 
+def _add_story(parser: argparse.ArgumentParser) -> None:
+    parser.add_argument('request', metavar='REQUEST', help='id of the request')
+    parser.add_argument(
+        'paths',
+        metavar='LOGFILE',
+        nargs='+',
+        help='log files of nodes',
+    )
+    parser.set_defaults(build=story_command.StoryCommand)
+
+
 def _add_node(parser: argparse.ArgumentParser) -> None:
     parser.add_argument(
         '--node',
--- a/medlarquay/cli/run_command.py
+++ b/medlarquay/cli/run_command.py
@@ -5,13 +5,12 @@
 from medlarquay import errors
 from medlarquay.admin import views
 from medlarquay.cli import (
+    commands,
     console,
     exit_code,
-    explain_command,
     fetch_views,
     format_views,
-    show_command,
-    validate_command,
+    request_story,
     validate_file,
 )
 
@@ -48,7 +47,7 @@
 
 @_run.register
 def _validate(
-    command: validate_command.ValidateCommand,
+    command: commands.ValidateCommand,
     terminal: console.Console,
 ) -> exit_code.ExitCode:
     view = validate_file.validate_file(command)
@@ -60,7 +59,7 @@
 
 @_run.register
 def _show(
-    command: show_command.ShowCommand,
+    command: commands.ShowCommand,
     terminal: console.Console,
 ) -> exit_code.ExitCode:
     found = fetch_views.fetch_topic(command, terminal)
@@ -73,7 +72,7 @@
 
 @_run.register
 def _explain(
-    command: explain_command.ExplainCommand,
+    command: commands.ExplainCommand,
     terminal: console.Console,
 ) -> exit_code.ExitCode:
     view = fetch_views.fetch_explanation(command, terminal)
@@ -83,6 +82,26 @@
     return exit_code.ExitCode.CHECK_FAILED
 
 
+@_run.register
+def _tell_story(
+    command: commands.StoryCommand,
+    terminal: console.Console,
+) -> exit_code.ExitCode:
+    story = request_story.read_story(command.request, command.paths)
+    for line in story.lines:
+        terminal.output.write(
+            f'{line.time} {line.source} {line.part}: {line.text}\n',
+        )
+    ended_by = story.ended_by
+    if ended_by is None:
+        terminal.problems.write(f'medlarquay: no line of {command.request}\n')
+        return exit_code.ExitCode.CHECK_FAILED
+    terminal.output.write(
+        f'ended by {ended_by.source} {ended_by.part}: {ended_by.text}\n',
+    )
+    return exit_code.ExitCode.OK
+
+
 def _print_view(
     view: object,
     terminal: console.Console,
--- /dev/null
+++ b/medlarquay/cli/tests/test_story.py
@@ -0,0 +1,67 @@
+"""The story of a request across the logs of nodes."""
+
+import io
+import pathlib
+
+from medlarquay.cli import (
+    console,
+    exit_code,
+    node_question,
+    parse_arguments,
+    run_command,
+)
+
+_INGRESS = (
+    '2026-02-19T18:27:36.659402Z INFO ingress: request=a1 '
+    'decision=refused_for_load owner=10.4.0.20 attempts=1 sent_ms=2\n'
+    '2026-02-19T18:27:36.685313Z INFO ingress: request=a1 told=429 '
+    'outcome=not-run reason=deadline_unreachable\n'
+    '2026-02-19T18:27:36.685400Z INFO ingress: request=a10 told=200\n'
+)
+_OWNER = (
+    '  0.6585 sidecar-x-2 2026-02-19T18:27:36.658409Z INFO owner: '
+    'request=a1 outcome=not-run reason=deadline_unreachable queued=0\n'
+    'not a line of a node request=a1\n'
+)
+
+
+def _unreachable(question: node_question.NodeQuestion) -> bytes:
+    raise AssertionError('no node is asked')
+
+
+def _tell(tmp_path: pathlib.Path, request: str) -> tuple[int, str]:
+    ingress = tmp_path / 'ingress.log'
+    ingress.write_text(_INGRESS)
+    owner = tmp_path / 'owner.log'
+    owner.write_text(_OWNER)
+    terminal = console.Console(
+        ask=_unreachable,
+        output=io.StringIO(),
+        problems=io.StringIO(),
+    )
+    command = parse_arguments.parse_arguments(
+        ['story', request, str(ingress), str(owner)],
+    )
+    code = run_command.run_command(command, terminal)
+    assert isinstance(terminal.output, io.StringIO)
+    return code, terminal.output.getvalue()
+
+
+def test_lines_of_all_nodes_come_in_order_of_time(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a cause that is read as an effect."""
+    code, text = _tell(tmp_path, 'a1')
+    lines = text.splitlines()
+    assert (code, len(lines)) == (exit_code.ExitCode.OK, 4)
+    assert 'sidecar-x-2 owner: request=a1 outcome=not-run' in lines[0]
+    assert 'decision=refused_for_load' in lines[1]
+    assert lines[3].startswith('ended by ') and 'told=429' in lines[3]
+
+
+def test_an_unknown_request_is_told_by_the_exit_code(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a script that takes silence for success."""
+    code, text = _tell(tmp_path, 'a2')
+    assert (code, text) == (exit_code.ExitCode.CHECK_FAILED, '')
--- a/medlarquay/daemon/tests/test_operations_page.py
+++ b/medlarquay/daemon/tests/test_operations_page.py
@@ -8,7 +8,7 @@
 from medlarquay import states
 from medlarquay.daemon import setting, setting_list
 
-_PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'operations.md'
+_PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'OPERATIONS.md'
 
 
 def _section(title: str) -> str:
