--- a/medlarquay/admission/tests/test_decide.py
+++ b/medlarquay/admission/tests/test_decide.py
@@ -215,3 +215,83 @@
         )
         admission.decide(event, state, 0)
     assert _finish(state, 1, 0.01) == (_start(3),)
+
+
+def test_a_shed_answer_takes_no_slot_from_an_exclusive_owner() -> None:
+    """Guards against capacity lost to a server that fails at random.
+
+    Six servers that shed 45 % of their requests with slots free lost most of
+    their slots, and the queues ran full.
+    """
+    state = admission.Admission(
+        bounds=admission.Limits(
+            slots=2,
+            floors=_FLOORS,
+            queue_limit=2,
+            exclusive=True,
+        ),
+    )
+    _arrive(state, 1)
+    _arrive(state, 2)
+    admission.decide(admission.WasShed(exchange=ids.ExchangeId(1)), state, 1)
+    assert _arrive(state, 3, now=1) == (_start(3),)
+
+
+def _learn(state: admission.Admission, seconds: float) -> None:
+    for number in range(100, 120):
+        _arrive(state, number, now=number, deadline=number + 9)
+        _finish(state, number, number + seconds)
+
+
+def _ask(
+    state: admission.Admission,
+    number: int,
+    *,
+    last: bool,
+) -> admission.Decision:
+    event = admission.Arrived(
+        exchange=ids.ExchangeId(number),
+        rank=states.Rank.NORMAL,
+        deadline=210,
+        due=200.3,
+        last=last,
+    )
+    return admission.decide(event, state, 200)
+
+
+def test_what_another_owner_may_answer_when_due_is_not_queued() -> None:
+    """Guards against a late answer while another server is idle."""
+    state = _state()
+    _learn(state, 0.5)
+    assert _ask(state, 1, last=False) == (_start(1),)
+    refused = _refuse(2, _REASON.DEADLINE_UNREACHABLE)
+    assert _ask(state, 2, last=False) == (refused,)
+    assert _ask(state, 3, last=True) == ()
+
+
+def test_late_requests_wait_for_those_that_can_still_be_due() -> None:
+    """Guards against a peak in which every request is answered too late."""
+    state = _state()
+    _learn(state, 0.1)
+    for number, due in ((1, 209.0), (2, 200.0), (3, 205.0)):
+        event = admission.Arrived(
+            exchange=ids.ExchangeId(number),
+            rank=states.Rank.NORMAL,
+            deadline=210,
+            due=due,
+        )
+        admission.decide(event, state, 200)
+    assert _finish(state, 1, 200.2) == (_start(3),)
+    assert _finish(state, 3, 200.3) == (_start(2),)
+
+
+def test_queued_work_is_refused_when_it_cannot_be_answered_any_more() -> None:
+    """Guards against a refusal that comes when nobody waits any more."""
+    state = _state()
+    _learn(state, 1.0)
+    _arrive(state, 1, now=200, deadline=250)
+    _arrive(state, 2, now=200, deadline=204)
+    assert admission.next_check(state, 200) == pytest.approx(203)
+    assert admission.decide(admission.ClockChecked(), state, 203.1) == (
+        _refuse(2, _REASON.DEADLINE_UNREACHABLE),
+    )
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -248,3 +248,27 @@
         else:
             _lose(state, name, now, 3)
     assert fleet.pick(state, _NEAR, _LOCAL[0], now=0.4) is not None
+
+
+def test_a_server_that_fails_part_of_its_calls_gets_fewer() -> None:
+    """Guards against a server that fails at random with a good health.
+
+    Failures that come between answers never eject it.
+    """
+    state = fleet.chooser()
+    for _ in range(10):
+        for failed in (True, False):
+            routing.observe(
+                routing.AnswerObserved(
+                    instance=ids.InstanceId('a2'),
+                    latency=0.01,
+                    load=None,
+                    failed=failed,
+                ),
+                state.observations,
+                0,
+            )
+    now = {fleet.pick(state, *_LOCAL) for _ in range(50)}
+    assert now == {'a3', 'a4'}
+    later = {fleet.pick(state, *_LOCAL, now=10) for _ in range(50)}
+    assert later == {'a2', 'a3', 'a4'}
--- a/medlarquay/routing/tests/test_retries.py
+++ b/medlarquay/routing/tests/test_retries.py
@@ -6,7 +6,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from medlarquay import ids, messages, routing, states
+from medlarquay import ids, messages, routing, snapshots, states
+from medlarquay import settings as service_settings
 
 _CALL = ids.CallId(1)
 _TRIED = routing.Attempt(
@@ -126,3 +127,70 @@
     for _ in range(10000):
         budget.count_first_attempt()
     assert sum(budget.take() for _ in range(100)) == 10
+
+
+def _failed_answer(status: int) -> messages.CallAnswered:
+    return messages.CallAnswered(
+        call_id=_CALL,
+        status=status,
+        headers=(),
+        body=b'',
+    )
+
+
+def test_a_refusal_before_the_backend_server_needs_no_budget() -> None:
+    """Guards against callers refused while other owners are idle."""
+    refused = _refusal(states.RefusalReason.QUEUE_FULL)
+    granted = states.RetryReason.REFUSED_FOR_LOAD
+    assert _decide(refused, tenths=0, retries=3) is granted
+    denied = states.RetryDenial.ATTEMPTS_USED
+    assert _decide(refused, tenths=0, retries=4) is denied
+
+
+def test_a_request_is_sent_to_no_more_servers_than_its_route_allows() -> None:
+    """Guards against one request that runs on every server."""
+    denied = states.RetryDenial.ATTEMPTS_USED
+    changes = {'idempotent': True, 'sends': 2, 'max_sends': 2}
+    assert _decide(_UNKNOWN, **changes) is denied
+
+
+@pytest.mark.parametrize(
+    ('status', 'idempotent', 'expected'),
+    [
+        (500, True, states.RetryReason.ANSWERED_FAILURE),
+        (500, False, states.RetryDenial.NOT_PROVED_UNRUN),
+        (504, True, states.RetryDenial.NOT_RETRYABLE),
+        (404, True, states.RetryDenial.NOT_RETRYABLE),
+    ],
+)
+def test_only_failures_of_idempotent_requests_are_asked_again(
+    status: int,
+    idempotent: bool,  # noqa: FBT001
+    expected: states.RetryReason | states.RetryDenial,
+) -> None:
+    """Guards against an approval that runs twice after a failure."""
+    found = _decide(_failed_answer(status), idempotent=idempotent)
+    assert found is expected
+
+
+def test_a_service_cannot_spend_what_another_earned() -> None:
+    """Guards against a storm at one service from the traffic of all."""
+    budgets = routing.RetryBudgets()
+    quiet, busy = (_service(name) for name in ('quiet', 'busy'))
+    for _ in range(100):
+        budgets.of(busy).count_first_attempt()
+    assert budgets.of(busy).take()
+    assert not budgets.of(quiet).take()
+
+
+def _service(name: str) -> snapshots.Service:
+    return snapshots.Service(
+        team=ids.TeamName('team'),
+        parameters=service_settings.ServiceSettings(
+            name=ids.ServiceName(name),
+            floors=(),
+            queue_limit=1,
+            cold_start_ms=0,
+        ),
+        backends=(),
+    )
--- a/medlarquay/tasks/tests/test_owner.py
+++ b/medlarquay/tasks/tests/test_owner.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from medlarquay import events, ids, messages, states
+from medlarquay import events, ids, messages, states, transport
 from medlarquay.tasks.tests import owner_bench
 
 _TRACES = pathlib.Path(__file__).parent / 'traces'
@@ -148,3 +148,36 @@
     bench.owner.place = None
     bench.call(1)
     assert bench.told() == {1: 'not-run no_configuration'}
+
+
+def test_an_owner_takes_work_again_beside_a_new_backend_server() -> None:
+    """Guards against a node that refuses all work after a replacement."""
+    bench = owner_bench.OwnerBench()
+    bench.configure(states.InstanceState.LEAVING)
+    bench.call(1)
+    assert bench.told() == {1: 'not-run draining'}
+    bench.configure(states.InstanceState.LIVE)
+    bench.call(2)
+    assert bench.started() == ['/approve/1']
+
+
+def test_a_stopping_owner_refuses_also_beside_a_live_backend_server() -> None:
+    """Guards against work that a process takes while it ends."""
+    bench = owner_bench.OwnerBench()
+    bench.owner.post(events.DrainRequested())
+    bench.configure(states.InstanceState.LIVE)
+    bench.call(1)
+    assert bench.told() == {1: 'not-run draining'}
+
+
+def test_a_request_names_the_run_that_may_take_it() -> None:
+    """Guards against a run by a server that got the address of another."""
+    bench = owner_bench.OwnerBench()
+    bench.owner.local.names = transport.HeaderNames(
+        expected_instance=b'wanted',
+    )
+    bench.call(1)
+    sent = bench.backend.of_type(events.StartRequest)[0]
+    assert (b'wanted', owner_bench.OWN.encode()) in sent.headers
+    bench.answer(1, status=421)
+    assert bench.told() == {1: 'not-run backend_down'}
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -4,7 +4,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from medlarquay import events, ids, keys, messages, states
+from medlarquay import events, ids, ingress, keys, messages, states
 from medlarquay.tasks.tests import ingress_bench
 
 _PAIR = (ingress_bench.backend('a1'), ingress_bench.backend('a2'))
@@ -431,3 +431,42 @@
         bench.answer(call.request.call_id)
         assert bench.fields()['outcome'] == 'run'
     assert refused <= 2
+
+
+def test_callers_are_served_until_they_know_of_the_stop(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against refusals to callers that were not told yet."""
+    bench.router.post(events.DrainRequested(refuse_at=2.3))
+    sent = bench.send(1)
+    bench.answer(sent.request.call_id, b'served')
+    answer = ingress_bench.only(bench.told())
+    assert (answer.body, answer.close) == (b'served', True)
+    assert not bench.lifecycle.take()
+    bench.clock.advance(2.3)
+    bench.request(2)
+    refused = ingress_bench.only(bench.told())
+    assert (refused.status, refused.close) == (503, True)
+    assert bench.lifecycle.take()
+
+
+def test_refusals_say_when_to_come_back(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against callers that all come back at once."""
+    bench.router.front = ingress.Front(tells_return=True)
+    seconds = []
+    for caller in range(1, 9):
+        sent = bench.send(caller)
+        for _ in range(9):
+            bench.refuse(
+                sent.request.call_id,
+                states.RefusalReason.QUEUE_FULL,
+            )
+            again = bench.sent()
+            if not again:
+                break
+            sent = again[0]
+        seconds.append(float(bench.fields()['retry-after']))
+    assert len(set(seconds)) > 4
+    assert all(0.1 < wait < 0.5 for wait in seconds)
