--- a/medlarquay/admission/tests/test_decide.py
+++ b/medlarquay/admission/tests/test_decide.py
@@ -266,7 +266,7 @@
     assert _ask(state, 1, last=False) == (_start(1),)
     refused = _refuse(2, _REASON.DEADLINE_UNREACHABLE)
     assert _ask(state, 2, last=False) == (refused,)
-    assert _ask(state, 3, last=True) == ()
+    assert not _ask(state, 3, last=True)
 
 
 def test_late_requests_wait_for_those_that_can_still_be_due() -> None:
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -8,6 +8,7 @@
 from medlarquay.tasks.tests import ingress_bench
 
 _PAIR = (ingress_bench.backend('a1'), ingress_bench.backend('a2'))
+_RETURNS = frozenset(f'0.{hundredths}' for hundredths in range(15, 46))
 _LATE = states.DroppedMessage.NO_CALL_AT_INGRESS
 
 
@@ -467,6 +468,7 @@
             if not again:
                 break
             sent = again[0]
-        seconds.append(float(bench.fields()['retry-after']))
+        seconds.append(bench.fields()['retry-after'])
     assert len(set(seconds)) > 4
-    assert all(0.1 < wait < 0.5 for wait in seconds)
+    # Long enough for a queue to move on, within a third of the usual limits.
+    assert all(text in _RETURNS for text in seconds)
