--- a/medlarquay/daemon/tests/test_operations_page.py
+++ b/medlarquay/daemon/tests/test_operations_page.py
@@ -2,11 +2,14 @@
 
 import enum
 import pathlib
+import re
 
+import logbook
 import pytest
 
-from medlarquay import states
+from medlarquay import ingress, states, transport
 from medlarquay.daemon import setting, setting_list
+from medlarquay.tasks.tests import ingress_bench, owner_bench
 
 _PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'OPERATIONS.md'
 
@@ -46,3 +49,43 @@
         if line.startswith('| `')
     ]
     assert sorted(rows) == sorted(reason.value for reason in reasons)
+
+
+_FIELD = re.compile(r'(\w+)=')
+_NAMES = transport.HeaderNames(request_id=b'idempotency-key')
+
+
+def _written_fields() -> set[str]:
+    with logbook.TestHandler() as handler:
+        router = ingress_bench.IngressBench(
+            ingress_bench.backend('a1'),
+            ingress_bench.backend('a2'),
+        )
+        router.router.front = ingress.Front(names=_NAMES)
+        sent = router.send(1, idempotency_key='a1')
+        router.refuse(sent.request.call_id, states.RefusalReason.DRAINING)
+        owner = owner_bench.OwnerBench()
+        owner.owner.local.names = transport.HeaderNames(
+            request_id=b'request-timeout-ms',
+        )
+        owner.call(1)
+        owner.answer(1)
+        lines = [record.message for record in handler.records]
+    return {name for line in lines for name in _FIELD.findall(line)}
+
+
+def test_the_fields_of_the_shown_log_lines_exist() -> None:
+    """Guards against a page that names what no node writes."""
+    section = _section('What became of one request')
+    lines = [line for line in section.splitlines() if ' request=' in line]
+    shown = {name for line in lines for name in _FIELD.findall(line)}
+    written = _written_fields()
+    assert len(lines) >= 6
+    assert shown <= written
+    table = {
+        name
+        for line in section.splitlines()
+        if line.startswith('| `')
+        for name in re.findall('`([a-z_]+)`', line.split('|')[1])
+    }
+    assert table <= written
