Keep the stand-ins of the platform in its folder and share their server

Cause: the stand-ins spoke the platform's names outside its folder, and both numbered and answered connections by code of their own. Change: they move to medlarquay/platform/testing and share one server.

--- /dev/null
+++ b/medlarquay/platform/testing/__init__.py
@@ -0,0 +1,3 @@
+"""Stand-ins of the platform for tests without its kit."""
+
+__all__ = ()
--- a/medlarquay/testing/platform_backend.py
+++ b/medlarquay/platform/testing/platform_backend.py
@@ -1,10 +1,9 @@
 """Stand-in of a backend server on the platform."""
 
-import functools
-
 from twisted.internet import interfaces
 
-from medlarquay import events, ids, transport
+from medlarquay import events
+from medlarquay.platform.testing import request_server
 
 __all__ = ('PlatformBackend',)
 
@@ -16,7 +15,7 @@
 _WORK = b'x-work-ms'
 
 
-class PlatformBackend:
+class PlatformBackend(request_server.RequestServer):
     """Answers requests with what it was sent, after some work.
 
     Parameters
@@ -41,29 +40,16 @@
         instance: str,
         service: str,
     ) -> None:
+        super().__init__(reactor=reactor)
         self.instance = instance
         self.service = service
-        self._reactor = reactor
-        self._connections: dict[ids.CallerId, transport.CallerConnection] = {}
-        self._last = 0
-
-    def listen(
-        self,
-        reactor: interfaces.IReactorTCP,
-        *,
-        host: str,
-        port: int,
-    ) -> interfaces.IListeningPort:
-        """Accept requests on one address."""
-        factory = transport.BuildingFactory(build=self._build)
-        return reactor.listenTCP(port, factory, interface=host)
 
     def serve(self, message: events.RequestReceived) -> None:
         """Answer a request after its work."""
         fields = dict(message.headers)
         expected = fields.get(_EXPECTED, b'').decode()
         if expected not in {'', self.instance}:
-            self._answer(message, _MISDIRECTED, b'')
+            self._reply(message, _MISDIRECTED, b'')
             return
         lines = (
             b'%b %b' % (message.method, message.target),
@@ -73,38 +59,20 @@
         )
         self._reactor.callLater(
             int(fields.get(_WORK, b'0')) / _MS_PER_SECOND,
-            self._answer,
+            self._reply,
             message,
             _OK,
             b'\n'.join(lines),
         )
 
-    def close(self, caller: ids.CallerId) -> None:
-        """Forget a connection."""
-        self._connections.pop(caller, None)
-
-    def _build(self) -> transport.CallerConnection:
-        self._last += 1
-        caller = ids.CallerId(self._last)
-        connection = transport.CallerConnection(
-            caller=caller,
-            deliver=lambda message: _take(message, self),
-            reactor=self._reactor,
-        )
-        self._connections[caller] = connection
-        return connection
-
-    def _answer(
+    def _reply(
         self,
         message: events.RequestReceived,
         status: int,
         body: bytes,
     ) -> None:
-        connection = self._connections.get(message.caller)
-        if connection is None:
-            return
         request_id = dict(message.headers).get(_REQUEST_ID, b'')
-        connection.answer(
+        self.answer(
             events.AnswerReady(
                 caller=message.caller,
                 status=status,
@@ -116,18 +84,3 @@
                 body=body,
             ),
         )
-
-
-@functools.singledispatch
-def _take(message: object, server: PlatformBackend) -> None:
-    raise TypeError(f'unexpected message {type(message).__name__}')
-
-
-@_take.register
-def _asked(message: events.RequestReceived, server: PlatformBackend) -> None:
-    server.serve(message)
-
-
-@_take.register
-def _gone(message: events.CallerGone, server: PlatformBackend) -> None:
-    server.close(message.caller)
--- a/medlarquay/testing/platform_store.py
+++ b/medlarquay/platform/testing/platform_store.py
@@ -1,7 +1,6 @@
 """Stand-in of the platform's store."""
 
 import base64
-import functools
 import json
 from collections.abc import Callable
 from typing import Any
@@ -9,8 +8,12 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import events, ids, transport
-from medlarquay.testing import store_fault, store_watch
+from medlarquay import events, ids
+from medlarquay.platform.testing import (
+    request_server,
+    store_fault,
+    store_watch,
+)
 
 __all__ = ('PlatformStore',)
 
@@ -18,7 +21,7 @@
 _PAGE = 50
 
 
-class PlatformStore:
+class PlatformStore(request_server.RequestServer):
     """Serves the platform's key-value store over HTTP.
 
     Parameters
@@ -32,26 +35,14 @@
     """
 
     def __init__(self, *, reactor: interfaces.IReactorTime) -> None:
+        super().__init__(reactor=reactor)
         self.fault = store_fault.StoreFault.NONE
         self.calls = 0
-        self._reactor = reactor
         self._items: dict[str, dict[str, Any]] = {}
         self._log: list[dict[str, Any]] = []
         self._revision = 1
         self._oldest = 0
-        self._connections: dict[ids.CallerId, transport.CallerConnection] = {}
         self._watches: list[store_watch.StoreWatch] = []
-        self._last = 0
-
-    def listen(
-        self,
-        reactor: interfaces.IReactorTCP,
-        *,
-        host: str,
-    ) -> interfaces.IListeningPort:
-        """Accept calls on a port that the kernel chooses."""
-        factory = transport.BuildingFactory(build=self._build)
-        return reactor.listenTCP(0, factory, interface=host)
 
     def put(self, key: str, content: bytes) -> int:
         """Write a value; return its revision."""
@@ -84,7 +75,7 @@
 
     def close(self, caller: ids.CallerId) -> None:
         """Forget a connection and its watch."""
-        self._connections.pop(caller, None)
+        super().close(caller)
         self._watches = [
             watch for watch in self._watches if watch.caller != caller
         ]
@@ -95,7 +86,7 @@
         if self.fault is store_fault.StoreFault.SILENT:
             return
         if self.fault is store_fault.StoreFault.BUSY:
-            self._answer(message.caller, 503, {})
+            self._reply(message.caller, 503, {})
             return
         path, _, query = message.target.decode().partition('?')
         found = dict(urls.parse_qsl(query))
@@ -111,17 +102,6 @@
             if event['key'].startswith(watch.prefix):
                 self._end_watch(watch)
 
-    def _build(self) -> transport.CallerConnection:
-        self._last += 1
-        caller = ids.CallerId(self._last)
-        connection = transport.CallerConnection(
-            caller=caller,
-            deliver=lambda message: _take(message, self),
-            reactor=self._reactor,
-        )
-        self._connections[caller] = connection
-        return connection
-
     def _range(self, caller: ids.CallerId, query: dict[str, str]) -> None:
         keys = sorted(
             key
@@ -130,7 +110,7 @@
             and key > query.get('after', '')
         )
         page = [self._items[key] for key in keys[:_PAGE]]
-        self._answer(
+        self._reply(
             caller,
             200,
             {
@@ -143,7 +123,7 @@
     def _watch(self, caller: ids.CallerId, query: dict[str, str]) -> None:
         after = int(query['after'])
         if after < self._oldest:
-            self._answer(caller, 410, {})
+            self._reply(caller, 410, {})
             return
         watch = store_watch.StoreWatch(
             caller=caller,
@@ -173,40 +153,23 @@
         if watch not in self._watches:
             return
         self._watches.remove(watch)
-        self._answer(
+        self._reply(
             watch.caller,
             200,
             {'events': self._events(watch), 'at': self._revision},
         )
 
-    def _answer(
+    def _reply(
         self,
         caller: ids.CallerId,
         status: int,
         content: dict[str, Any],
     ) -> None:
-        connection = self._connections.get(caller)
-        if connection is not None:
-            connection.answer(
-                events.AnswerReady(
-                    caller=caller,
-                    status=status,
-                    headers=((b'content-type', b'application/json'),),
-                    body=json.dumps(content).encode(),
-                ),
-            )
-
-
-@functools.singledispatch
-def _take(message: object, store: PlatformStore) -> None:
-    raise TypeError(f'unexpected message {type(message).__name__}')
-
-
-@_take.register
-def _asked(message: events.RequestReceived, store: PlatformStore) -> None:
-    store.serve(message)
-
-
-@_take.register
-def _gone(message: events.CallerGone, store: PlatformStore) -> None:
-    store.close(message.caller)
+        self.answer(
+            events.AnswerReady(
+                caller=caller,
+                status=status,
+                headers=((b'content-type', b'application/json'),),
+                body=json.dumps(content).encode(),
+            ),
+        )
--- a/medlarquay/testing/platform_world.py
+++ b/medlarquay/platform/testing/platform_world.py
@@ -13,7 +13,11 @@
 from twisted.internet import reactor, stdio
 from twisted.protocols import basic
 
-from medlarquay.testing import platform_backend, platform_store, store_fault
+from medlarquay.platform.testing import (
+    platform_backend,
+    platform_store,
+    store_fault,
+)
 
 __all__ = ('run',)
 
--- a/medlarquay/platform/tests/small_platform.py
+++ b/medlarquay/platform/tests/small_platform.py
@@ -38,7 +38,7 @@
             [
                 sys.executable,
                 '-m',
-                'medlarquay.testing.platform_world',
+                'medlarquay.platform.testing.platform_world',
                 f'--nodes={nodes}',
                 f'--port={self._ports["app"]}',
             ],
