Let events and not times decide the tests of the whole path

Cause: the tests slept for fixed times before they looked at logs and readiness, which a busy machine makes too short. Change: they wait for the line or the answer itself.

--- a/medlarquay/platform/tests/test_whole_path.py
+++ b/medlarquay/platform/tests/test_whole_path.py
@@ -7,14 +7,14 @@
 import sys
 import threading
 import time
+from collections.abc import Callable
 
 from medlarquay.platform.tests import small_platform
 
 _WAIT_S = 10
 
 
-def _until(found: object, wanted: object) -> None:
-    assert callable(found)
+def _until(found: Callable[[], object], wanted: object) -> None:
     until = time.monotonic() + _WAIT_S
     while found() != wanted:
         assert time.monotonic() < until
@@ -32,6 +32,19 @@
         return 0
 
 
+def _is_logged(
+    mesh: small_platform.SmallPlatform,
+    number: int,
+    text: str,
+) -> bool:
+    return text in mesh.log(number).read_text()
+
+
+def _is_any_logged(mesh: small_platform.SmallPlatform, text: str) -> bool:
+    # Only the node that reads the store notices.
+    return any(_is_logged(mesh, number, text) for number in range(3))
+
+
 def test_a_request_reaches_a_backend_server_of_its_route(
     tmp_path: pathlib.Path,
 ) -> None:
@@ -47,10 +60,10 @@
         assert (status, fields['attempt-id']) == (200, 'a1')
         assert lines == ['POST /portal/x?y=1', 'content', 'desk', 'i-1']
         assert mesh.call(1, '/nowhere/', request_id='a2')[0] == 404
-        time.sleep(0.5)
-        told = mesh.log(0).read_text()
-        assert 'ingress: request=a1 told=200 outcome=run' in told
-        assert 'owner: request=a1 outcome=run' in mesh.log(1).read_text()
+        told = 'ingress: request=a1 told=200 outcome=run'
+        _until(functools.partial(_is_logged, mesh, 0, told), wanted=True)
+        ran = 'owner: request=a1 outcome=run'
+        _until(functools.partial(_is_logged, mesh, 1, ran), wanted=True)
 
 
 def test_a_change_is_in_force_on_all_nodes(tmp_path: pathlib.Path) -> None:
@@ -70,7 +83,8 @@
     """Guards against a mesh that stops with the platform's store."""
     with small_platform.SmallPlatform(nodes=3, directory=tmp_path) as mesh:
         mesh.tell('fault busy')
-        time.sleep(1.5)
+        failed = 'source: read of teams failed'
+        _until(functools.partial(_is_any_logged, mesh, failed), wanted=True)
         assert mesh.call(0, '/desk/', request_id='c1')[0] == 200
         mesh.tell('fault none')
         mesh.tell('route /after/ portal')
@@ -105,8 +119,7 @@
         asking.start()
         time.sleep(0.3)
         mesh.signal(1, signal.SIGTERM)
-        time.sleep(0.2)
-        assert not mesh.ready(1)
+        _until(functools.partial(mesh.ready, 1), wanted=False)
         # Callers learn of the stop with a delay and are still served.
         assert mesh.call(1, '/desk/', request_id='e2')[0] == 200
         asking.join()
