Outlive SIGHUP and read the settings file again

Cause: nothing took SIGHUP, which the platform sends when the settings file changed, so the signal ended the process. Change: a task reads the file again and logs which fields changed; they are in force from the next start. An unreadable file changes nothing.

--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -29,6 +29,7 @@
 from medlarquay.events.peer_version import PeerVersion
 from medlarquay.events.reading_chosen import ReadingChosen
 from medlarquay.events.records_received import RecordsReceived
+from medlarquay.events.reload_requested import ReloadRequested
 from medlarquay.events.replica_changed import ReplicaChanged
 from medlarquay.events.request_received import RequestReceived
 from medlarquay.events.request_rejected import RequestRejected
@@ -52,6 +53,7 @@
     'FreshnessReceived',
     'PeerVersion',
     'SourceChanged',
+    'ReloadRequested',
     'ReplicaChanged',
     'DeltaRequested',
     'DeltaReady',
--- a/medlarquay/platform/imports.py
+++ b/medlarquay/platform/imports.py
@@ -28,4 +28,5 @@
     from medlarquay.platform import (  # noqa: F401, PLC0415
         main,
         node_parts,
+        settings_watcher,
     )
--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -30,6 +30,7 @@
     from medlarquay.daemon import node  # noqa: PLC0415
     from medlarquay.platform import (  # noqa: PLC0415
         node_parts,
+        settings_watcher,
     )
 
     node.start_node(
@@ -41,6 +42,8 @@
             clock=time.monotonic,
         ),
     )
+    watcher = settings_watcher.SettingsWatcher(path=path, own=own)
+    reactor.callWhenRunning(watcher.watch, reactor)
     _settle_memory()
     with stream.gathering(reactor.callLater):
         reactor.run()
--- a/medlarquay/platform/tests/test_whole_path.py
+++ b/medlarquay/platform/tests/test_whole_path.py
@@ -127,6 +127,24 @@
         assert mesh.wait_end(1, 6) == 0
 
 
+def test_a_node_outlives_changed_settings(tmp_path: pathlib.Path) -> None:
+    """Guards against a process that the signal for changed settings ends."""
+    with small_platform.SmallPlatform(nodes=1, directory=tmp_path) as mesh:
+        mesh.signal(0, signal.SIGHUP)
+        same = 'settings: reload=done changed=- in_force=now'
+        _until(functools.partial(_is_logged, mesh, 0, same), wanted=True)
+        settings = tmp_path / '0.conf'
+        settings.write_text(settings.read_text().replace('=6s', '=9s'))
+        mesh.signal(0, signal.SIGHUP)
+        changed = 'settings: reload=done changed=drain_timeout_s'
+        _until(functools.partial(_is_logged, mesh, 0, changed), wanted=True)
+        settings.write_text('nothing')
+        mesh.signal(0, signal.SIGHUP)
+        kept = "settings stay as they are: internal_ports is ''"
+        _until(functools.partial(_is_logged, mesh, 0, kept), wanted=True)
+        assert mesh.call(0, '/desk/', request_id='f1')[0] == 200
+
+
 def test_a_bad_settings_file_ends_the_start(tmp_path: pathlib.Path) -> None:
     """Guards against a traceback, or a node at a wrong address."""
     settings = tmp_path / 'settings.conf'
