Hold removals back only after an outage in which entries lapse

The hold was meant for outages of the source, but began whenever the data of a node was 3 s old, as after two lost parents. Change: the hold begins at 4.5 s, the time after which an entry lapses. Measured: a test with data 4.2 s old failed before and passes.

--- a/medlarquay/replica/lapse_guard.py
+++ b/medlarquay/replica/lapse_guard.py
@@ -4,9 +4,10 @@
 
 __all__ = ('LapseGuard',)
 
-# Data that the source confirmed longer ago means that it was away: a watch
-# waits 1 s, and each level of the tree adds half a second.
-_AWAY_S = 3.0
+# An entry lapses after three missed heartbeats of 1.5 s, so after a shorter
+# outage there is nothing to hold back. A tree that lost two parents in a row
+# lags by up to 4 s.
+_AWAY_S = 4.5
 # An instance that lives is listed again within this time of the return.
 _HOLD_S = 2.2
 
--- a/medlarquay/replica/tests/test_lapse_guard.py
+++ b/medlarquay/replica/tests/test_lapse_guard.py
@@ -13,6 +13,16 @@
     assert guard.hold_until(now=10, confirmed_at=8.5) == -math.inf
 
 
+def test_a_lagging_tree_is_no_outage() -> None:
+    """Guards against a removal held back while the source is sound.
+
+    Two parents lost in a row left the data of a node 4 s old; the removal of
+    a backend server was then held back for 2.2 s and came too late.
+    """
+    guard = replica.LapseGuard()
+    assert guard.hold_until(now=10, confirmed_at=5.8) == -math.inf
+
+
 def test_a_node_that_has_just_started_holds_nothing_back() -> None:
     """Guards against a start that waits for an outage that never was."""
     guard = replica.LapseGuard()
