--- a/medlarquay/replica/tests/test_lapse_guard.py
+++ b/medlarquay/replica/tests/test_lapse_guard.py
@@ -16,8 +16,8 @@
 def test_a_lagging_tree_is_no_outage() -> None:
     """Guards against a removal held back while the source is sound.
 
-    Two parents lost in a row left the data of a node 4 s old; the removal of
-    a backend server was then held back for 2.2 s and came too late.
+    After two lost parents the data of a node can be 4 s old; a removal that
+    is then held back for 2.2 s comes later than 2.5 s after it was accepted.
     """
     guard = replica.LapseGuard()
     assert guard.hold_until(now=10, confirmed_at=5.8) == -math.inf
