Let readers that the source turns away follow one another in a circle

Ruled out: the pause after a failed read; both readers were refused every time. Change: a reader without the source follows the next reader in the distribution order, the last the first, so no two follow each other.

--- a/medlarquay/topology/choose.py
+++ b/medlarquay/topology/choose.py
@@ -81,9 +81,12 @@
         if region != known.own.region
         and (reader := _first(nodes, known.suspects)) is not None
     ]
-    if known.parent in readers:
-        return known.parent
-    return min(readers, key=members.order_of, default=None)
+    # Each follows the next in the distribution order, and the last the first.
+    # Two readers that the source turns away then never follow each other, so
+    # what one reader can read reaches all.
+    own = members.order_of(known.own)
+    later = [reader for reader in readers if members.order_of(reader) > own]
+    return min(later or readers, key=members.order_of, default=None)
 
 
 def _first(
--- /dev/null
+++ b/medlarquay/topology/tests/test_other_reader.py
@@ -0,0 +1,60 @@
+"""Whom readers follow that the source turns away."""
+
+import itertools
+
+from medlarquay import ids, replica, states, topology
+
+_REGIONS = ('north', 'south', 'west')
+
+
+def _record(region: str, number: int) -> replica.InstanceRecord:
+    return replica.InstanceRecord(
+        instance=ids.InstanceId(f'{region}-{number}'),
+        revision=ids.Revision(1),
+        team=ids.TeamName('team'),
+        service=ids.ServiceName('desk'),
+        region=ids.RegionName(region),
+        data_centre=ids.DataCentreName(f'{region}-a'),
+        host=f'{region}-{number}',
+        caller_port=1,
+        peer_port=2,
+        slots=2,
+        state=states.InstanceState.LIVE,
+    )
+
+
+def _followed(
+    members: topology.Members,
+    reader: topology.Peer,
+) -> ids.InstanceId:
+    chosen = topology.choose(
+        topology.Situation(
+            own=reader,
+            seeds=(),
+            members=members,
+            suspects=frozenset(),
+            source_reachable=False,
+        ),
+    )
+    assert chosen.parent is not None
+    return chosen.parent.instance
+
+
+def test_readers_without_the_source_do_not_follow_each_other() -> None:
+    """Guards against two regions that wait for one another.
+
+    The source turned the readers of two regions away; each followed the
+    other, and a change was 2.5 s late in both (hunt-d07a-7).
+    """
+    for numbers in itertools.product(range(4), repeat=len(_REGIONS)):
+        members = topology.Members([
+            _record(region, number)
+            for region, number in zip(_REGIONS, numbers, strict=True)
+        ])
+        readers = [nodes[0] for nodes in members.regions.values()]
+        follows = {
+            reader.instance: _followed(members, reader) for reader in readers
+        }
+        # Whichever readers are turned away, each reaches one that is not.
+        assert len(set(follows.values())) == len(readers)
+        assert all(follows[follows[reader]] != reader for reader in follows)
