Answer 503 for a deadline that passed before the run; share connections

Cause: a request whose deadline passed in a queue was told 504.

Change: DEADLINE_PASSED is answered with the default refusal status, 503. Three listeners numbered their connections by the same code; it is now transport.CallerConnections. Deployment holds a LocalBackend instead of two of its fields, so the limit for a hung run is stated once.

--- a/medlarquay/daemon/build_owner.py
+++ b/medlarquay/daemon/build_owner.py
@@ -28,9 +28,7 @@
         counters=observed.counters,
         records=observed.records,
     )
-    own.local.names = deployment.front.names
-    own.local.hung_s = deployment.hung_s
-    own.local.exclusive = deployment.exclusive
+    own.local = deployment.local
     own.ledger = ledger.Ledger(
         instance=observed.hello.instance,
         incarnation=observed.hello.incarnation,
@@ -42,6 +40,6 @@
         host=settings.backend_host,
         port=settings.backend_port,
         clock=clock.monotonic,
-        names=deployment.front.names,
+        names=deployment.local.names,
     )
     return own
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -99,14 +99,14 @@
         },
     )
     peers.listen(reactor, host=settings.host, port=settings.peer_port)
-    path.callers.listen(
+    path.callers.connections.listen(
         reactor,
         host=settings.host,
         port=settings.caller_port,
     )
     operators.listen(reactor, host=settings.host, port=settings.admin_port)
     if deployment.readiness is not None:
-        ready.listen(
+        ready.connections.listen(
             reactor,
             host=deployment.readiness.host,
             port=deployment.readiness.port,
--- a/medlarquay/ingress/answers.py
+++ b/medlarquay/ingress/answers.py
@@ -46,7 +46,6 @@
     states.RefusalReason.QUEUE_FULL: 429,
     states.RefusalReason.SHED: 429,
     states.RefusalReason.DEADLINE_UNREACHABLE: 429,
-    states.RefusalReason.DEADLINE_PASSED: 504,
 })
 
 # The home of the key did not look it up, so this attempt was not run and
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -12,6 +12,7 @@
     store_client,
     store_fetcher,
 )
+from medlarquay.tasks import local_backend
 
 __all__ = ('deployment_of', 'node_settings_of')
 
@@ -70,8 +71,11 @@
             service=own.service.encode(),
             tells_return=True,
         ),
+        local=local_backend.LocalBackend(
+            names=header_names.HEADER_NAMES,
+            hung_s=_HUNG_S,
+            exclusive=True,
+        ),
         readiness=own.readiness,
-        hung_s=_HUNG_S,
-        exclusive=True,
         pace=stop_pace.StopPace(linger_s=_LINGER_S, flush_s=_FLUSH_S),
     )
--- a/medlarquay/platform/testing/platform_store.py
+++ b/medlarquay/platform/testing/platform_store.py
@@ -68,14 +68,13 @@
             'is_deleted': True,
         })
 
-    def forget(self) -> None:
+    def drop_history(self) -> None:
         """Drop the history."""
         self._log.clear()
         self._oldest = self._revision
 
-    def close(self, caller: ids.CallerId) -> None:
-        """Forget a connection and its watch."""
-        super().close(caller)
+    def forget(self, caller: ids.CallerId) -> None:
+        """Drop the watch of a connection that was closed."""
         self._watches = [
             watch for watch in self._watches if watch.caller != caller
         ]
--- a/medlarquay/platform/testing/platform_world.py
+++ b/medlarquay/platform/testing/platform_world.py
@@ -46,7 +46,7 @@
         if words[0] == 'fault':
             self._store.fault = store_fault.StoreFault(words[1])
         elif words[0] == 'forget':
-            self._store.forget()
+            self._store.drop_history()
         elif words[0] == 'delete':
             self._store.delete(words[1])
         else:
--- a/medlarquay/platform/testing/request_server.py
+++ b/medlarquay/platform/testing/request_server.py
@@ -21,8 +21,10 @@
 
     def __init__(self, *, reactor: interfaces.IReactorTime) -> None:
         self._reactor = reactor
-        self._connections: dict[ids.CallerId, transport.CallerConnection] = {}
-        self._last = 0
+        self._connections = transport.CallerConnections(
+            deliver=lambda message: _take(message, self),
+            reactor=reactor,
+        )
 
     def listen(
         self,
@@ -32,33 +34,18 @@
         port: int = 0,
     ) -> interfaces.IListeningPort:
         """Accept requests; the kernel chooses the port if it is 0."""
-        factory = transport.BuildingFactory(build=self._build)
-        return reactor.listenTCP(port, factory, interface=host)
+        return self._connections.listen(reactor, host=host, port=port)
 
     @abc.abstractmethod
     def serve(self, message: events.RequestReceived) -> None:
         """Answer one request, now or later."""
 
-    def close(self, caller: ids.CallerId) -> None:
-        """Forget a connection."""
-        self._connections.pop(caller, None)
+    def forget(self, caller: ids.CallerId) -> None:
+        """Drop what waits for a connection that was closed."""
 
     def answer(self, message: events.AnswerReady) -> None:
         """Write an answer if the connection is still open."""
-        connection = self._connections.get(message.caller)
-        if connection is not None:
-            connection.answer(message)
-
-    def _build(self) -> transport.CallerConnection:
-        self._last += 1
-        caller = ids.CallerId(self._last)
-        connection = transport.CallerConnection(
-            caller=caller,
-            deliver=lambda message: _take(message, self),
-            reactor=self._reactor,
-        )
-        self._connections[caller] = connection
-        return connection
+        self._connections.answer(message)
 
 
 @functools.singledispatch
@@ -73,4 +60,4 @@
 
 @_take.register
 def _gone(message: events.CallerGone, server: RequestServer) -> None:
-    server.close(message.caller)
+    server.forget(message.caller)
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import events, ids, transport
+from medlarquay import events, transport
 from medlarquay.tasks import task
 
 __all__ = ('CallerListener',)
@@ -28,42 +28,15 @@
         reactor: interfaces.IReactorTime,
     ) -> None:
         super().__init__(name='callers')
-        self.connections: dict[ids.CallerId, transport.CallerConnection] = {}
-        self._router = router
-        self._reactor = reactor
-        self._last = 0
-
-    def listen(
-        self,
-        reactor: interfaces.IReactorTCP,
-        *,
-        host: str,
-        port: int,
-    ) -> interfaces.IListeningPort:
-        """Accept callers on one address."""
-        factory = transport.BuildingFactory(build=self._build)
-        return reactor.listenTCP(port, factory, interface=host, backlog=512)
+        self.connections = transport.CallerConnections(
+            deliver=router.post,
+            reactor=reactor,
+        )
 
     def receive(self, message: object) -> None:
         """Handle one message."""
         _handle(message, self)
 
-    def _build(self) -> transport.CallerConnection:
-        self._last += 1
-        caller = ids.CallerId(self._last)
-        connection = transport.CallerConnection(
-            caller=caller,
-            deliver=self._deliver,
-            reactor=self._reactor,
-        )
-        self.connections[caller] = connection
-        return connection
-
-    def _deliver(self, message: object) -> None:
-        if isinstance(message, events.CallerGone):
-            self.connections.pop(message.caller, None)
-        self._router.post(message)
-
 
 @functools.singledispatch
 def _handle(message: object, owner: CallerListener) -> None:
@@ -72,9 +45,7 @@
 
 @_handle.register
 def _answer(message: events.AnswerReady, owner: CallerListener) -> None:
-    connection = owner.connections.get(message.caller)
-    if connection is not None:
-        connection.answer(message)
+    owner.connections.answer(message)
 
 
 @_handle.register
--- a/medlarquay/tasks/readiness.py
+++ b/medlarquay/tasks/readiness.py
@@ -10,6 +10,7 @@
 __all__ = ('Readiness',)
 
 _READY = 200
+_MALFORMED = 400
 _NOT_READY = 503
 
 
@@ -30,36 +31,15 @@
     def __init__(self, *, reactor: interfaces.IReactorTime) -> None:
         super().__init__(name='readiness')
         self.state = states.NodeState.STARTING
-        self.connections: dict[ids.CallerId, transport.CallerConnection] = {}
-        self._reactor = reactor
-        self._last = 0
-
-    def listen(
-        self,
-        reactor: interfaces.IReactorTCP,
-        *,
-        host: str,
-        port: int,
-    ) -> interfaces.IListeningPort:
-        """Accept questions on one address."""
-        factory = transport.BuildingFactory(build=self._build)
-        return reactor.listenTCP(port, factory, interface=host)
+        self.connections = transport.CallerConnections(
+            deliver=self.post,
+            reactor=reactor,
+        )
 
     def receive(self, message: object) -> None:
         """Handle one message."""
         _handle(message, self)
 
-    def _build(self) -> transport.CallerConnection:
-        self._last += 1
-        caller = ids.CallerId(self._last)
-        connection = transport.CallerConnection(
-            caller=caller,
-            deliver=self.post,
-            reactor=self._reactor,
-        )
-        self.connections[caller] = connection
-        return connection
-
 
 @functools.singledispatch
 def _handle(message: object, readiness: Readiness) -> None:
@@ -79,22 +59,20 @@
 
 @_handle.register
 def _rejected(message: events.RequestRejected, readiness: Readiness) -> None:
-    _answer(message.caller, 400, readiness)
+    _answer(message.caller, _MALFORMED, readiness)
 
 
 @_handle.register
 def _gone(message: events.CallerGone, readiness: Readiness) -> None:
-    readiness.connections.pop(message.caller, None)
+    """Do nothing: a question leaves no state behind."""
 
 
 def _answer(caller: ids.CallerId, status: int, readiness: Readiness) -> None:
-    connection = readiness.connections.get(caller)
-    if connection is not None:
-        connection.answer(
-            events.AnswerReady(
-                caller=caller,
-                status=status,
-                headers=(),
-                body=b'',
-            ),
-        )
+    readiness.connections.answer(
+        events.AnswerReady(
+            caller=caller,
+            status=status,
+            headers=(),
+            body=b'',
+        ),
+    )
--- a/medlarquay/transport/__init__.py
+++ b/medlarquay/transport/__init__.py
@@ -2,6 +2,7 @@
 
 from medlarquay.transport.backend_connection import BackendConnection
 from medlarquay.transport.caller_connection import CallerConnection
+from medlarquay.transport.caller_connections import CallerConnections
 from medlarquay.transport.factories import BuildingFactory
 from medlarquay.transport.header_names import HeaderNames
 from medlarquay.transport.http_text import HOP_BY_HOP, format_answer
@@ -12,6 +13,7 @@
     'BackendConnection',
     'BuildingFactory',
     'CallerConnection',
+    'CallerConnections',
     'HeaderNames',
     'Link',
     'format_answer',
--- /dev/null
+++ b/medlarquay/transport/caller_connections.py
@@ -0,0 +1,73 @@
+"""Numbered connections of one listening address."""
+
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from medlarquay import events, ids
+from medlarquay.transport import caller_connection, factories
+
+__all__ = ('CallerConnections',)
+
+_BACKLOG = 512
+
+
+class CallerConnections:
+    """Numbers the connections of one listening address and answers on them.
+
+    Parameters
+    ----------
+    deliver : callable
+        Receives ``RequestReceived``, ``RequestRejected`` and ``CallerGone``.
+    reactor : IReactorTime
+        Clock and timer for the deadlines of slow senders.
+    """
+
+    def __init__(
+        self,
+        *,
+        deliver: Callable[[object], None],
+        reactor: interfaces.IReactorTime,
+    ) -> None:
+        self._deliver = deliver
+        self._reactor = reactor
+        self._open: dict[ids.CallerId, caller_connection.CallerConnection] = {}
+        self._last = 0
+
+    def listen(
+        self,
+        reactor: interfaces.IReactorTCP,
+        *,
+        host: str,
+        port: int,
+    ) -> interfaces.IListeningPort:
+        """Accept connections on one address; the kernel chooses port 0."""
+        factory = factories.BuildingFactory(build=self._build)
+        return reactor.listenTCP(
+            port,
+            factory,
+            interface=host,
+            backlog=_BACKLOG,
+        )
+
+    def answer(self, message: events.AnswerReady) -> None:
+        """Write an answer if the connection is still open."""
+        connection = self._open.get(message.caller)
+        if connection is not None:
+            connection.answer(message)
+
+    def _build(self) -> caller_connection.CallerConnection:
+        self._last += 1
+        caller = ids.CallerId(self._last)
+        connection = caller_connection.CallerConnection(
+            caller=caller,
+            deliver=self._take,
+            reactor=self._reactor,
+        )
+        self._open[caller] = connection
+        return connection
+
+    def _take(self, message: object) -> None:
+        if isinstance(message, events.CallerGone):
+            self._open.pop(message.caller, None)
+        self._deliver(message)
