Choose a restarted node again one second after its old link ends

A drained node was left out for 60 s unless it was greeted on an outgoing link, and a node that is left out gets no link.

Change: the end of the link ends the draining after 1 s. The longest ejection is 8 s instead of 64 s, for the same reason.

--- a/medlarquay/routing/observe.py
+++ b/medlarquay/routing/observe.py
@@ -19,13 +19,18 @@
 _SMOOTHING = 0.25
 _FAILURES_TO_EJECT = 3
 _FIRST_EJECTION_S = 1.0
-_LONGEST_EJECTION_S = 64.0
+# A machine that is back after a cut of seconds must carry its share soon; a
+# try that fails costs one call a short detour.
+_LONGEST_EJECTION_S = 8.0
 # An owner that refused for load gets other work first for one service time
 # of a usual call. Longer periods leave capacity unused after a short peak.
 _FULL_S = 0.1
 # Longer than the lag of the instance list, which then says leaving. A node
 # that restarts under the same instance id clears it with its new link.
 _DRAINING_S = 60.0
+# A node that has ended is not chosen, so no new link would ever tell that its
+# next run takes work; it is tried again after the time of a restart.
+_RESTART_S = 1.0
 # A timer this late means that the process was paused (design, section 3.3).
 _PAUSE_S = 1.0
 
@@ -166,6 +171,7 @@
     found = state.by_instance.get(event.instance)
     if found is not None:
         found.load = None
+        found.draining_until = min(found.draining_until, now + _RESTART_S)
 
 
 @observe.register
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -140,6 +140,47 @@
     assert fleet.pick(state, _LOCAL[0], now=1) == 'a2'
 
 
+def test_the_end_of_a_draining_node_ends_its_draining() -> None:
+    """Guards against a restarted node that is left out for a minute.
+
+    A node that is not chosen gets no link, so no greeting ever tells that
+    its next run takes work.
+    """
+    state = fleet.chooser()
+    node = ids.InstanceId('a2')
+    routing.observe(
+        messages.Draining(instance=node),
+        state.observations,
+        0,
+    )
+    routing.observe(events.PeerLost(instance=node), state.observations, 3)
+    assert fleet.pick(state, _LOCAL[0], now=3.5) is None
+    assert fleet.pick(state, _LOCAL[0], now=4.1) == 'a2'
+
+
+def test_a_lost_link_makes_no_node_drain() -> None:
+    """Guards against work taken from a node whose link was only reset."""
+    state = fleet.chooser()
+    _answer(state, 'a2', None)
+    routing.observe(
+        events.PeerLost(instance=ids.InstanceId('a2')),
+        state.observations,
+        1,
+    )
+    assert fleet.pick(state, _LOCAL[0], now=1) == 'a2'
+
+
+def test_a_server_that_is_back_is_tried_within_seconds() -> None:
+    """Guards against capacity left unused long after a cut has ended."""
+    state = fleet.chooser()
+    now = 0.0
+    for _ in range(8):
+        _lose(state, 'a2', now, 3)
+        found = state.observations.of(ids.InstanceId('a2'))
+        assert found.ejected_until - now <= 8
+        now = found.ejected_until
+
+
 def test_ejection_doubles_and_ends_with_an_answer() -> None:
     """Guards against a broken server that is tried again too often."""
     state = fleet.chooser()
