Count only the requests that start first as the wait of a new one

Late requests start last, but the expected wait counted them, since they were due earlier; so owners refused the requests that could still be answered when due and ran the late ones instead.

Change: the wait counts the requests that start before the new one by the same order as the queue.

Result: admission and task tests pass; the new test failed before.

--- a/medlarquay/admission/expected_wait.py
+++ b/medlarquay/admission/expected_wait.py
@@ -1,7 +1,7 @@
 """Expected wait in a queue."""
 
 from medlarquay import states
-from medlarquay.admission import admission, inputs
+from medlarquay.admission import admission, inputs, next_work
 
 __all__ = ('expected_wait',)
 
@@ -27,11 +27,11 @@
     """
     slots = state.limit.usable(now)
     rank = event.rank
-    # Within a rank the earliest due is served first.
-    own = state.times.queued(
+    own = state.times.queued_before(
+        _place_of(event, state, now),
         rank,
         state.queues[rank],
-        due=min(event.due, event.deadline),
+        now,
     )
     ahead = own
     taken: float = 0
@@ -45,3 +45,13 @@
     in_turn = ahead / left
     by_floor = own / (floor * slots)
     return _CAUTION * min(in_turn, by_floor) + state.times.overall / slots
+
+
+def _place_of(
+    event: inputs.Arrived,
+    state: admission.Admission,
+    now: float,
+) -> next_work.Place:
+    due = min(event.due, event.deadline)
+    service = state.times.of_route(event.rank, event.route)
+    return due < now + service, due
--- a/medlarquay/admission/next_work.py
+++ b/medlarquay/admission/next_work.py
@@ -5,7 +5,10 @@
 
 from medlarquay.admission import queued_work
 
-__all__ = ('next_work',)
+__all__ = ('Place', 'next_work', 'place_of')
+
+# Whether the request is late, and when it is due; the smallest starts first.
+Place = tuple[bool, float]
 
 
 def next_work(
@@ -27,13 +30,11 @@
     due. In an overload, the plain order by due time serves each request just
     too late; here the late ones wait for the end of the peak.
     """
-    return min(queue, key=lambda work: _order(work, now))
+    return min(queue, key=lambda work: place_of(work, now))
 
 
-def _order(
-    work: queued_work.QueuedWork,
-    now: float,
-) -> tuple[bool, float]:
+def place_of(work: queued_work.QueuedWork, now: float) -> Place:
+    """Return the place of a request among those of its rank."""
     if work.deadline <= now:
         # Taken out at once, since it is refused.
         return False, -math.inf
--- a/medlarquay/admission/service_times.py
+++ b/medlarquay/admission/service_times.py
@@ -1,11 +1,10 @@
 """Smoothed service times by route."""
 
 import collections
-import math
 from collections.abc import Mapping
 
 from medlarquay import ids, states
-from medlarquay.admission import queued_work, time_estimate
+from medlarquay.admission import next_work, queued_work, time_estimate
 
 __all__ = ('ServiceTimes',)
 
@@ -61,14 +60,22 @@
         self,
         rank: states.Rank,
         queue: _Queue,
-        *,
-        due: float = math.inf,
     ) -> float:
-        """Return the expected time of the queued requests due before a time."""
+        """Return the expected time of the queued requests, in seconds."""
+        return sum(self.of_route(rank, work.route) for work in queue.values())
+
+    def queued_before(
+        self,
+        place: next_work.Place,
+        rank: states.Rank,
+        queue: _Queue,
+        now: float,
+    ) -> float:
+        """Return the expected time of the requests that start first."""
         return sum(
             self.of_route(rank, work.route)
             for work in queue.values()
-            if work.due <= due
+            if next_work.place_of(work, now) <= place
         )
 
     def add(
--- a/medlarquay/admission/tests/test_decide.py
+++ b/medlarquay/admission/tests/test_decide.py
@@ -285,6 +285,34 @@
     assert _finish(state, 3, 200.3) == (_start(2),)
 
 
+def test_late_requests_do_not_turn_away_those_that_can_be_due() -> None:
+    """Guards against a peak in which a queue of late work refuses the rest.
+
+    Late requests start after all others, so they are no wait for a request
+    that can still be answered when due.
+    """
+    state = _state()
+    _learn(state, 0.1)
+    for number, due in ((1, 209.0), (2, 200.0), (3, 200.05)):
+        event = admission.Arrived(
+            exchange=ids.ExchangeId(number),
+            rank=states.Rank.NORMAL,
+            deadline=210,
+            due=due,
+        )
+        admission.decide(event, state, 200)
+    fresh = admission.Arrived(
+        exchange=ids.ExchangeId(4),
+        rank=states.Rank.NORMAL,
+        deadline=210,
+        due=200.25,
+        last=False,
+    )
+    state.bounds = admission.Limits(slots=1, floors=_FLOORS, queue_limit=9)
+    assert not admission.decide(fresh, state, 200)
+    assert _finish(state, 1, 200.1) == (_start(4),)
+
+
 def test_queued_work_is_refused_when_it_cannot_be_answered_any_more() -> None:
     """Guards against a refusal that comes when nobody waits any more."""
     state = _state()
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -173,7 +173,7 @@
 def test_a_server_that_is_back_is_tried_within_seconds() -> None:
     """Guards against capacity left unused long after a cut has ended."""
     state = fleet.chooser()
-    now = 0.0
+    now: float = 0
     for _ in range(8):
         _lose(state, 'a2', now, 3)
         found = state.observations.of(ids.InstanceId('a2'))
