Refuse late requests while their callers can return

The late ones start only while nothing else waits, so in a long peak they never do.

Change: a request waits for at most half of the time between due and deadline; a route without samples takes the time of the others.

Result: admission tests pass; the two new tests failed before.

--- a/medlarquay/admission/decide.py
+++ b/medlarquay/admission/decide.py
@@ -18,6 +18,9 @@
 
 Decision = tuple[start.Start | refuse.Refuse, ...]
 
+# Share of the time between due and deadline for which a request may wait.
+_LATE_SHARE = 0.5
+
 
 @functools.singledispatch
 def decide(
@@ -59,14 +62,7 @@
     reason = _refusal_on_arrival(event, state, now)
     if reason is not None:
         return (refuse.Refuse(exchange=event.exchange, reason=reason),)
-    service = state.times.of_route(event.rank, event.route)
-    work = queued_work.QueuedWork(
-        exchange=event.exchange,
-        deadline=event.deadline,
-        latest_start=event.deadline - service,
-        due=min(event.due, event.deadline),
-        route=event.route,
-    )
+    work = _queued_work(event, state)
     if not state.queued_ranks and _may_start(event.rank, state, now):
         return (_start(work, event.rank, state, now),)
     state.queues[event.rank][event.exchange] = work
@@ -201,6 +197,27 @@
     return None
 
 
+def _queued_work(
+    event: inputs.Arrived,
+    state: admission.Admission,
+) -> queued_work.QueuedWork:
+    service = state.times.of_route(event.rank, event.route)
+    due = min(event.due, event.deadline)
+    # A route without samples takes the time of the others, or its refusal
+    # would come when the caller has gone.
+    start_by = event.deadline - (service or state.times.overall)
+    # A late request starts only while nothing else waits. If the peak lasts,
+    # an early refusal lets the caller return in time.
+    return queued_work.QueuedWork(
+        exchange=event.exchange,
+        deadline=event.deadline,
+        service=service,
+        latest_start=min(start_by, due + _LATE_SHARE * (event.deadline - due)),
+        due=due,
+        route=event.route,
+    )
+
+
 def _load_reason(
     reason: states.RefusalReason,
     state: admission.Admission,
--- a/medlarquay/admission/next_work.py
+++ b/medlarquay/admission/next_work.py
@@ -38,6 +38,4 @@
     if work.deadline <= now:
         # Taken out at once, since it is refused.
         return False, -math.inf
-    service = work.deadline - work.latest_start
-    late = work.due < now + service
-    return late, work.due
+    return work.due < now + work.service, work.due
--- a/medlarquay/admission/queued_work.py
+++ b/medlarquay/admission/queued_work.py
@@ -18,14 +18,17 @@
     deadline, due : float
         When the caller stops waiting, and by when an answer is worth most;
         seconds on the monotonic clock.
+    service : float
+        Expected seconds at the backend server; 0 before the first sample.
     latest_start : float
-        Start after which an answer by the deadline is not expected.
+        Time at which the request is refused if it still waits.
     route : RouteName
         Route of the request.
     """
 
     exchange: ids.ExchangeId
     deadline: float
+    service: float
     latest_start: float
     due: float
     route: ids.RouteName
--- a/medlarquay/admission/tests/test_decide.py
+++ b/medlarquay/admission/tests/test_decide.py
@@ -313,6 +313,48 @@
     assert _finish(state, 1, 200.1) == (_start(4),)
 
 
+def _wait(
+    state: admission.Admission,
+    number: int,
+    *,
+    route: str = '',
+    due: float,
+    deadline: float,
+) -> None:
+    event = admission.Arrived(
+        exchange=ids.ExchangeId(number),
+        rank=states.Rank.NORMAL,
+        route=ids.RouteName(route),
+        deadline=deadline,
+        due=due,
+    )
+    admission.decide(event, state, 200)
+
+
+def test_a_late_request_is_refused_while_its_caller_can_return() -> None:
+    """Guards against late requests held to their deadline by a peak."""
+    state = _state()
+    _learn(state, 0.1)
+    _wait(state, 1, due=204, deadline=204)
+    _wait(state, 2, due=200.2, deadline=201.2)
+    assert admission.next_check(state, 200) == pytest.approx(200.7)
+    assert admission.decide(admission.ClockChecked(), state, 200.8) == (
+        _refuse(2, _REASON.DEADLINE_UNREACHABLE),
+    )
+
+
+def test_a_route_without_samples_is_refused_before_its_deadline() -> None:
+    """Guards against a refusal that reaches nobody.
+
+    A route that more urgent work keeps from running has no samples.
+    """
+    state = _state()
+    _learn(state, 0.1)
+    _wait(state, 1, due=204, deadline=204)
+    _wait(state, 2, route='new', due=201, deadline=201)
+    assert admission.next_check(state, 200) == pytest.approx(200.9)
+
+
 def test_queued_work_is_refused_when_it_cannot_be_answered_any_more() -> None:
     """Guards against a refusal that comes when nobody waits any more."""
     state = _state()
