Send what a slow server would answer too late to a faster one

Change: the search goes on past a free slot whose answer is expected after the due time, and zones compete by their expected time of answer. What is known of the speed of a server ends after 3 s, so that it is tried again.

Result: routing and task tests pass.

--- a/medlarquay/ingress/wanted_owner.py
+++ b/medlarquay/ingress/wanted_owner.py
@@ -44,6 +44,7 @@
     return routing.AnyOwnerWanted(
         candidates=table.candidates(call.service),
         excluded=call.tried,
+        due=call.parameters.due,
     )
 
 
--- a/medlarquay/routing/any_owner_wanted.py
+++ b/medlarquay/routing/any_owner_wanted.py
@@ -1,6 +1,7 @@
 """A call that any owner of the service may take."""
 
 import dataclasses
+import math
 
 from medlarquay import ids
 from medlarquay.routing import candidates
@@ -18,7 +19,11 @@
         Live backend servers of the service.
     excluded : tuple of InstanceId
         Owners that earlier attempts of this call went to.
+    due : float
+        Time by which an answer is worth most, seconds on the monotonic
+        clock.
     """
 
     candidates: candidates.Candidates
     excluded: tuple[ids.InstanceId, ...] = ()
+    due: float = math.inf
--- a/medlarquay/routing/expected_wait.py
+++ b/medlarquay/routing/expected_wait.py
@@ -9,6 +9,9 @@
 
 # A report is believed less the older it is, and not at all after this time.
 _LOAD_LIFE_S = 1.0
+# A server that is avoided for its speed sends no news; it is tried again
+# after this time.
+_SPEED_LIFE_S = 3.0
 # Service time assumed before anything is known.
 _DEFAULT_SERVICE_S = 0.01
 # What a failed attempt costs: it is made again elsewhere, if at all.
@@ -25,7 +28,9 @@
     Attributes
     ----------
     wait : float
-        Seconds.
+        Seconds until it starts.
+    service : float
+        Seconds from its start to its answer; 0 if nothing recent is known.
     free : bool
         Whether a slot is expected to be free.
     share : float
@@ -34,6 +39,7 @@
     """
 
     wait: float
+    service: float
     free: bool
     share: float
 
@@ -64,7 +70,7 @@
     order between near equals, and cannot move work to another region.
     """
     if found is None:
-        return Estimate(wait=0, free=True, share=0)
+        return Estimate(wait=0, service=0, free=True, share=0)
     slots = max(1, backend.slots)
     service = _service_time(found)
     own = found.in_flight + 1 - slots
@@ -78,11 +84,21 @@
     roomy = own <= 0 and reported <= 0 and found.full_until <= now
     return Estimate(
         wait=max(own_wait, reported) + failing * _FAILURE_COST_S,
+        service=_recent_service(found, now),
         free=roomy and not failing,
         share=found.in_flight / slots,
     )
 
 
+def _recent_service(found: observation.Observation, now: float) -> float:
+    if found.load is None or now - found.load_at > _SPEED_LIFE_S:
+        return 0
+    if found.latency is None:
+        return found.load.service_time
+    # A wrong report moves no work further than the measured latency does.
+    return min(found.load.service_time, found.latency)
+
+
 def _service_time(found: observation.Observation) -> float:
     if found.latency is not None:
         return found.latency
--- a/medlarquay/routing/pick.py
+++ b/medlarquay/routing/pick.py
@@ -1,5 +1,7 @@
 """Selection among the live backend servers of a service."""
 
+from collections.abc import Iterator
+
 from medlarquay import replica
 from medlarquay.routing import (
     any_owner_wanted,
@@ -7,6 +9,7 @@
     expected_wait,
     link_cost,
     observation,
+    owner_offer,
 )
 
 __all__ = ('pick_owner',)
@@ -28,27 +31,43 @@
 
     Notes
     -----
-    The nearest zone with a free slot ends the search. A zone without one
-    still competes by its expected wait plus the round trip, so a short
-    queue near by beats a free slot 60 ms away.
+    The nearest zone with a free slot that answers when due ends the search.
+    Others still compete by their expected time of answer, so a short queue
+    near by beats a free slot 60 ms away, and a slow server does not keep
+    the work that it would answer too late.
     """
-    use_ejected = _too_many_ejected(wanted, state, now)
     best: replica.InstanceRecord | None = None
     best_cost = float('inf')
-    for zone, members in wanted.candidates.zones:
-        usable = _usable(wanted, state, members, now, use_ejected=use_ejected)
-        if not usable:
-            continue
-        picked, waiting = _pick_in_zone(usable, state, now)
-        cost = waiting.wait + link_cost.ROUND_TRIP_S[zone]
-        if cost < best_cost:
-            best = picked
-            best_cost = cost
-        if waiting.free:
+    for offer in _offers(wanted, state, now):
+        if offer.cost < best_cost:
+            best = offer.backend
+            best_cost = offer.cost
+        if offer.free and now + offer.cost <= wanted.due:
             break
     return best
 
 
+def _offers(
+    wanted: any_owner_wanted.AnyOwnerWanted,
+    state: chooser.Chooser,
+    now: float,
+) -> Iterator[owner_offer.OwnerOffer]:
+    use_ejected = _too_many_ejected(wanted, state, now)
+    for zone, members in wanted.candidates.zones:
+        usable = _usable(wanted, state, members, now, use_ejected=use_ejected)
+        if usable:
+            picked, waiting = _pick_in_zone(usable, state, now)
+            yield owner_offer.OwnerOffer(
+                backend=picked,
+                cost=(
+                    waiting.wait
+                    + waiting.service
+                    + link_cost.ROUND_TRIP_S[zone]
+                ),
+                free=waiting.free,
+            )
+
+
 def _too_many_ejected(
     wanted: any_owner_wanted.AnyOwnerWanted,
     state: chooser.Chooser,
--- a/medlarquay/routing/tests/fleet.py
+++ b/medlarquay/routing/tests/fleet.py
@@ -1,5 +1,6 @@
 """Backend servers and choosers for the tests of routing."""
 
+import math
 import random
 
 from medlarquay import ids, replica, routing, states
@@ -49,11 +50,13 @@
     *backends: replica.InstanceRecord,
     now: float = 0,
     excluded: tuple[ids.InstanceId, ...] = (),
+    due: float = math.inf,
 ) -> str | None:
     """Return the name of the chosen owner."""
     wanted = routing.AnyOwnerWanted(
         candidates=routing.group_candidates(backends, place=PLACE),
         excluded=excluded,
+        due=due,
     )
     found = routing.choose(wanted, state, now)
     if isinstance(found, routing.OwnerChosen):
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -158,6 +158,42 @@
     assert fleet.pick(state, _LOCAL[0], now=4.1) == 'a2'
 
 
+def _report(state: routing.Chooser, name: str, seconds: float) -> None:
+    load = messages.LoadState(
+        slots=2,
+        running=0,
+        queued=0,
+        service_time=seconds,
+    )
+    routing.observe(
+        routing.AnswerObserved(
+            instance=ids.InstanceId(name),
+            latency=seconds,
+            load=load,
+        ),
+        state.observations,
+        0,
+    )
+
+
+def test_a_slow_server_loses_what_it_would_answer_too_late() -> None:
+    """Guards against calls that fail at a slow server next to them."""
+    state = fleet.chooser()
+    _report(state, 'a2', 0.4)
+    _report(state, 'c1', 0.04)
+    assert fleet.pick(state, _LOCAL[0], _FAR, due=0.2) == 'c1'
+    assert fleet.pick(state, _LOCAL[0], _FAR, due=0.5) == 'a2'
+    assert fleet.pick(state, _LOCAL[0], _FAR, now=4, due=4.2) == 'a2'
+
+
+def test_a_little_slower_server_keeps_its_work() -> None:
+    """Guards against work sent to another region that gains no time."""
+    state = fleet.chooser()
+    _report(state, 'a2', 0.08)
+    _report(state, 'c1', 0.04)
+    assert fleet.pick(state, _LOCAL[0], _FAR, due=0.06) == 'a2'
+
+
 def test_a_lost_link_makes_no_node_drain() -> None:
     """Guards against work taken from a node whose link was only reset."""
     state = fleet.chooser()
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -197,6 +197,7 @@
             routing.AnyOwnerWanted(
                 candidates=self.table.candidates(call.service),
                 excluded=call.tried,
+                due=call.parameters.due,
             ),
             self.chooser,
             now,
