Refuse values of the store that nest too deeply or hold endless numbers

A value of 200,000 brackets raised RecursionError and a duration of 400 digits OverflowError; neither was taken for a malformed value, so one entry of another writer would have ended every read of the store.

Change: both translations refuse what nests too deeply; a duration has at most twelve digits before and after the point.

--- a/medlarquay/platform/backend_entry.py
+++ b/medlarquay/platform/backend_entry.py
@@ -10,8 +10,14 @@
 
 _STEP = 'translate instance entry'
 _STATES = MappingProxyType({'ready': 'live', 'draining': 'leaving'})
-# What the parsing of a value of another shape raises.
-_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+# What the parsing of a value of another shape or depth raises.
+_MALFORMED = (
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 def translate_entry(
--- a/medlarquay/platform/duration.py
+++ b/medlarquay/platform/duration.py
@@ -6,7 +6,9 @@
 
 __all__ = ('parse_duration_ms',)
 
-_PATTERN = re.compile(r'(\d+(?:\.\d+)?)(ms|s)')
+# Twelve digits are 30 years in milliseconds; a number that is no float is
+# refused before it is converted.
+_PATTERN = re.compile(r'(\d{1,12}(?:\.\d{1,12})?)(ms|s)')
 _MS_PER_SECOND = 1000
 
 
--- a/medlarquay/platform/operators_document.py
+++ b/medlarquay/platform/operators_document.py
@@ -17,8 +17,14 @@
 })
 _RANKS = tuple(states.Rank)
 _METHODS = tuple(method.value for method in settings.HttpMethod)
-# What the parsing of a value of another shape raises.
-_MALFORMED = (AttributeError, KeyError, TypeError, ValueError)
+# What the parsing of a value of another shape or depth raises.
+_MALFORMED = (
+    AttributeError,
+    KeyError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 def translate_configuration(content: bytes) -> bytes:
--- a/medlarquay/platform/tests/test_translation.py
+++ b/medlarquay/platform/tests/test_translation.py
@@ -182,7 +182,10 @@
     assert duration.parse_duration_ms(text, field='f') == expected
 
 
-@pytest.mark.parametrize('text', ['', '5', '-1ms', '1 s', 'ms', None, 3])
+@pytest.mark.parametrize(
+    'text',
+    ['', '5', '-1ms', '1 s', 'ms', None, 3, '9' * 400 + 's'],
+)
 def test_other_texts_are_no_durations(text: object) -> None:
     """Guards against a time limit that is guessed."""
     with pytest.raises(errors.SourceError, match='f is'):
