Divide the retries that a fleet may save among its nodes

Cause: each ingress may save ten retries for a service, so 18 nodes could spend 180 beyond the share of a tenth in one moment; the users allow 58 in 10 s.

Change: the platform's budget_extra is divided by the number of nodes in the instance list, one token at least: 3 for 18 nodes.

--- a/medlarquay/daemon/build_router.py
+++ b/medlarquay/daemon/build_router.py
@@ -34,6 +34,7 @@
         random=random.Random(),
     )
     routing.front = front
+    routing.chooser.budgets.fleet_burst = front.fleet_burst
     routing.start(reactor=reactor)
     callers = caller_listener.CallerListener(router=routing, reactor=reactor)
     routing.listener = callers
--- a/medlarquay/ingress/front.py
+++ b/medlarquay/ingress/front.py
@@ -21,6 +21,9 @@
     tells_return : bool
         Whether refusals say when to come back, in fractions of a second;
         HTTP itself knows whole seconds only.
+    fleet_burst : int or None
+        Retries that all nodes together may save for one service; None where
+        nothing bounds them.
     """
 
     names: transport.HeaderNames = dataclasses.field(
@@ -28,3 +31,4 @@
     )
     service: bytes = b''
     tells_return: bool = False
+    fleet_burst: int | None = None
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -70,6 +70,7 @@
             names=header_names.HEADER_NAMES,
             service=own.service.encode(),
             tells_return=True,
+            fleet_burst=own.fleet_burst,
         ),
         local=local_backend.LocalBackend(
             names=header_names.HEADER_NAMES,
--- a/medlarquay/platform/platform_settings.py
+++ b/medlarquay/platform/platform_settings.py
@@ -29,6 +29,9 @@
         Service of the backend server beside the node.
     drain_timeout_s : float
         Time from SIGTERM to SIGKILL, in seconds.
+    fleet_burst : int or None
+        Repeated requests that all nodes together may send to one service
+        beyond a share of its requests; None if the file states none.
     """
 
     host: str
@@ -43,3 +46,4 @@
     admin_port: int
     service: ids.ServiceName
     drain_timeout_s: float
+    fleet_burst: int | None = None
--- a/medlarquay/platform/settings_file.py
+++ b/medlarquay/platform/settings_file.py
@@ -14,6 +14,8 @@
 _STEP = 'read settings file'
 _ZONE_PREFIX = 'zones.'
 _GRACE = 'grace'
+_EXTRA = 'budget_extra'
+_MAX_DIGITS = 9
 # Used when the file states no time between SIGTERM and SIGKILL.
 _DEFAULT_GRACE = '6s'
 _MS_PER_SECOND = 1000
@@ -48,6 +50,10 @@
     """
     fields = _split_lines(content)
     low, high = _ports(fields)
+    bounds = dict(
+        bound.partition('=')[::2]
+        for bound in fields.get('bounds', '').split(',')
+    )
     return platform_settings.PlatformSettings(
         host=_text(fields, 'ip'),
         data_centre=ids.DataCentreName(_text(fields, 'zone')),
@@ -65,7 +71,8 @@
         peer_port=low,
         admin_port=high,
         service=ids.ServiceName(_text(fields, 'service')),
-        drain_timeout_s=_grace_s(fields),
+        drain_timeout_s=_grace_s(bounds),
+        fleet_burst=_fleet_burst(bounds),
     )
 
 
@@ -110,11 +117,7 @@
     raise _error(name, text, rule)
 
 
-def _grace_s(fields: Mapping[str, str]) -> float:
-    bounds = dict(
-        bound.partition('=')[::2]
-        for bound in fields.get('bounds', '').split(',')
-    )
+def _grace_s(bounds: Mapping[str, str]) -> float:
     text = bounds.get(_GRACE, _DEFAULT_GRACE)
     try:
         found = duration.parse_duration_ms(text, field=f'bounds.{_GRACE}')
@@ -123,5 +126,14 @@
     return found / _MS_PER_SECOND
 
 
+def _fleet_burst(bounds: Mapping[str, str]) -> int | None:
+    text = bounds.get(_EXTRA)
+    if text is None:
+        return None
+    if text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS:
+        return int(text)
+    raise _error(f'bounds.{_EXTRA}', text, 'must be a whole number')
+
+
 def _error(name: str, text: str, rule: str) -> errors.SettingError:
     return errors.SettingError(f'{name} is {text!r}: {rule}', step=_STEP)
--- a/medlarquay/platform/tests/test_settings_file.py
+++ b/medlarquay/platform/tests/test_settings_file.py
@@ -58,6 +58,7 @@
         ('bind.readiness', '10.1.0.41:0'),
         ('platform.address', 'store:80'),
         ('bounds', 'grace=soon'),
+        ('bounds', 'budget_extra=-1'),
     ],
 )
 def test_a_bad_field_is_named(name: str, text: str) -> None:
--- a/medlarquay/routing/retry_budget.py
+++ b/medlarquay/routing/retry_budget.py
@@ -9,7 +9,7 @@
 _TENTHS_PER_FIRST_ATTEMPT = 1
 _TENTHS_PER_RETRY = 10
 # Ten retries: enough for one lost link with ten calls, too few for a storm.
-_BURST_TENTHS = 100
+_BURST = 10
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -21,6 +21,8 @@
     tenths : int
         Tenths of a token left. A new node starts empty, so the retries
         since its start never exceed a tenth of the first attempts.
+    burst : int
+        Tokens that may be saved.
 
     Examples
     --------
@@ -34,11 +36,17 @@
     """
 
     tenths: int = 0
+    burst: int = _BURST
+
+    def limit(self, burst: int) -> None:
+        """Save at most this number of tokens, and no more than ten."""
+        self.burst = min(_BURST, burst)
+        self.tenths = min(self.tenths, self.burst * _TENTHS_PER_RETRY)
 
     def count_first_attempt(self) -> None:
         """Add the share of one first attempt, up to the burst."""
         self.tenths = min(
-            _BURST_TENTHS,
+            self.burst * _TENTHS_PER_RETRY,
             self.tenths + _TENTHS_PER_FIRST_ATTEMPT,
         )
 
--- a/medlarquay/routing/tests/test_retries.py
+++ b/medlarquay/routing/tests/test_retries.py
@@ -8,6 +8,7 @@
 
 from medlarquay import ids, messages, routing, snapshots, states
 from medlarquay import settings as service_settings
+from medlarquay.routing.tests import fleet
 
 _CALL = ids.CallId(1)
 _TRIED = routing.Attempt(
@@ -183,7 +184,32 @@
     assert not budgets.of(quiet).take()
 
 
-def _service(name: str) -> snapshots.Service:
+def test_what_all_nodes_saved_stays_below_the_bound_of_the_fleet() -> None:
+    """Guards against saved retries that are spent in one moment.
+
+    Ten at each of 18 nodes are 180, three times what the users allow.
+    """
+    budgets = routing.RetryBudgets(fleet_burst=58)
+    service = _service('desk', backends=18)
+    for _ in range(100):
+        budgets.of(service).count_first_attempt()
+    budgets.keep_only(_snapshot(service))
+    assert [budgets.of(service).take() for _ in range(4)].count(True) == 3
+    for _ in range(100):
+        budgets.of(service).count_first_attempt()
+    assert [budgets.of(service).take() for _ in range(4)].count(True) == 3
+
+
+def _snapshot(service: snapshots.Service) -> snapshots.Snapshot:
+    return snapshots.Snapshot(
+        tree_revision=ids.Revision(1),
+        list_revision=ids.Revision(1),
+        routes={},
+        services={(service.team, service.parameters.name): service},
+    )
+
+
+def _service(name: str, *, backends: int = 0) -> snapshots.Service:
     return snapshots.Service(
         team=ids.TeamName('team'),
         parameters=service_settings.ServiceSettings(
@@ -192,5 +218,7 @@
             queue_limit=1,
             cold_start_ms=0,
         ),
-        backends=(),
+        backends=tuple(
+            fleet.backend(f'a{number}') for number in range(backends)
+        ),
     )
