Call a request late when its service time may pass its due time

The earliest due that fits the mean service time goes first, so each request starts at the last moment and every second one ends late.

Change: a request counts as late for the order when the time that few requests of its route exceed (mean and two deviations) passes its due time.

Result: admission and task tests pass; the new test failed before.

--- a/medlarquay/admission/decide.py
+++ b/medlarquay/admission/decide.py
@@ -211,7 +211,7 @@
     return queued_work.QueuedWork(
         exchange=event.exchange,
         deadline=event.deadline,
-        service=service,
+        service=state.times.cautious(event.rank, event.route),
         latest_start=min(start_by, due + _LATE_SHARE * (event.deadline - due)),
         due=due,
         route=event.route,
--- a/medlarquay/admission/expected_wait.py
+++ b/medlarquay/admission/expected_wait.py
@@ -53,5 +53,5 @@
     now: float,
 ) -> next_work.Place:
     due = min(event.due, event.deadline)
-    service = state.times.of_route(event.rank, event.route)
+    service = state.times.cautious(event.rank, event.route)
     return due < now + service, due
--- a/medlarquay/admission/next_work.py
+++ b/medlarquay/admission/next_work.py
@@ -28,7 +28,10 @@
     -----
     The earliest due goes first among those that can still be answered when
     due. In an overload, the plain order by due time serves each request just
-    too late; here the late ones wait for the end of the peak.
+    too late; here the late ones wait for the end of the peak. With the mean
+    service time the order starts each request just before its due time less
+    the mean, so that every second answer is late; hence a time that few
+    requests exceed.
     """
     return min(queue, key=lambda work: place_of(work, now))
 
--- a/medlarquay/admission/queued_work.py
+++ b/medlarquay/admission/queued_work.py
@@ -19,7 +19,8 @@
         When the caller stops waiting, and by when an answer is worth most;
         seconds on the monotonic clock.
     service : float
-        Expected seconds at the backend server; 0 before the first sample.
+        Seconds at the backend server that few requests of the route exceed;
+        0 before the first sample.
     latest_start : float
         Time at which the request is refused if it still waits.
     route : RouteName
--- a/medlarquay/admission/tests/test_decide.py
+++ b/medlarquay/admission/tests/test_decide.py
@@ -313,6 +313,19 @@
     assert _finish(state, 1, 200.1) == (_start(4),)
 
 
+def test_a_request_that_is_due_too_soon_goes_after_a_safe_one() -> None:
+    """Guards against a peak in which every second answer is just late."""
+    state = _state()
+    for number, seconds in enumerate((0.05, 0.15) * 50):
+        _arrive(state, number, now=0, deadline=900)
+        _finish(state, number, seconds)
+    state.bounds = admission.Limits(slots=1, floors=_FLOORS, queue_limit=9)
+    _wait(state, 201, due=300, deadline=300)
+    _wait(state, 202, due=200.12, deadline=210)
+    _wait(state, 203, due=200.4, deadline=210)
+    assert _finish(state, 201, 200.01) == (_start(203),)
+
+
 def _wait(
     state: admission.Admission,
     number: int,
