Model configuration and membership through the store's adapter

Two nodes read a store that loses its history, lags, delays and repeats answers, changes between two pages and holds entries of other writers.

--- /dev/null
+++ b/medlarquay/platform/tests/test_store_model.py
@@ -0,0 +1,244 @@
+"""Model of configuration and membership read through the store's adapter."""
+
+import copy
+import json
+from typing import Any
+
+import hypothesis
+from hypothesis import stateful, strategies
+from twisted.internet import defer
+
+from medlarquay import events, replica
+from medlarquay.platform import settings_file, store_fetcher
+from medlarquay.platform.tests import store_model, test_settings_file
+from medlarquay.tasks import source_fetcher
+
+_OWN = settings_file.parse_settings('\n'.join(test_settings_file.LINES))
+_NODES = strategies.integers(min_value=0, max_value=1)
+_NAMES = strategies.sampled_from(('a', 'b', 'c', 'd', 'e'))
+_SERVICES = strategies.sampled_from(('desk', 'portal'))
+_TREES = strategies.sampled_from(tuple(replica.SourceTree))
+_STATES = strategies.sampled_from(('ready', 'draining'))
+_BAD = strategies.sampled_from((
+    b'',
+    b'\xff',
+    b'[' * 100_000,
+    b'{"info": {}}',
+    b'{"address": 1}',
+))
+
+
+class StoreModel(stateful.RuleBasedStateMachine):
+    """Two nodes that read a store which loses, delays, forgets and lags."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.store = store_model.ModelStore()
+        self.earlier = copy.deepcopy(self.store)
+        self.replicas = [replica.Replica(), replica.Replica()]
+        self.delayed: list[tuple[int, events.DocumentsRead]] = []
+        # Services that each accepted version and each entry named.
+        self.versions: dict[int, str] = {}
+        self.entries: dict[int, tuple[str, str]] = {}
+        self.accepted = [0, 0]
+
+    @stateful.rule(service=_SERVICES)
+    def publish(self, service: str) -> None:
+        """Write a valid configuration."""
+        route = {
+            'host': 'app.example',
+            'path_prefix': '/',
+            'kind': 'idempotent',
+            'timeout': '1s',
+            'target_latency': '200ms',
+            'priority': 0,
+            'attempts': 2,
+            'service': service,
+        }
+        content = {
+            'version': f'r{self.store.revision}',
+            'services': {'desk': {}, 'portal': {}},
+            'routes': {'r-1': route},
+        }
+        revision = self.store.write('op/config', json.dumps(content).encode())
+        self.versions[revision] = service
+
+    @stateful.rule(content=_BAD)
+    def publish_beside(self, content: bytes) -> None:
+        """Write a key of the operators that is not the configuration."""
+        self.store.write('op/config-draft', content)
+
+    @stateful.rule(name=_NAMES, service=_SERVICES, state=_STATES)
+    def register(self, name: str, service: str, state: str) -> None:
+        """Write a valid entry, of a new run or with a new state."""
+        self._register(name, service, state)
+
+    @stateful.rule(name=_NAMES, content=_BAD)
+    def spoil(self, name: str, content: bytes) -> None:
+        """Write an entry that cannot be read."""
+        self.store.write(f'servers/{name}', content)
+
+    @stateful.rule(name=_NAMES)
+    def remove(self, name: str) -> None:
+        """Remove an entry."""
+        self.store.delete(f'servers/{name}')
+
+    @stateful.rule()
+    def drop_history(self) -> None:
+        """Make the next watch of each node a list."""
+        self.store.drop_history()
+
+    @stateful.rule()
+    def remember(self) -> None:
+        """Keep the present state for reads that lag."""
+        self.earlier = copy.deepcopy(self.store)
+
+    @stateful.rule(node=_NODES, tree=_TREES)
+    def read(self, node: int, tree: replica.SourceTree) -> None:
+        """Read the store."""
+        self._apply(node, self._fetch(self.store, node, tree))
+
+    @stateful.rule(node=_NODES, name=_NAMES)
+    def list_while_written(self, node: int, name: str) -> None:
+        """Guards against a change between two pages that is never read."""
+        # Without a newer revision the node would go on with its watch.
+        self.store.write('op/other', b'')
+        self.store.drop_history()
+        self.store.between_pages = lambda: self._register(
+            name,
+            'desk',
+            'ready',
+        )
+        tree = replica.SourceTree.INSTANCES
+        self._apply(node, self._fetch(self.store, node, tree))
+        self.store.between_pages = None
+        self._settle(node)
+
+    @stateful.rule(node=_NODES, tree=_TREES)
+    def read_late(self, node: int, tree: replica.SourceTree) -> None:
+        """Read a state that the store has left behind."""
+        self._apply(node, self._fetch(self.earlier, node, tree))
+
+    @stateful.rule(node=_NODES, tree=_TREES)
+    def delay(self, node: int, tree: replica.SourceTree) -> None:
+        """Read, and let the answer wait."""
+        self.delayed.append((node, self._fetch(self.store, node, tree)))
+
+    @stateful.rule(
+        index=strategies.integers(0, 99),
+        keep=strategies.booleans(),
+    )
+    def deliver(self, index: int, *, keep: bool) -> None:
+        """Deliver an answer that waited, late or twice."""
+        if self.delayed:
+            place = index % len(self.delayed)
+            self._apply(*self.delayed[place])
+            if not keep:
+                self.delayed.pop(place)
+
+    @stateful.rule(node=_NODES)
+    def restart(self, node: int) -> None:
+        """Lose the state of a node and the answers on their way to it."""
+        self.replicas[node] = replica.Replica()
+        self.accepted[node] = 0
+        self.delayed = [found for found in self.delayed if found[0] != node]
+
+    @stateful.rule(node=_NODES)
+    def settle(self, node: int) -> None:
+        """Guards against a node that never reaches what the store holds."""
+        self._settle(node)
+
+    @stateful.invariant()
+    def never_goes_back(self) -> None:
+        """Guards against an older configuration after a newer one."""
+        for node, held in enumerate(self.replicas):
+            for found in held.teams:
+                assert found.accepted_revision >= self.accepted[node]
+                self.accepted[node] = found.accepted_revision
+
+    @stateful.invariant()
+    def holds_what_was_written(self) -> None:
+        """Guards against a service that nobody wrote for a route or entry."""
+        for held in self.replicas:
+            for document in held.documents:
+                revision = next(iter(held.teams)).accepted_revision
+                route = document.routes[0]
+                assert route.service == self.versions[revision]
+            for entry in held.instances:
+                assert self.entries[entry.revision] == (
+                    entry.instance,
+                    entry.service,
+                )
+
+    def _settle(self, node: int) -> None:
+        for tree in replica.SourceTree:
+            self._apply(node, self._fetch(self.store, node, tree))
+        held = self.replicas[node]
+        latest = max(self.versions, default=0)
+        accepted = [found.accepted_revision for found in held.teams]
+        expected = [latest] if latest else []
+        assert accepted == expected
+        found = {entry.instance: entry.service for entry in held.instances}
+        listed = (
+            self.entries.get(item['revision'])
+            for key, item in self.store.items.items()
+            if key.startswith('servers/')
+        )
+        assert found == dict(entry for entry in listed if entry is not None)
+
+    def _register(self, name: str, service: str, state: str) -> None:
+        content = {
+            'address': '10.1.0.9:8080',
+            'info': {'service': service, 'zone': 'south-a', 'capacity': 6},
+            'status': {'state': state},
+        }
+        revision = self.store.write(
+            f'servers/{name}',
+            json.dumps(content).encode(),
+        )
+        self.entries[revision] = (name, service)
+
+    def _fetch(
+        self,
+        store: store_model.ModelStore,
+        node: int,
+        tree: replica.SourceTree,
+    ) -> events.DocumentsRead:
+        vector = self.replicas[node].vector
+        after = vector.list_revision
+        if tree is replica.SourceTree.TEAMS:
+            after = vector.tree_revision
+        fetcher = store_fetcher.StoreFetcher(
+            client=store,  # type: ignore[arg-type]
+            own=_OWN,
+        )
+        answers: list[Any] = []
+        defer.ensureDeferred(
+            fetcher.fetch(tree, after=after, wait_ms=0),
+        ).addBoth(answers.append)
+        assert isinstance(answers[0], bytes), answers[0]
+        return source_fetcher.parse_answer(
+            answers[0],
+            tree=tree,
+            after=after,
+            asked_at=0,
+        )
+
+    def _apply(self, node: int, answer: events.DocumentsRead) -> None:
+        replica.apply_source(
+            self.replicas[node],
+            tree=answer.tree,
+            after=answer.after,
+            revision=answer.revision,
+            entries=answer.entries,
+            whole=answer.whole,
+        )
+
+
+TestStoreModel = StoreModel.TestCase
+TestStoreModel.settings = hypothesis.settings(
+    derandomize=True,
+    deadline=None,
+    max_examples=150,
+    stateful_step_count=30,
+)
