--- /dev/null
+++ b/medlarquay/lab/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments with the decision code in simulated time; no sockets."""
