--- a/medlarquay/lab/ingress_model.py
+++ b/medlarquay/lab/ingress_model.py
@@ -160,7 +160,13 @@
         delay = self._world.delay(self._own, call.target)
         owner = self.owners[instance]
         reply = functools.partial(self._reply, call, delay)
-        arrive = functools.partial(owner.receive, call, reply, last=last)
+        arrive = functools.partial(
+            owner.receive,
+            call,
+            reply,
+            last=last,
+            delay=delay,
+        )
         self._time.add(now + delay, arrive)
 
     def _reply(
--- a/medlarquay/lab/owner_model.py
+++ b/medlarquay/lab/owner_model.py
@@ -55,8 +55,22 @@
         reply: _Reply,
         *,
         last: bool,
+        delay: float,
     ) -> None:
-        """Take a request; answer it now or later."""
+        """Take a request; answer it now or later.
+
+        Parameters
+        ----------
+        call : LabCall
+            Request.
+        reply : callable
+            Receives the answer or the refusal.
+        last : bool
+            Whether no other owner will be asked.
+        delay : float
+            Seconds for which the request travelled. Links carry the time
+            that is left, so the owner's times are late by as much.
+        """
         if self._own.drains(self._time.now):
             reply(self._refusal(states.RefusalReason.DRAINING))
             return
@@ -67,9 +81,9 @@
             admission.Arrived(
                 exchange=exchange,
                 rank=call.kind.rank,
-                deadline=call.deadline,
+                deadline=call.deadline + delay,
                 route=ids.RouteName(call.kind.name),
-                due=call.due,
+                due=call.due + delay,
                 last=last,
             ),
         )
