--- a/Makefile
+++ b/Makefile
@@ -25,9 +25,9 @@
 	$(BIN)/python -m bench.main
 
 check: $(VENV)/.installed
-	$(BIN)/ruff format --check medlarquay bench
-	$(BIN)/ruff check --select I medlarquay bench
-	$(BIN)/flake8 medlarquay bench
+	$(BIN)/ruff format --check medlarquay bench conftest.py
+	$(BIN)/ruff check --select I medlarquay bench conftest.py
+	$(BIN)/flake8 medlarquay bench conftest.py
 	$(BIN)/mypy
 
 platform-day:
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -1,5 +1,7 @@
 """What callers are told by the router, whatever the owners do."""
 
+import dataclasses
+
 import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -160,6 +162,20 @@
     assert (found['status'], found['outcome']) == ('503', 'not-run')
 
 
+def test_an_owner_far_away_gets_the_time_without_the_way() -> None:
+    """Guards against an answer that is in time for its owner only.
+
+    A link carries the time that is left, so an owner in another region adds
+    the 30 ms of the way there, and the answer takes 30 ms more.
+    """
+    far = dataclasses.replace(
+        ingress_bench.backend('c1'),
+        region=ids.RegionName('south'),
+    )
+    call = ingress_bench.IngressBench(far).send(1, request_timeout_ms='500')
+    assert call.request.deadline == pytest.approx(0.44)
+
+
 def test_a_silent_owner_is_cancelled_and_told_as_unknown(
     bench: ingress_bench.IngressBench,
 ) -> None:
