Name the replay's function apply_event, so that it hides no module

Cause: exporting apply from the replay package replaced the module of the same name, and nine replays failed with AttributeError.

Result: the nine tests pass.

--- a/medlarquay/lab/owner_model.py
+++ b/medlarquay/lab/owner_model.py
@@ -90,7 +90,7 @@
 
     def _apply(self, event: object) -> None:
         now = self._time.now
-        for decision in replay.apply(self._policy, event, now):
+        for decision in replay.apply_event(self._policy, event, now):
             if isinstance(decision, admission.Refuse):
                 _, reply = self._held.pop(decision.exchange)
                 reply(self._refusal(decision.reason))
--- a/medlarquay/testing/replay/__init__.py
+++ b/medlarquay/testing/replay/__init__.py
@@ -1,6 +1,6 @@
 """Discrete-time replay of requests against an admission policy."""
 
-from medlarquay.testing.replay.apply import apply, check_due
+from medlarquay.testing.replay.apply import apply_event, check_due
 from medlarquay.testing.replay.fifo import Fifo
 from medlarquay.testing.replay.flood import Demand, make_flood
 from medlarquay.testing.replay.replay import replay
@@ -13,7 +13,7 @@
     'Fifo',
     'ReplayRequest',
     'ReplayResult',
-    'apply',
+    'apply_event',
     'check_due',
     'make_flood',
     'read_trace',
--- a/medlarquay/testing/replay/apply.py
+++ b/medlarquay/testing/replay/apply.py
@@ -6,16 +6,18 @@
 from medlarquay import admission
 from medlarquay.testing.replay import fifo
 
-__all__ = ('apply', 'check_due')
+__all__ = ('apply_event', 'check_due')
 
 
 @functools.singledispatch
-def apply(policy: object, event: object, now: float) -> admission.Decision:
+def apply_event(
+    policy: object, event: object, now: float
+) -> admission.Decision:
     """Give a policy an admission event."""
     raise TypeError(f'unexpected policy {type(policy).__name__}')
 
 
-@apply.register
+@apply_event.register
 def _apply_admission(
     policy: admission.Admission,
     event: object,
@@ -24,7 +26,7 @@
     return admission.decide(event, policy, now)
 
 
-@apply.register
+@apply_event.register
 def _apply_fifo(
     policy: fifo.Fifo,
     event: object,
--- a/medlarquay/testing/replay/replay.py
+++ b/medlarquay/testing/replay/replay.py
@@ -68,7 +68,7 @@
             self._end(event.exchange, finished_at=now)
         if isinstance(event, admission.ClockChecked):
             self._check_at = math.inf
-        for decision in apply.apply(self._policy, event, now):
+        for decision in apply.apply_event(self._policy, event, now):
             if isinstance(decision, admission.Refuse):
                 self._end(decision.exchange, reason=decision.reason)
             else:
