--- a/medlarquay/admission/tests/test_decide.py
+++ b/medlarquay/admission/tests/test_decide.py
@@ -285,6 +285,24 @@
     assert _finish(state, 3, 200.3) == (_start(2),)
 
 
+def _wait(
+    state: admission.Admission,
+    number: int,
+    *,
+    route: str = '',
+    due: float,
+    deadline: float,
+) -> None:
+    event = admission.Arrived(
+        exchange=ids.ExchangeId(number),
+        rank=states.Rank.NORMAL,
+        route=ids.RouteName(route),
+        deadline=deadline,
+        due=due,
+    )
+    admission.decide(event, state, 200)
+
+
 def test_late_requests_do_not_turn_away_those_that_can_be_due() -> None:
     """Guards against a peak in which a queue of late work refuses the rest.
 
@@ -294,13 +312,7 @@
     state = _state()
     _learn(state, 0.1)
     for number, due in ((1, 209.0), (2, 200.0), (3, 200.05)):
-        event = admission.Arrived(
-            exchange=ids.ExchangeId(number),
-            rank=states.Rank.NORMAL,
-            deadline=210,
-            due=due,
-        )
-        admission.decide(event, state, 200)
+        _wait(state, number, due=due, deadline=210)
     fresh = admission.Arrived(
         exchange=ids.ExchangeId(4),
         rank=states.Rank.NORMAL,
@@ -326,24 +338,6 @@
     assert _finish(state, 201, 200.01) == (_start(203),)
 
 
-def _wait(
-    state: admission.Admission,
-    number: int,
-    *,
-    route: str = '',
-    due: float,
-    deadline: float,
-) -> None:
-    event = admission.Arrived(
-        exchange=ids.ExchangeId(number),
-        rank=states.Rank.NORMAL,
-        route=ids.RouteName(route),
-        deadline=deadline,
-        due=due,
-    )
-    admission.decide(event, state, 200)
-
-
 def test_a_late_request_is_refused_while_its_caller_can_return() -> None:
     """Guards against late requests held to their deadline by a peak."""
     state = _state()
