Let a reader on a slow link end its reads of the store

Cause: a watch returns every version since the last read, each as the whole configuration, and the client gave it one second beyond the wait whatever its length.

Change: an answer fails when no byte has come for a second, or after ten seconds, instead of by its length. A reader whose watch brought several versions, or whose read did not arrive, lists instead, which brings the newest version alone, until a list brings nothing new.

--- a/medlarquay/platform/store_client.py
+++ b/medlarquay/platform/store_client.py
@@ -8,11 +8,17 @@
 from twisted.internet import defer, endpoints, interfaces
 
 from medlarquay import addresses, errors, events, ids, transport
+from medlarquay.platform import store_call
 
 __all__ = ('StoreClient',)
 
 _STEP = 'call store'
 _CONNECT_TIMEOUT_S = 1
+# Longest pause within an answer. A whole configuration takes about a second
+# on a link of 3.5 Mbit/s, so its length says nothing about the store.
+_SILENCE_S = 1.0
+# A trickle of bytes must not hold a read for ever.
+_LONGEST_ANSWER_S = 10.0
 # A page of items holds 1 MB of values, a third more in base64.
 _MAX_ANSWER_BYTES = 1 << 24
 _OK = 200
@@ -36,7 +42,7 @@
     Notes
     -----
     A connection on which an answer is overdue is closed: the store sends
-    nothing more on it.
+    nothing more on it. An answer that is still arriving is not overdue.
     """
 
     def __init__(
@@ -56,7 +62,7 @@
             timeout=_CONNECT_TIMEOUT_S,
         )
         self._idle: list[transport.BackendConnection] = []
-        self._waiting: dict[ids.ExchangeId, defer.Deferred[_Result]] = {}
+        self._calls: dict[ids.ExchangeId, store_call.StoreCall] = {}
         self._last = 0
 
     async def get(
@@ -75,7 +81,7 @@
         query : Mapping
             Parameters of the call.
         timeout_s : float
-            Longest time for the answer, in seconds.
+            Longest time until the answer begins, in seconds.
 
         Raises
         ------
@@ -104,8 +110,13 @@
         connection = await self._connect()
         self._last += 1
         exchange = ids.ExchangeId(self._last)
-        waiting: defer.Deferred[_Result] = defer.Deferred()
-        self._waiting[exchange] = waiting
+        call = store_call.StoreCall(
+            connection=connection,
+            ended=defer.Deferred(),
+            fails_at=deadline + _LONGEST_ANSWER_S,
+            seen_bytes=connection.received_bytes,
+        )
+        self._calls[exchange] = call
         connection.start(
             events.StartRequest(
                 exchange=exchange,
@@ -116,13 +127,12 @@
                 deadline=deadline,
             ),
         )
-        left = max(0, deadline - self._clock())
-        timer = self._reactor.callLater(left, self._expire, exchange)
+        self._check_at(deadline, exchange, call)
         try:
-            return await waiting
+            return await call.ended
         finally:
-            if timer.active():
-                timer.cancel()
+            if call.timer is not None and call.timer.active():
+                call.timer.cancel()
             else:
                 connection.abort()
 
@@ -143,14 +153,30 @@
             raise self._error(f'cannot connect: {cause}') from cause
 
     def _deliver(self, message: _Result) -> None:
-        waiting = self._waiting.pop(message.exchange, None)
-        if waiting is not None:
-            waiting.callback(message)
-
-    def _expire(self, exchange: ids.ExchangeId) -> None:
-        waiting = self._waiting.pop(exchange, None)
-        if waiting is not None:
-            waiting.errback(self._error('no answer in time'))
+        call = self._calls.pop(message.exchange, None)
+        if call is not None:
+            call.ended.callback(message)
+
+    def _check_at(
+        self,
+        deadline: float,
+        exchange: ids.ExchangeId,
+        call: store_call.StoreCall,
+    ) -> None:
+        left = max(0, deadline - self._clock())
+        call.timer = self._reactor.callLater(left, self._check, exchange)
+
+    def _check(self, exchange: ids.ExchangeId) -> None:
+        """Fail a call whose answer does not arrive any more."""
+        call = self._calls.get(exchange)
+        if call is None:
+            return
+        now = self._clock()
+        if call.progressed() and now < call.fails_at:
+            self._check_at(now + _SILENCE_S, exchange, call)
+            return
+        self._calls.pop(exchange)
+        call.ended.errback(self._error('no answer in time'))
 
     def _error(self, message: str) -> errors.SourceError:
         return errors.SourceError(
--- a/medlarquay/platform/store_fetcher.py
+++ b/medlarquay/platform/store_fetcher.py
@@ -34,7 +34,7 @@
 _UNREADABLE = 'unreadable'
 
 _Item = dict[str, Any]
-_Answer = dict[str, object]
+_Answer = dict[str, Any]
 
 
 class StoreFetcher:
@@ -56,6 +56,9 @@
     ) -> None:
         self._client = client
         self._own = own
+        # A watch returns every version since the last read. A reader that
+        # is behind lists instead, which brings the newest one alone.
+        self._behind = False
 
     async def fetch(
         self,
@@ -71,13 +74,40 @@
         SourceError
             If the store refuses, is silent or sends something malformed.
         """
-        answer = None
-        if after:
-            answer = await self._watch(tree, after, wait_ms)
-        if answer is None:
-            answer = await self._list(tree)
+        if tree is replica.SourceTree.TEAMS:
+            answer = await self._documents(after, wait_ms)
+        else:
+            answer = await self._changes(tree, after, wait_ms)
         return json.dumps(answer).encode()
 
+    async def _documents(self, after: ids.Revision, wait_ms: int) -> _Answer:
+        tree = replica.SourceTree.TEAMS
+        listed = self._behind
+        try:
+            answer = (
+                await self._list(tree)
+                if listed
+                else await self._changes(tree, after, wait_ms)
+            )
+        except errors.SourceError as failure:
+            # A refusal says nothing about the size of the answer.
+            self._behind = listed or not failure.status
+            raise
+        newer = sum(entry['revision'] > after for entry in answer['entries'])
+        # A list holds one version however many there were.
+        known = 0 if listed else 1
+        self._behind = newer > known
+        return answer
+
+    async def _changes(
+        self,
+        tree: replica.SourceTree,
+        after: ids.Revision,
+        wait_ms: int,
+    ) -> _Answer:
+        found = await self._watch(tree, after, wait_ms) if after else None
+        return await self._list(tree) if found is None else found
+
     async def _watch(
         self,
         tree: replica.SourceTree,
--- a/medlarquay/transport/backend_connection.py
+++ b/medlarquay/transport/backend_connection.py
@@ -66,8 +66,14 @@
         self._closed = closed
         self._exchange: ids.ExchangeId | None = None
         self._lost = False
+        self._received_bytes = 0
         self._answer: answer_assembler.AnswerAssembler | None = None
 
+    @property
+    def received_bytes(self) -> int:
+        """Bytes received so far; they grow while an answer arrives."""
+        return self._received_bytes
+
     @property
     def usable(self) -> bool:
         """Whether the connection is open and idle.
@@ -108,6 +114,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed received bytes to the parser."""
+        self._received_bytes += len(data)
         if self._exchange is None or self._answer is None:
             # Nothing was asked, so nothing can be trusted any more.
             self._close()
