Log each request that ends at its ingress without an answer

A request that was open when its ingress stopped at the drain deadline, and one whose caller closed its connection, left no line with its id: the router forgot the call without a report, and the lifecycle named only the part that was working.

The router now receives the lifecycle's states. At stopped it logs each open call, and at the loss of a caller the call of that caller, as the usual end line with told=-, the reason (node_stopped, caller_gone), the owner, the attempts, the age of the request and of the attempt (sent_ms) and the time left. Both reasons are counted in medlarquay_unanswered_total. No line is written when a request is taken over: the end line carries its inputs, and a request still has one end line.

--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -69,7 +69,8 @@
         reactor=reactor,
         clock=clock,
         parts=(path.owner, path.router, path.callers, path.links),
-        subscribers=(operators, ready),
+        # The router reports the calls that a stop leaves open.
+        subscribers=(operators, ready, path.router),
         drain_timeout_s=settings.drain_timeout_s,
         pace=deployment.pace,
     )
--- a/medlarquay/ingress/call_reporter.py
+++ b/medlarquay/ingress/call_reporter.py
@@ -73,8 +73,7 @@
         reason : RefusalReason or None
             None if a backend server made the answer.
         """
-        if call.request_id:
-            self._log_told(call, answer, outcome, reason)
+        self._log_end(call, outcome, reason, status=answer.status)
         if reason is not None:
             self.count(reason)
         elif call.parameters.idempotent:
@@ -95,6 +94,15 @@
             ),
         )
 
+    def unanswered(
+        self,
+        call: ingress_call.IngressCall,
+        reason: states.Unanswered,
+    ) -> None:
+        """Count and log a call whose caller was told nothing."""
+        self.count(reason)
+        self._log_end(call, states.Outcome.UNKNOWN, reason)
+
     def retried(
         self,
         call: ingress_call.IngressCall,
@@ -151,17 +159,20 @@
     def _age_ms(self, moment: float) -> int:
         return int((self._clock() - moment) * _MS_PER_SECOND)
 
-    def _log_told(
+    def _log_end(
         self,
         call: ingress_call.IngressCall,
-        answer: events.AnswerReady,
         outcome: states.Outcome,
-        reason: states.RefusalReason | None,
+        reason: states.RefusalReason | states.Unanswered | None,
+        *,
+        status: int | None = None,
     ) -> None:
+        if not call.request_id:
+            return
         _LOG.info(
             telemetry.format_fields(
                 request=call.request_id,
-                told=answer.status,
+                told=status,
                 outcome=outcome.value,
                 reason=None if reason is None else reason.value,
                 service=call.service.parameters.name,
@@ -171,6 +182,7 @@
                 attempts=len(call.tried),
                 snapshot=call.generation,
                 after_ms=self._age_ms(call.received_at),
+                sent_ms=self._age_ms(call.sent_at) if call.tried else None,
                 left_ms=-self._age_ms(call.parameters.deadline),
             ),
         )
--- a/medlarquay/ingress/ingress_calls.py
+++ b/medlarquay/ingress/ingress_calls.py
@@ -1,5 +1,7 @@
 """The calls under way at the ingress."""
 
+from collections.abc import Iterator
+
 from medlarquay import ids
 from medlarquay.ingress import ingress_call
 
@@ -24,6 +26,10 @@
         """Return how many calls are under way."""
         return len(self._by_id)
 
+    def __iter__(self) -> Iterator[ingress_call.IngressCall]:
+        """Iterate over the calls, in the order of their latest attempts."""
+        return iter(tuple(self._by_id.values()))
+
     def add(self, call: ingress_call.IngressCall) -> None:
         """Number a new attempt and keep it."""
         self._last += 1
--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -14,6 +14,7 @@
 from medlarquay.routing.decide_retry import decide_retry
 from medlarquay.routing.expected_time import expected_time
 from medlarquay.routing.home_wanted import HomeWanted
+from medlarquay.routing.is_unsent import is_unsent
 from medlarquay.routing.location import Location
 from medlarquay.routing.loss_observed import LossObserved
 from medlarquay.routing.observations import Observations
@@ -32,6 +33,7 @@
 __all__ = (
     'KEY_PATH',
     'service_for_key',
+    'is_unsent',
     'read_parameters',
     'CallParameters',
     'RetryGranted',
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -14,6 +14,7 @@
 from medlarquay.states.replica_event import ReplicaEvent
 from medlarquay.states.retry_denial import RetryDenial
 from medlarquay.states.retry_reason import RetryReason
+from medlarquay.states.unanswered import Unanswered
 
 __all__ = (
     'DroppedMessage',
@@ -30,4 +31,5 @@
     'RefusalReason',
     'RetryDenial',
     'RetryReason',
+    'Unanswered',
 )
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -191,7 +191,7 @@
     def fail(self, call: ingress.IngressCall, failure: _Failure) -> None:
         """Attempt a failed call again, or tell its caller."""
         now = self.clock()
-        if not _is_unsent(failure):
+        if not routing.is_unsent(failure):
             call.sends += 1
         other = routing.choose(
             routing.AnyOwnerWanted(
@@ -316,13 +316,6 @@
         lifecycle.post(events.WorkFinished(part=states.NodePart.ROUTER))
 
 
-def _is_unsent(failure: _Failure) -> bool:
-    """Return whether a failure proves that no backend server was asked."""
-    if isinstance(failure, messages.CallRefused):
-        return failure.reason is not states.RefusalReason.SHED
-    return False
-
-
 @functools.singledispatch
 def _give_up(
     failure: object,
@@ -400,6 +393,7 @@
     router.incarnations.withdraw(message.caller)
     call = router.calls.finish_caller(message.caller)
     if call is not None:
+        router.reporter.unanswered(call, states.Unanswered.CALLER_GONE)
         router.observe(routing.CallWithdrawn(instance=call.instance))
         router.sender.cancel(call.node, call.call_id)
 
@@ -486,6 +480,15 @@
     router.observe_node(message)
 
 
+@_handle.register
+def _state_changed(message: events.LifecycleChanged, router: Router) -> None:
+    if message.state is not states.NodeState.STOPPED:
+        return
+    # The process ends with these calls open, so nothing else tells of them.
+    for call in router.calls:
+        router.reporter.unanswered(call, states.Unanswered.NODE_STOPPED)
+
+
 @_handle.register
 def _drain(message: events.DrainRequested, router: Router) -> None:
     router.draining = True
--- a/medlarquay/tasks/tests/ingress_bench.py
+++ b/medlarquay/tasks/tests/ingress_bench.py
@@ -99,6 +99,7 @@
                 counters=self.counters,
                 records=self.records,
                 wall_clock=lambda: 1000,
+                clock=self.clock.seconds,
             ),
             random=random.Random(1),
         )
--- /dev/null
+++ b/medlarquay/tasks/tests/test_router_log.py
@@ -0,0 +1,95 @@
+"""What the router logs of requests that end without an answer."""
+
+from collections.abc import Iterator
+
+import logbook
+import pytest
+
+from medlarquay import events, ids, ingress, states, transport
+from medlarquay.cli import log_line
+from medlarquay.tasks.tests import ingress_bench
+
+_NAMES = transport.HeaderNames(request_id=b'request-id')
+
+
+@pytest.fixture
+def bench() -> ingress_bench.IngressBench:
+    """Return a router whose callers give their requests an id."""
+    built = ingress_bench.IngressBench(
+        ingress_bench.backend('a1'),
+        ingress_bench.backend('a2'),
+    )
+    built.router.front = ingress.Front(names=_NAMES)
+    return built
+
+
+@pytest.fixture
+def logged() -> Iterator[logbook.TestHandler]:
+    """Collect the lines that are logged."""
+    with logbook.TestHandler() as handler:
+        yield handler
+
+
+def _fields(logged: logbook.TestHandler, request: str) -> dict[str, str]:
+    lines = [
+        record.message
+        for record in logged.records
+        if f'request={request} ' in record.message
+    ]
+    return log_line.LogLine(
+        source='',
+        time='',
+        part='ingress',
+        text=ingress_bench.only(lines),
+    ).fields
+
+
+def test_a_request_open_at_the_stop_is_logged(
+    bench: ingress_bench.IngressBench,
+    logged: logbook.TestHandler,
+) -> None:
+    """Guards against a request that ends with its ingress without a line."""
+    bench.send(1, request_id='open')
+    answered = bench.send(2, request_id='answered')
+    bench.answer(answered.request.call_id)
+    bench.clock.advance(1.5)
+    bench.router.post(
+        events.LifecycleChanged(state=states.NodeState.DRAINING),
+    )
+    bench.router.post(events.LifecycleChanged(state=states.NodeState.STOPPED))
+    found = _fields(logged, 'open')
+    assert found['told'] == '-'
+    assert found['reason'] == 'node_stopped'
+    assert found['outcome'] == 'unknown'
+    assert found['owner'] == found['instance']
+    assert found['attempts'] == '1'
+    assert (found['after_ms'], found['sent_ms']) == ('1500', '1500')
+    assert found['left_ms'] == '500'
+    assert _fields(logged, 'answered')['told'] == '200'
+    assert bench.counters.counts[states.Unanswered.NODE_STOPPED] == 1
+
+
+def test_a_request_whose_caller_closes_is_logged(
+    bench: ingress_bench.IngressBench,
+    logged: logbook.TestHandler,
+) -> None:
+    """Guards against a cancelled request that leaves no line."""
+    bench.send(1, request_id='closed')
+    bench.clock.advance(0.25)
+    bench.router.post(events.CallerGone(caller=ids.CallerId(1)))
+    found = _fields(logged, 'closed')
+    assert (found['told'], found['reason']) == ('-', 'caller_gone')
+    assert found['after_ms'] == '250'
+    assert bench.counters.counts[states.Unanswered.CALLER_GONE] == 1
+
+
+def test_an_idle_caller_that_closes_is_not_logged(
+    bench: ingress_bench.IngressBench,
+    logged: logbook.TestHandler,
+) -> None:
+    """Guards against a line for each connection instead of each request."""
+    sent = bench.send(1, request_id='done')
+    bench.answer(sent.request.call_id)
+    bench.router.post(events.CallerGone(caller=ids.CallerId(1)))
+    assert _fields(logged, 'done')['told'] == '200'
+    assert not bench.counters.counts[states.Unanswered.CALLER_GONE]
