End the calls open at a stop once

The closing of the callers' sockets at the end of the process would have reported each call that the stop left open a second time, as caller_gone.

--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -486,6 +486,7 @@
         return
     # The process ends with these calls open, so nothing else tells of them.
     for call in router.calls:
+        router.calls.finish(call.call_id)
         router.reporter.unanswered(call, states.Unanswered.NODE_STOPPED)
 
 
--- a/medlarquay/tasks/tests/test_router_log.py
+++ b/medlarquay/tasks/tests/test_router_log.py
@@ -57,6 +57,8 @@
         events.LifecycleChanged(state=states.NodeState.DRAINING),
     )
     bench.router.post(events.LifecycleChanged(state=states.NodeState.STOPPED))
+    # The end of the process closes the connection of the caller.
+    bench.router.post(events.CallerGone(caller=ids.CallerId(1)))
     found = _fields(logged, 'open')
     assert found['told'] == '-'
     assert found['reason'] == 'node_stopped'
