Serve histograms with the counters of a node

The metrics page served counters only, so neither the time to the first byte nor a run time could be read from it. OpenTelemetry has no observable histogram, and its record costs microseconds on the call path, so a collector in the registry of its exporter reads the counts when metrics are asked for. The ingress measures medlarquay_first_byte_seconds.

--- a/medlarquay/admin/pages.py
+++ b/medlarquay/admin/pages.py
@@ -98,7 +98,7 @@
 
     @app.route('/metrics', methods=_READ)
     def metrics(self, request: iweb.IRequest) -> bytes:
-        """Show the counters in the Prometheus text format."""
+        """Show counters and histograms in the Prometheus text format."""
         request.setHeader('content-type', self._exporter.content_type)
         return self._exporter.render()
 
--- a/medlarquay/ingress/call_reporter.py
+++ b/medlarquay/ingress/call_reporter.py
@@ -73,6 +73,8 @@
         reason : RefusalReason or None
             None if a backend server made the answer.
         """
+        first_byte = self._counters.histograms.first_byte
+        first_byte.observe(self._clock() - call.received_at)
         self._log_end(call, outcome, reason, status=answer.status)
         if reason is not None:
             self.count(reason)
--- a/medlarquay/telemetry/counters.py
+++ b/medlarquay/telemetry/counters.py
@@ -1,15 +1,22 @@
-"""Counters of a node."""
+"""Counters and histograms of a node."""
 
 import collections
 import enum
 from collections.abc import Mapping
 
+from medlarquay.telemetry import histograms
+
 __all__ = ('Counters',)
 
 
 class Counters:
     """Counts events by an enumeration member, such as a refusal reason.
 
+    Attributes
+    ----------
+    histograms : Histograms
+        Measured times and sizes.
+
     Notes
     -----
     Plain integers are counted on the call path and read by OpenTelemetry
@@ -18,6 +25,7 @@
     """
 
     def __init__(self) -> None:
+        self.histograms = histograms.Histograms()
         self._counts: collections.Counter[enum.Enum] = collections.Counter()
 
     @property
--- a/medlarquay/telemetry/exporter.py
+++ b/medlarquay/telemetry/exporter.py
@@ -1,16 +1,20 @@
-"""Export of the counters in the Prometheus text format."""
+"""Export of the counters and histograms in the Prometheus text format."""
 
 import prometheus_client
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics
 
-from medlarquay.telemetry import counters, instruments
+from medlarquay.telemetry import (
+    counters,
+    histogram_collector,
+    instruments,
+)
 
 __all__ = ('Exporter',)
 
 
 class Exporter:
-    """Reads the counters through OpenTelemetry when asked.
+    """Reads the counters through OpenTelemetry, and the histograms, when asked.
 
     Parameters
     ----------
@@ -27,6 +31,9 @@
 
     def __init__(self, *, counts: counters.Counters) -> None:
         self._registry = prometheus_client.CollectorRegistry()
+        self._registry.register(
+            histogram_collector.HistogramCollector(measured=counts.histograms),
+        )
         self._provider = metrics.MeterProvider(
             metric_readers=[
                 prometheus.PrometheusMetricReader(
@@ -44,6 +51,6 @@
         )
 
     def render(self) -> bytes:
-        """Return all counters in the Prometheus text format."""
+        """Return all counters and histograms in the Prometheus text format."""
         self._instruments.update()
         return prometheus_client.generate_latest(self._registry)
--- a/medlarquay/telemetry/tests/test_exporter.py
+++ b/medlarquay/telemetry/tests/test_exporter.py
@@ -50,6 +50,32 @@
     assert _value(text, 'medlarquay_link_event_total', 'opened') == '2.0'
 
 
+def test_histograms_are_exported() -> None:
+    """Guards against latencies that operators cannot read."""
+    counts = telemetry.Counters()
+    measured = counts.histograms
+    measured.answer_left.observe(0.003)
+    measured.answer_left.observe(4.3)
+    rendered = exporter.Exporter(counts=counts)
+    lines = rendered.render().decode().splitlines()
+    name = 'medlarquay_answer_left_seconds'
+    assert f'# TYPE {name} histogram' in lines
+    assert f'{name}_bucket{{le="0.002"}} 0.0' in lines
+    assert f'{name}_bucket{{le="0.005"}} 1.0' in lines
+    assert f'{name}_bucket{{le="+Inf"}} 2.0' in lines
+    assert f'{name}_count 2.0' in lines
+    assert f'{name}_sum 4.303' in lines
+    assert f'{name}_max 4.3' in lines
+    assert 'medlarquay_loop_lag_seconds_count 0.0' in lines
+
+
+def test_histograms_of_nodes_are_apart() -> None:
+    """Guards against values of one node counted for another."""
+    first, second = telemetry.Counters(), telemetry.Counters()
+    first.histograms.run.observe(0.5)
+    assert (first.histograms.run.count, second.histograms.run.count) == (1, 0)
+
+
 def test_idle_node_does_not_load_operators_code() -> None:
     """Guards against 10.6 MB in nodes that no operator asks."""
     code = (
