Measure when a result has left its owner

The owner's line outcome=run says that the run is over.

A link now reports FrameLeft for each observed frame: what waited before it in the node (fragments and the buffer of the connection), whether and when the kernel took its last byte, and how many bytes the kernel still held then (SIOCOUTQ). The owner's links record it for each result as histograms medlarquay_answer_left_seconds and medlarquay_link_ahead_bytes, and log a result that is over 32 KiB, took 0.1 s or was lost with its link, with the id of its request, the ingress and these figures. Prompt small results get no line, so the number of lines is bounded by the large answers and by the late ones. Requests that an owner refuses on arrival get their owner line too.

A link that has unsent bytes of an observed frame stays registered as the producer of its connection until they are gone, since nothing else tells.

--- a/medlarquay/events/send_reply.py
+++ b/medlarquay/events/send_reply.py
@@ -17,7 +17,10 @@
         Link of the call.
     message : messages.CallAnswered | messages.CallRefused | messages.CallUnknown
         Result.
+    request_id : str
+        Id of the request for logs; empty if it has none.
     """
 
     link: ids.LinkId
     message: messages.CallAnswered | messages.CallRefused | messages.CallUnknown
+    request_id: str = ''
--- /dev/null
+++ b/medlarquay/tasks/answer_delivery.py
@@ -0,0 +1,67 @@
+"""Record of the way of a result from its owner to the kernel."""
+
+import dataclasses
+from collections.abc import Callable
+
+import logbook
+
+from medlarquay import ids, telemetry, transport
+
+__all__ = ('AnswerDelivery',)
+
+_LOG = logbook.Logger('links')
+_MS_PER_SECOND = 1000
+# A smaller result that left sooner is counted, but gets no line.
+_LOGGED_BYTES = 32768
+_LOGGED_S = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class AnswerDelivery:
+    """Record of the way of a result from its owner to the kernel.
+
+    Attributes
+    ----------
+    request_id : str
+        Id of the request; empty if it has none.
+    ingress : InstanceId
+        Node that the result goes to; empty if it did not introduce itself.
+    sent_at : float
+        Time at which the owner gave the result to its link, seconds on the
+        monotonic clock.
+    clock : callable
+        Returns seconds on the monotonic clock.
+    histograms : Histograms
+        Histograms of the node.
+    """
+
+    request_id: str
+    ingress: ids.InstanceId
+    sent_at: float
+    clock: Callable[[], float]
+    histograms: telemetry.Histograms
+
+    def finish(self, left: transport.FrameLeft) -> None:
+        """Measure a result that left; log one that was large, late or lost."""
+        elapsed = self.clock() - self.sent_at
+        self.histograms.link_ahead.observe(left.ahead_bytes)
+        if left.whole:
+            self.histograms.answer_left.observe(elapsed)
+            large = left.frame_bytes > _LOGGED_BYTES
+            if not large and elapsed < _LOGGED_S:
+                return
+        if self.request_id:
+            self._log(left, elapsed)
+
+    def _log(self, left: transport.FrameLeft, elapsed: float) -> None:
+        _LOG.info(
+            telemetry.format_fields(
+                request=self.request_id,
+                delivery='left' if left.whole else 'lost',
+                ingress=self.ingress or None,
+                bytes=left.frame_bytes,
+                ahead_bytes=left.ahead_bytes,
+                kernel_bytes=left.kernel_bytes,
+                delivery_ms=int(elapsed * _MS_PER_SECOND),
+            ),
+        )
--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -100,10 +100,21 @@
         hello = self.hello
         return f'{hello.instance}/{hello.incarnation}/{self._crashes}'
 
-    def reply(self, link: ids.LinkId, message: Result) -> None:
+    def reply(
+        self,
+        link: ids.LinkId,
+        message: Result,
+        request_id: str = '',
+    ) -> None:
         """Send a result to the ingress of a call."""
         if link:
-            self._links.post(events.SendReply(link=link, message=message))
+            self._links.post(
+                events.SendReply(
+                    link=link,
+                    message=message,
+                    request_id=request_id,
+                ),
+            )
         elif self.router is not None:
             self.router.post(message)
 
--- a/medlarquay/tasks/owner_deadlines.py
+++ b/medlarquay/tasks/owner_deadlines.py
@@ -39,6 +39,7 @@
                     call_id=caller.call_id,
                     reason=states.RefusalReason.DEADLINE_PASSED,
                 ),
+                caller.request_id,
             )
     hung = not job.callers and deadline + owner.local.hung_s <= now
     if job.sent and not job.callers and (job.request.idempotent or hung):
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -41,10 +41,11 @@
         link=message.link,
         call_id=request.call_id,
         deadline=request.deadline,
+        request_id=owner.local.names.request_id_of(request.headers),
     )
     reason = _refusal_on_arrival(request, owner)
     if reason is not None:
-        owner_results.refuse_call(caller, reason, owner)
+        owner_results.refuse_arrival(caller, reason, owner)
         return
     job = owner_job.OwnerJob(
         exchange=owner.jobs.next_exchange(),
--- a/medlarquay/tasks/owner_log.py
+++ b/medlarquay/tasks/owner_log.py
@@ -3,9 +3,9 @@
 import logbook
 
 from medlarquay import states, telemetry
-from medlarquay.tasks import owner_base, owner_job
+from medlarquay.tasks import owner_base, owner_job, waiting_caller
 
-__all__ = ('log_end',)
+__all__ = ('log_end', 'log_refusal')
 
 _LOG = logbook.Logger('owner')
 _MS_PER_SECOND = 1000
@@ -25,10 +25,12 @@
     -----
     A request without an id cannot be looked up, so it is not logged.
     """
+    now = owner.now()
+    if job.sent:
+        owner.counters.histograms.run.observe(now - job.sent_at)
     request_id = owner.local.names.request_id_of(job.request.headers)
     if not request_id:
         return
-    now = owner.now()
     started_at = job.sent_at if job.sent else now
     place = owner.place
     _LOG.info(
@@ -48,5 +50,22 @@
     )
 
 
+def log_refusal(
+    caller: waiting_caller.WaitingCaller,
+    reason: states.RefusalReason,
+    owner: owner_base.OwnerBase,
+) -> None:
+    """Log a request that was refused when it arrived."""
+    if caller.request_id:
+        _LOG.info(
+            telemetry.format_fields(
+                request=caller.request_id,
+                outcome=states.Outcome.NOT_RUN.value,
+                reason=reason.value,
+                left_ms=_ms(caller.deadline - owner.now()),
+            ),
+        )
+
+
 def _ms(seconds: float) -> int:
     return int(seconds * _MS_PER_SECOND)
--- a/medlarquay/tasks/owner_results.py
+++ b/medlarquay/tasks/owner_results.py
@@ -21,6 +21,7 @@
     'answer_job',
     'lose_job',
     'record_job',
+    'refuse_arrival',
     'refuse_call',
     'refuse_job',
     'release',
@@ -45,9 +46,20 @@
             reason=reason,
             load=admission.load_of(owner.admission, owner.now()),
         ),
+        caller.request_id,
     )
 
 
+def refuse_arrival(
+    caller: waiting_caller.WaitingCaller,
+    reason: states.RefusalReason,
+    owner: owner_base.OwnerBase,
+) -> None:
+    """Refuse a request that does not become a job."""
+    owner_log.log_refusal(caller, reason, owner)
+    refuse_call(caller, reason, owner)
+
+
 def refuse_job(
     job: owner_job.OwnerJob,
     reason: states.RefusalReason,
@@ -78,6 +90,7 @@
         owner.reply(
             caller.link,
             messages.CallUnknown(call_id=caller.call_id, reason=reason),
+            caller.request_id,
         )
 
 
@@ -111,6 +124,7 @@
                 replayed=caller.replayed,
                 retry_allowed=(_RETRY, b'no') not in message.headers,
             ),
+            caller.request_id,
         )
 
 
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -15,7 +15,7 @@
     telemetry,
     transport,
 )
-from medlarquay.tasks import outgoing_link, task
+from medlarquay.tasks import answer_delivery, outgoing_link, task
 
 __all__ = ('CALL_PATH', 'PeerLinks')
 
@@ -43,7 +43,7 @@
     clock : callable
         Returns seconds on the monotonic clock.
     counters : Counters
-        Counts dropped messages.
+        Counts dropped messages; its histograms measure the way of results.
     """
 
     def __init__(
@@ -60,6 +60,8 @@
         self.outgoing: dict[ids.InstanceId, outgoing_link.OutgoingLink] = {}
         self.incoming: dict[ids.LinkId, transport.Link] = {}
         self._numbers: dict[transport.Link, ids.LinkId] = {}
+        # Nodes at the other ends of the incoming links, for logs.
+        self._ingresses: dict[ids.LinkId, ids.InstanceId] = {}
         self._reactor = reactor
         self._hello = hello
         self._clock = clock
@@ -95,6 +97,8 @@
             (messages.CrashSuspected, messages.SuspicionCleared),
         ):
             self.owner.post(message)
+        elif isinstance(message, messages.Hello):
+            self._ingresses[number] = message.instance
 
     def close_incoming(self, link: transport.Link) -> None:
         """Forget an incoming link and tell the owner."""
@@ -102,6 +106,7 @@
         if number is None:
             return
         self.incoming.pop(number, None)
+        self._ingresses.pop(number, None)
         if self.owner is not None:
             self.owner.post(events.LinkClosed(link=number))
 
@@ -109,6 +114,21 @@
         """Encode and send one message."""
         link.send(codec.encode(message, now=self._clock()))
 
+    def reply(self, reply: events.SendReply) -> None:
+        """Send a result back and record when it has left."""
+        link = self.incoming.get(reply.link)
+        if link is None:
+            return
+        now = self._clock()
+        delivery = answer_delivery.AnswerDelivery(
+            request_id=reply.request_id,
+            ingress=self._ingresses.get(reply.link, ids.InstanceId('')),
+            sent_at=now,
+            clock=self._clock,
+            histograms=self._counters.histograms,
+        )
+        link.send(codec.encode(reply.message, now=now), left=delivery.finish)
+
     def link_to(
         self,
         target: _Target,
@@ -322,9 +342,7 @@
 
 @_handle.register
 def _send_reply(message: events.SendReply, owner: PeerLinks) -> None:
-    link = owner.incoming.get(message.link)
-    if link is not None:
-        owner.send(link, message.message)
+    owner.reply(message)
 
 
 @_handle.register
--- a/medlarquay/tasks/waiting_caller.py
+++ b/medlarquay/tasks/waiting_caller.py
@@ -19,6 +19,8 @@
         Number of the call on the link.
     deadline : float
         Seconds on the monotonic clock.
+    request_id : str
+        Id of the request for logs; empty if it has none.
     replayed : bool
         Whether it joined an earlier attempt with the same key.
     """
@@ -26,4 +28,5 @@
     link: ids.LinkId
     call_id: ids.CallId
     deadline: float
+    request_id: str = ''
     replayed: bool = False
--- a/medlarquay/transport/fragment_queue.py
+++ b/medlarquay/transport/fragment_queue.py
@@ -21,15 +21,23 @@
             collections.deque()
         )
         self._last_stream = 0
+        self._waiting_bytes = 0
 
     def __bool__(self) -> bool:
         """Tell whether fragments are waiting."""
         return bool(self._frames)
 
-    def append(self, frame: bytes) -> None:
-        """Add a large frame."""
+    @property
+    def waiting_bytes(self) -> int:
+        """Bytes of the frames that were not taken yet."""
+        return self._waiting_bytes
+
+    def append(self, frame: bytes) -> int:
+        """Add a large frame; return the number of its stream."""
         self._last_stream += 1
+        self._waiting_bytes += len(frame)
         self._frames.append((self._last_stream, frame, 0))
+        return self._last_stream
 
     def take(self) -> fragment.Fragment:
         """Return the next fragment.
@@ -44,8 +52,6 @@
         last = end >= len(frame)
         if not last:
             self._frames.append((stream, frame, end))
-        return fragment.Fragment(
-            stream=stream,
-            last=last,
-            content=frame[start:end],
-        )
+        content = frame[start:end]
+        self._waiting_bytes -= len(content)
+        return fragment.Fragment(stream=stream, last=last, content=content)
--- /dev/null
+++ b/medlarquay/transport/frame_left.py
@@ -0,0 +1,30 @@
+"""A frame has left its link, or was lost with it."""
+
+import dataclasses
+
+__all__ = ('FrameLeft',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FrameLeft:
+    """A frame has left its link, or was lost with it.
+
+    Attributes
+    ----------
+    frame_bytes : int
+        Length of the frame.
+    ahead_bytes : int
+        Bytes that waited in the node on the same link when it was sent.
+    kernel_bytes : int or None
+        Bytes of the connection, this frame's among them, that the kernel had
+        not yet seen acknowledged when it took the last byte; None if it was
+        not asked.
+    whole : bool
+        Whether the kernel took the last byte; False if the link was lost
+        before.
+    """
+
+    frame_bytes: int
+    ahead_bytes: int
+    kernel_bytes: int | None
+    whole: bool
--- /dev/null
+++ b/medlarquay/transport/frame_watch.py
@@ -0,0 +1,105 @@
+"""Observation of frames until the kernel has taken them."""
+
+import collections
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from medlarquay.transport import departure, frame_left, send_buffer
+
+__all__ = ('FrameWatch',)
+
+_Observer = Callable[[frame_left.FrameLeft], None]
+
+
+class FrameWatch:
+    """Observes frames until the kernel has taken their last byte.
+
+    Notes
+    -----
+    The buffer of a connection is sent in order, so the position of the last
+    byte of a frame among all bytes written tells when the frame has left.
+    """
+
+    def __init__(self) -> None:
+        self._written = 0
+        # Frames that are written in part, by the number of their stream.
+        self._streams: dict[int, departure.Departure] = {}
+        self._pending: collections.deque[tuple[int, departure.Departure]] = (
+            collections.deque()
+        )
+
+    def __bool__(self) -> bool:
+        """Tell whether written frames wait for the kernel."""
+        return bool(self._pending)
+
+    def begin(
+        self,
+        frame: bytes,
+        observer: _Observer | None,
+        transport: interfaces.ITransport,
+        *,
+        queued_bytes: int,
+    ) -> departure.Departure | None:
+        """Note what waits before a frame; None if nobody observes it.
+
+        Parameters
+        ----------
+        frame : bytes
+            Frame.
+        observer : callable or None
+            Receives ``FrameLeft``.
+        transport : ITransport
+            Connection.
+        queued_bytes : int
+            Bytes of earlier frames that were not written yet.
+        """
+        if observer is None:
+            return None
+        return departure.Departure(
+            frame_bytes=len(frame),
+            ahead_bytes=queued_bytes + send_buffer.waiting_bytes(transport),
+            report=observer,
+        )
+
+    def count(self, length: int) -> None:
+        """Count bytes written to the connection."""
+        self._written += length
+
+    def queue(self, stream: int, leaving: departure.Departure | None) -> None:
+        """Observe a frame that is written in parts."""
+        if leaving is not None:
+            self._streams[stream] = leaving
+
+    def end(self, stream: int, transport: interfaces.ITransport) -> None:
+        """Note that the last part of a frame was written just now."""
+        self.written(self._streams.pop(stream, None), transport)
+
+    def written(
+        self,
+        leaving: departure.Departure | None,
+        transport: interfaces.ITransport,
+    ) -> None:
+        """Note that the last byte of a frame was written just now."""
+        if leaving is None:
+            return
+        if send_buffer.waiting_bytes(transport):
+            self._pending.append((self._written, leaving))
+        else:
+            leaving.finish(None)
+
+    def settle(self, transport: interfaces.ITransport) -> None:
+        """Report the frames that the kernel has taken since."""
+        left = self._written - send_buffer.waiting_bytes(transport)
+        while self._pending and self._pending[0][0] <= left:
+            leaving = self._pending.popleft()[1]
+            leaving.finish(send_buffer.kernel_bytes(transport))
+
+    def lose(self) -> None:
+        """Report the frames that did not leave before the link was lost."""
+        lost = [leaving for _, leaving in self._pending]
+        lost.extend(self._streams.values())
+        self._pending.clear()
+        self._streams.clear()
+        for leaving in lost:
+            leaving.lose()
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -14,6 +14,8 @@
     fragment,
     fragment_assembler,
     fragment_queue,
+    frame_left,
+    frame_watch,
     prompt_write,
 )
 
@@ -52,6 +54,9 @@
         self._path = ''
         self._continued: list[bytes] = []
         self._large_frames = fragment_queue.FragmentQueue()
+        self._watch = frame_watch.FrameWatch()
+        self._producing = False
+        self._lost = False
         self._assembler = fragment_assembler.FragmentAssembler(
             max_frame_bytes=codec.MAX_FRAME_BYTES,
         )
@@ -118,9 +123,17 @@
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report the loss of the link."""
+        self._lost = True
+        self._watch.lose()
         self._closed(self)
 
-    def send(self, frame: bytes, *, ordered: bool = False) -> None:
+    def send(
+        self,
+        frame: bytes,
+        *,
+        ordered: bool = False,
+        left: Callable[[frame_left.FrameLeft], None] | None = None,
+    ) -> None:
         """Send one binary frame; dropped when the link is closing.
 
         Parameters
@@ -130,14 +143,27 @@
         ordered : bool
             Whether no later frame may overtake this one, as on control
             links, where a heartbeat confirms the records sent before it.
+        left : callable, optional
+            Receives ``FrameLeft`` once the kernel has taken the last byte,
+            possibly within this call, or the link was lost before.
         """
-        if self._engine.state is not ws_protocol.OPEN:
-            return
-        if len(frame) > fragment.FRAGMENT_BYTES and not ordered:
-            self._send_large(frame)
-            return
-        self._engine.send_binary(frame)
-        self._flush()
+        leaving = self._watch.begin(
+            frame,
+            left,
+            self.transport,
+            queued_bytes=self._large_frames.waiting_bytes,
+        )
+        if self._lost or self._engine.state is not ws_protocol.OPEN:
+            if leaving is not None:
+                leaving.lose()
+        elif len(frame) > fragment.FRAGMENT_BYTES and not ordered:
+            self._watch.queue(self._large_frames.append(frame), leaving)
+            self._produce()
+        else:
+            self._engine.send_binary(frame)
+            self._flush()
+            self._watch.written(leaving, self.transport)
+            self._produce()
 
     def close(self) -> None:
         """Close the connection after what was sent."""
@@ -145,15 +171,21 @@
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Send the next fragment; called when the socket took the last."""
+        self._watch.settle(self.transport)
         if self._large_frames and self._engine.state is ws_protocol.OPEN:
-            self._engine.send_binary(self._large_frames.take().encode())
+            part = self._large_frames.take()
+            self._engine.send_binary(part.encode())
             self._flush()
-        if not self._large_frames:
+            if part.last:
+                self._watch.end(part.stream, self.transport)
+        if not self._large_frames and not self._watch:
+            self._producing = False
             self.transport.unregisterProducer()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Drop the fragments that wait; the connection is lost."""
         self._large_frames = fragment_queue.FragmentQueue()
+        self._watch.lose()
 
     def abort(self) -> None:
         """Close the connection without a closing handshake."""
@@ -199,10 +231,11 @@
         if whole is not None:
             self._received(self, whole)
 
-    def _send_large(self, frame: bytes) -> None:
-        idle = not self._large_frames
-        self._large_frames.append(frame)
-        if idle:
+    def _produce(self) -> None:
+        # The transport tells only its producer that its buffer is empty.
+        wanted = self._large_frames or self._watch
+        if wanted and not self._producing:
+            self._producing = True
             self.transport.registerProducer(self, False)  # noqa: FBT003
 
     def _flush(self) -> None:
@@ -213,6 +246,7 @@
             return
         for chunk in chunks:
             if chunk:
+                self._watch.count(len(chunk))
                 prompt_write.write_promptly(self.transport, chunk)
             else:
                 self.transport.loseWriteConnection()
--- /dev/null
+++ b/medlarquay/transport/tests/test_frame_left.py
@@ -0,0 +1,146 @@
+"""When a link reports that a frame has left."""
+
+import contextlib
+import socket
+from collections.abc import Iterator
+
+import pytest
+from twisted.internet import selectreactor, tcp
+
+from medlarquay import transport
+from medlarquay.transport import fragment
+
+_LARGE = b'\x82' + bytes(2_000_000)
+_SMALL = b'\x82small'
+_MAX_TURNS = 20_000
+
+
+class _Pair:
+    """Two ends of a link over a loopback connection."""
+
+    def __init__(self, near: socket.socket, far: socket.socket) -> None:
+        self.reactor = selectreactor.SelectReactor()
+        self.left: list[tuple[str, transport.FrameLeft]] = []
+        self.received: list[bytes] = []
+        self.near = self._end(transport.Link.accepting, near)
+        self.far = self._end(
+            lambda **callbacks: transport.Link.connecting(
+                path='/calls',
+                **callbacks,
+            ),
+            far,
+        )
+        self.turn(rounds=20)
+
+    def send(self, name: str, frame: bytes) -> None:
+        """Send a frame on the near end and note when it has left."""
+        self.near.send(
+            frame,
+            left=lambda left: self.left.append((name, left)),
+        )
+
+    def turn(self, *, rounds: int = 1) -> None:
+        """Let the reactor turn."""
+        for _ in range(rounds):
+            self.reactor.runUntilCurrent()
+            self.reactor.doIteration(0.001)
+
+    def until_left(self, wanted: int) -> None:
+        """Let the reactor turn until so many frames have left."""
+        for _ in range(_MAX_TURNS):
+            if len(self.left) >= wanted:
+                return
+            self.turn()
+
+    def _end(self, build, opened: socket.socket) -> transport.Link:
+        link = build(
+            opened=lambda found: None,
+            received=lambda found, frame: self.received.append(frame),
+            closed=lambda found: None,
+        )
+        opened.setblocking(False)
+        connection = tcp.Connection(opened, link, self.reactor)
+        connection.connected = 1
+        link.makeConnection(connection)
+        connection.startReading()
+        return link
+
+
+@pytest.fixture
+def pair() -> Iterator[_Pair]:
+    """Return two ends of a link over a loopback connection."""
+    listening = socket.create_server(('127.0.0.1', 0))
+    with contextlib.closing(listening):
+        far = socket.create_connection(listening.getsockname())
+        near = listening.accept()[0]
+    with contextlib.closing(far), contextlib.closing(near):
+        near.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 65536)
+        yield _Pair(near, far)
+
+
+def test_a_small_frame_on_an_idle_link_leaves_at_once(pair: _Pair) -> None:
+    """Guards against a delay measured where there is none."""
+    pair.send('small', _SMALL)
+    name, left = pair.left[0]
+    assert name == 'small'
+    assert left == transport.FrameLeft(
+        frame_bytes=len(_SMALL),
+        ahead_bytes=0,
+        kernel_bytes=None,
+        whole=True,
+    )
+
+
+def test_a_frame_has_left_when_the_kernel_took_its_last_byte(
+    pair: _Pair,
+) -> None:
+    """Guards against an answer called sent while it waits in the node."""
+    pair.far.transport.stopReading()
+    pair.send('large', _LARGE)
+    pair.send('second', _LARGE)
+    pair.turn(rounds=50)
+    assert not pair.left
+    pair.far.transport.startReading()
+    pair.until_left(2)
+    pair.turn(rounds=50)
+    assert [name for name, _ in pair.left] == ['large', 'second']
+    assert pair.received == [_LARGE, _LARGE]
+    first, second = (left for _, left in pair.left)
+    assert first.frame_bytes == len(_LARGE)
+    assert first.ahead_bytes == 0
+    assert second.ahead_bytes > len(_LARGE) - 3 * fragment.FRAGMENT_BYTES
+    assert first.whole and second.whole
+    assert first.kernel_bytes is not None
+    assert pair.near.transport.producer is None
+
+
+def test_a_small_frame_behind_a_full_buffer_is_reported_later(
+    pair: _Pair,
+) -> None:
+    """Guards against a small answer called sent behind a full socket."""
+    pair.far.transport.stopReading()
+    pair.near.transport.write(b'')
+    for number in range(400):
+        pair.send(f'{number}', b'\x82' + bytes(16_000))
+    waiting = 400 - len(pair.left)
+    assert waiting > 0
+    pair.send('last', _SMALL)
+    assert pair.left[-1][0] != 'last'
+    pair.far.transport.startReading()
+    pair.until_left(401)
+    assert pair.left[-1][0] == 'last'
+    assert len(pair.left) == 401
+    assert pair.left[-1][1].ahead_bytes >= (waiting - 1) * 16_000
+
+
+def test_frames_on_a_lost_link_are_reported_as_lost(pair: _Pair) -> None:
+    """Guards against an answer of which no line tells that it never left."""
+    pair.far.transport.stopReading()
+    pair.send('large', _LARGE)
+    pair.turn(rounds=5)
+    pair.near.abort()
+    pair.turn(rounds=5)
+    name, left = pair.left[0]
+    assert (name, left.whole) == ('large', False)
+    pair.send('late', _SMALL)
+    assert [found.whole for _, found in pair.left] == [False, False]
