--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -16,6 +16,7 @@
 from medlarquay.tasks import peer_links
 from medlarquay.tasks.tests import ingress_bench
 from medlarquay.testing import memory_transport
+from medlarquay.transport import fragment
 
 _LOST = failure.Failure(error.ConnectionLost())
 
@@ -261,3 +262,26 @@
         ),
     )
     assert bench.wires[0].disconnecting is closed
+
+
+def test_a_link_that_carries_part_of_an_answer_is_not_silent(
+    bench: _Bench,
+) -> None:
+    """Guards against calls lost because a slow link is taken for cut off."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    bench.now += 2
+    part = fragment.Fragment(stream=1, last=False, content=b'part')
+    far.link.send(part.encode())
+    bench.pump(far)
+    bench.now += 0.5
+    bench.links.post(
+        events.SendCancel(
+            instance=ids.InstanceId('a1'),
+            call_id=ids.CallId(1),
+            expired=True,
+        ),
+    )
+    assert not bench.wires[0].disconnecting
