Count parts of a large frame as a sign of life

A link on which nothing was heard for 1 s while a call expired is closed, and all its calls are told unknown (502 owner_lost). Only whole frames were noted, so a slow link was taken for cut off while it carried the fragments of a large answer. Bytes that arrive count now, at the cost of one function call a receipt.

--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -25,7 +25,8 @@
         Calls sent and not yet answered, with the time of sending in seconds
         on the monotonic clock.
     heard_at : float
-        Time of the last frame received, seconds on the monotonic clock.
+        Time at which bytes were last received, also a part of a frame,
+        seconds on the monotonic clock.
     """
 
     instance: ids.InstanceId
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -191,6 +191,7 @@
             opened=functools.partial(self._opened, outgoing),
             received=functools.partial(self._answered, outgoing),
             closed=functools.partial(self._lost, outgoing),
+            heard=functools.partial(self._heard, outgoing),
         )
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor,
@@ -202,6 +203,13 @@
         connecting.addErrback(lambda failure: self._lost(outgoing, link))
         return outgoing
 
+    def _heard(
+        self,
+        outgoing: outgoing_link.OutgoingLink,
+        link: transport.Link,
+    ) -> None:
+        outgoing.heard_at = self._clock()
+
     def _opened(
         self,
         outgoing: outgoing_link.OutgoingLink,
@@ -247,7 +255,6 @@
         link: transport.Link,
         frame: bytes,
     ) -> None:
-        outgoing.heard_at = self._clock()
         message = self._decode(link, frame)
         if self.router is None or message is None:
             return
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -22,6 +22,10 @@
 __all__ = ('Link',)
 
 
+def _ignore(link: 'Link') -> None:
+    """Take no notice of bytes that arrive."""
+
+
 @implementer(interfaces.IPullProducer)
 class Link(protocol.Protocol):
     """Carries binary frames over the sans-IO ``websockets`` library.
@@ -37,6 +41,8 @@
     opened, received, closed : callable
         Receive this link (and the frame) when the handshake completes, for
         each frame, and once when the link is lost.
+    heard : callable
+        Receives this link whenever bytes arrive, also within a frame.
     """
 
     def __init__(
@@ -46,11 +52,13 @@
         opened: Callable[['Link'], None],
         received: Callable[['Link', bytes], None],
         closed: Callable[['Link'], None],
+        heard: Callable[['Link'], None] = _ignore,
     ) -> None:
         self._engine = engine
         self._opened = opened
         self._received = received
         self._closed = closed
+        self._heard = heard
         self._path = ''
         self._continued: list[bytes] = []
         self._large_frames = fragment_queue.FragmentQueue()
@@ -85,6 +93,7 @@
         opened: Callable[['Link'], None],
         received: Callable[['Link', bytes], None],
         closed: Callable[['Link'], None],
+        heard: Callable[['Link'], None] = _ignore,
     ) -> 'Link':
         """Return the connecting side of a link."""
         target = uri.parse_uri(f'ws://node{path}')
@@ -96,6 +105,7 @@
             opened=opened,
             received=received,
             closed=closed,
+            heard=heard,
         )
         link._path = path  # noqa: SLF001
         return link
@@ -114,6 +124,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed received bytes and deliver the frames they complete."""
+        self._heard(self)
         self._engine.receive_data(data)
         for event in self._engine.events_received():
             self._handle(event)
