Send large frames of all links one after the other, paced to the link

Each call link sent its large frames as fast as its own socket took them, and nothing counted bytes for the machine. With n large answers under way all of them shared the machine's link and were all late, a small frame waited behind what n sockets had taken, and an answer whose call was cancelled or expired used the link all the same.

The new task Uplink owns the large frames of all call links until they have left. medlarquay.pacing decides, without sockets: urgent ranks first, a started frame before others, then the earliest due that can still be in time; fragments of 16 ms of the known rate (2 to 32 KB), paced to 0.9 of it, small frames counted; a frame that cannot arrive before its deadline is dropped and its caller told at once; a cancelled one is dropped. A dropped frame that was started ends with a fragment of kind ABORT, and the receiver discards it. With an unknown rate at most four sockets are full at a time. Small frames are still written at once.

The rate comes from NodeSettings.link_bytes_per_s. Calls with large bodies take the same way; one that has not left whole is proved not run, also when its link is lost or it expires. Link keeps no queue of its own any more.

--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -8,7 +8,13 @@
 from medlarquay import admin
 from medlarquay.daemon import build_owner, build_router, node_settings
 from medlarquay.daemon import deployment as deployments
-from medlarquay.tasks import caller_listener, owner, peer_links, router
+from medlarquay.tasks import (
+    caller_listener,
+    owner,
+    peer_links,
+    router,
+    uplink,
+)
 
 __all__ = ('CallPath', 'build_call_path')
 
@@ -48,7 +54,15 @@
         hello=observed.hello,
         clock=time.monotonic,
         counters=observed.counters,
+        link_bytes_per_s=settings.link_bytes_per_s,
     )
+    sharing = uplink.Uplink(
+        reactor=reactor,
+        clock=time.monotonic,
+        bytes_per_s=settings.link_bytes_per_s,
+    )
+    sharing.links = links
+    links.writer.uplink = sharing
     own = build_owner.build_owner(
         reactor=reactor,
         settings=settings,
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -7,6 +7,7 @@
 from medlarquay.events.backend_crashed import BackendCrashed
 from medlarquay.events.backend_failed import BackendFailed
 from medlarquay.events.broadcast_reply import BroadcastReply
+from medlarquay.events.bytes_sent import BytesSent
 from medlarquay.events.call_expired import CallExpired
 from medlarquay.events.caller_gone import CallerGone
 from medlarquay.events.cancel_call import CancelCall
@@ -15,6 +16,8 @@
 from medlarquay.events.delta_requested import DeltaRequested
 from medlarquay.events.documents_read import DocumentsRead
 from medlarquay.events.drain_requested import DrainRequested
+from medlarquay.events.fragment_written import FragmentWritten
+from medlarquay.events.frame_dropped import FrameDropped
 from medlarquay.events.freshness_confirmed import FreshnessConfirmed
 from medlarquay.events.freshness_received import FreshnessReceived
 from medlarquay.events.heartbeat_due import HeartbeatDue
@@ -27,6 +30,7 @@
 from medlarquay.events.peer_greeted import PeerGreeted
 from medlarquay.events.peer_lost import PeerLost
 from medlarquay.events.peer_version import PeerVersion
+from medlarquay.events.queue_frame import QueueFrame
 from medlarquay.events.reading_chosen import ReadingChosen
 from medlarquay.events.records_received import RecordsReceived
 from medlarquay.events.reload_requested import ReloadRequested
@@ -39,12 +43,22 @@
 from medlarquay.events.send_notice import SendNotice
 from medlarquay.events.send_reply import SendReply
 from medlarquay.events.snapshot_replaced import SnapshotReplaced
+from medlarquay.events.socket_drained import SocketDrained
 from medlarquay.events.source_changed import SourceChanged
 from medlarquay.events.start_request import StartRequest
 from medlarquay.events.tick import Tick
+from medlarquay.events.withdraw_frame import WithdrawFrame
 from medlarquay.events.work_finished import WorkFinished
+from medlarquay.events.write_fragment import WriteFragment
 
 __all__ = (
+    'FrameDropped',
+    'SocketDrained',
+    'FragmentWritten',
+    'WriteFragment',
+    'BytesSent',
+    'WithdrawFrame',
+    'QueueFrame',
     'PeerLost',
     'PeerGreeted',
     'OpenLink',
--- /dev/null
+++ b/medlarquay/events/fragment_written.py
@@ -0,0 +1,23 @@
+"""A fragment was written on its link."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('FragmentWritten',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class FragmentWritten:
+    """A fragment was written on its link.
+
+    Attributes
+    ----------
+    link : ids.LinkId
+        Link of the fragment.
+    full : bool
+        Whether the socket did not take all of it yet.
+    """
+
+    link: ids.LinkId
+    full: bool
--- a/medlarquay/events/send_call.py
+++ b/medlarquay/events/send_call.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids, messages
+from medlarquay import ids, messages, pacing
 
 __all__ = ('SendCall',)
 
@@ -27,3 +27,12 @@
     host: str
     port: int
     request: messages.CallRequest
+
+    @property
+    def urgency(self) -> pacing.Urgency:
+        """Decides when a large request is sent."""
+        return pacing.Urgency(
+            rank=self.request.rank,
+            due=self.request.due,
+            deadline=self.request.deadline,
+        )
--- a/medlarquay/events/send_reply.py
+++ b/medlarquay/events/send_reply.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids, messages
+from medlarquay import ids, messages, pacing
 
 __all__ = ('SendReply',)
 
@@ -19,8 +19,11 @@
         Result.
     request_id : str
         Id of the request for logs; empty if it has none.
+    urgency : pacing.Urgency
+        Decides when a large result is sent.
     """
 
     link: ids.LinkId
     message: messages.CallAnswered | messages.CallRefused | messages.CallUnknown
     request_id: str = ''
+    urgency: pacing.Urgency = pacing.NO_HURRY
--- a/medlarquay/ids/__init__.py
+++ b/medlarquay/ids/__init__.py
@@ -15,6 +15,7 @@
 from medlarquay.ids.revision import Revision
 from medlarquay.ids.route_name import RouteName
 from medlarquay.ids.service_name import ServiceName
+from medlarquay.ids.stream_id import StreamId
 from medlarquay.ids.team_name import TeamName
 
 __all__ = (
@@ -33,5 +34,6 @@
     'Revision',
     'RouteName',
     'ServiceName',
+    'StreamId',
     'TeamName',
 )
--- /dev/null
+++ b/medlarquay/pacing/schedule.py
@@ -0,0 +1,127 @@
+"""Which large frame uses the link of the machine, and when."""
+
+import math
+
+from medlarquay import ids, states
+from medlarquay.pacing import (
+    drop_frame,
+    full_sockets,
+    large_frame,
+    pace,
+    send_part,
+    wait,
+)
+
+__all__ = ('Schedule', 'Step')
+
+Step = send_part.SendPart | drop_frame.DropFrame | wait.Wait
+
+_ORDER = tuple(states.Rank)
+_Key = tuple[ids.LinkId, ids.CallId]
+
+
+class Schedule:
+    """Orders the large frames of all links of a node.
+
+    Parameters
+    ----------
+    bytes_per_s : float
+        What the link of the machine carries; infinite if unknown.
+
+    Notes
+    -----
+    Ranks go in order. Within a rank a frame that was started is finished
+    first, because frames that share the link all arrive late; then come
+    those that can still arrive when due, the earliest due first.
+    """
+
+    def __init__(self, *, bytes_per_s: float) -> None:
+        self.pace = pace.Pace(bytes_per_s=bytes_per_s)
+        self.full = full_sockets.FullSockets()
+        self._fragment_bytes = pace.fragment_bytes(bytes_per_s)
+        self._frames: dict[_Key, large_frame.LargeFrame] = {}
+
+    def __len__(self) -> int:
+        """Return the number of frames that wait."""
+        return len(self._frames)
+
+    def add(self, frame: large_frame.LargeFrame) -> None:
+        """Add a frame."""
+        self._frames[frame.link, frame.call_id] = frame
+
+    def remove(
+        self,
+        link: ids.LinkId,
+        call_id: ids.CallId,
+    ) -> large_frame.LargeFrame | None:
+        """Remove and return the frame of a call, unless it has left."""
+        return self._frames.pop((link, call_id), None)
+
+    def remove_link(self, link: ids.LinkId) -> None:
+        """Remove all frames of a closed link."""
+        self.full.discard(link)
+        for key in tuple(self._frames):
+            if key[0] == link:
+                self._frames.pop(key)
+
+    def take_part(self, frame: large_frame.LargeFrame, now: float) -> bytes:
+        """Return the next part of a frame and count it as sent."""
+        end = frame.sent + self._fragment_bytes
+        part = frame.content[frame.sent : end]
+        frame.sent += len(part)
+        self.pace.count(len(part), now)
+        if not frame.remaining:
+            self.remove(frame.link, frame.call_id)
+        return part
+
+    def next_step(self, now: float) -> Step:
+        """Decide what to do now.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
+        for frame in self._frames.values():
+            arrival = self.pace.arrival(frame.remaining, now)
+            if arrival > frame.urgency.deadline:
+                return drop_frame.DropFrame(frame=frame)
+        ready_at = max(self.pace.ready_at(), self.full.blocked_until(now))
+        if ready_at > now:
+            return self._wait(ready_at)
+        return self._send_first(now)
+
+    def _send_first(self, now: float) -> Step:
+        first = min(
+            (
+                frame
+                for frame in self._frames.values()
+                if frame.link not in self.full
+            ),
+            key=lambda frame: self._order(frame, now),
+            default=None,
+        )
+        if first is None:
+            return self._wait(math.inf)
+        return send_part.SendPart(frame=first)
+
+    def _order(
+        self,
+        frame: large_frame.LargeFrame,
+        now: float,
+    ) -> tuple[int, bool, bool, float, int]:
+        late = self.pace.arrival(frame.remaining, now) > frame.urgency.due
+        return (
+            _ORDER.index(frame.urgency.rank),
+            not frame.sent,
+            late,
+            frame.urgency.due,
+            frame.stream,
+        )
+
+    def _wait(self, ready_at: float) -> wait.Wait:
+        """Wait until a time, or a deadline if one is earlier."""
+        if not self._frames:
+            return wait.Wait(until=math.inf)
+        deadlines = (frame.urgency.deadline for frame in self._frames.values())
+        return wait.Wait(until=min(ready_at, *deadlines))
--- /dev/null
+++ b/medlarquay/pacing/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the pacing of large frames."""
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -2,6 +2,7 @@
 
 from medlarquay.states.backend_state import BackendState
 from medlarquay.states.dropped_message import DroppedMessage
+from medlarquay.states.fragment_kind import FragmentKind
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
@@ -18,6 +19,7 @@
 
 __all__ = (
     'DroppedMessage',
+    'FragmentKind',
     'ParentFault',
     'ReadingMode',
     'ReplicaEvent',
--- /dev/null
+++ b/medlarquay/tasks/leaving_calls.py
@@ -0,0 +1,32 @@
+"""Calls to other nodes whose last byte was not written yet."""
+
+from medlarquay import events, ids
+
+__all__ = ('LeavingCalls',)
+
+
+class LeavingCalls:
+    """Calls to other nodes whose last byte was not written yet.
+
+    No owner can have run them, because none got the whole request.
+    """
+
+    def __init__(self) -> None:
+        self._calls: dict[tuple[ids.LinkId, ids.CallId], events.SendCall] = {}
+
+    def add(self, number: ids.LinkId, call: events.SendCall) -> None:
+        """Add a call that is sent on a link."""
+        self._calls[number, call.request.call_id] = call
+
+    def pop(
+        self,
+        number: ids.LinkId,
+        call_id: ids.CallId,
+    ) -> events.SendCall | None:
+        """Remove and return a call, if it has not left."""
+        return self._calls.pop((number, call_id), None)
+
+    def pop_link(self, number: ids.LinkId) -> list[events.SendCall]:
+        """Remove and return the calls on a link."""
+        keys = [key for key in self._calls if key[0] == number]
+        return [self._calls.pop(key) for key in keys]
--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -12,6 +12,7 @@
     states,
     telemetry,
 )
+from medlarquay.pacing import urgency as urgencies
 from medlarquay.tasks import (
     alarm,
     clocks,
@@ -105,6 +106,8 @@
         link: ids.LinkId,
         message: Result,
         request_id: str = '',
+        *,
+        urgency: urgencies.Urgency = urgencies.NO_HURRY,
     ) -> None:
         """Send a result to the ingress of a call."""
         if link:
@@ -113,6 +116,7 @@
                     link=link,
                     message=message,
                     request_id=request_id,
+                    urgency=urgency,
                 ),
             )
         elif self.router is not None:
--- a/medlarquay/tasks/owner_results.py
+++ b/medlarquay/tasks/owner_results.py
@@ -5,6 +5,7 @@
     events,
     ledger,
     messages,
+    pacing,
     quarantine,
     states,
     telemetry,
@@ -125,6 +126,11 @@
                 retry_allowed=(_RETRY, b'no') not in message.headers,
             ),
             caller.request_id,
+            urgency=pacing.Urgency(
+                rank=job.request.rank,
+                due=job.request.due,
+                deadline=caller.deadline,
+            ),
         )
 
 
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -1,6 +1,7 @@
 """The task that owns the call links to and from other nodes."""
 
 import functools
+import math
 from collections.abc import Callable
 
 from twisted.internet import endpoints, interfaces
@@ -15,7 +16,13 @@
     telemetry,
     transport,
 )
-from medlarquay.tasks import answer_delivery, outgoing_link, task
+from medlarquay.tasks import (
+    answer_delivery,
+    leaving_calls,
+    link_writer,
+    outgoing_link,
+    task,
+)
 
 __all__ = ('CALL_PATH', 'PeerLinks')
 
@@ -44,6 +51,9 @@
         Returns seconds on the monotonic clock.
     counters : Counters
         Counts dropped messages; its histograms measure the way of results.
+    link_bytes_per_s : float
+        What the link of the machine carries; infinite if unknown. Decides
+        which frames are large.
     """
 
     def __init__(
@@ -53,6 +63,7 @@
         hello: messages.Hello,
         clock: Callable[[], float],
         counters: telemetry.Counters,
+        link_bytes_per_s: float = math.inf,
     ) -> None:
         super().__init__(name='links')
         self.router: task.Task | None = None
@@ -66,7 +77,11 @@
         self._hello = hello
         self._clock = clock
         self._counters = counters
-        self._last = 0
+        self.writer = link_writer.LinkWriter(
+            clock=clock,
+            link_bytes_per_s=link_bytes_per_s,
+        )
+        self.leaving = leaving_calls.LeavingCalls()
 
     def receive(self, message: object) -> None:
         """Handle one message."""
@@ -74,11 +89,10 @@
 
     def accept(self, link: transport.Link) -> None:
         """Take over an incoming link; tell the ingress which run this is."""
-        self._last += 1
-        number = ids.LinkId(self._last)
+        number = self.writer.add(link)
         self.incoming[number] = link
         self._numbers[link] = number
-        self.send(link, self._hello)
+        self.writer.send(number, self._hello)
 
     def receive_frame(self, link: transport.Link, frame: bytes) -> None:
         """Decode a frame of an incoming link and pass it to the owner."""
@@ -89,6 +103,7 @@
         if isinstance(message, messages.CallRequest):
             self.owner.post(events.RunCall(link=number, request=message))
         elif isinstance(message, messages.CallCancel):
+            self.writer.withdraw(number, message.call_id)
             self.owner.post(
                 events.CancelCall(link=number, call_id=message.call_id),
             )
@@ -107,27 +122,25 @@
             return
         self.incoming.pop(number, None)
         self._ingresses.pop(number, None)
+        self.writer.forget(number)
         if self.owner is not None:
             self.owner.post(events.LinkClosed(link=number))
 
-    def send(self, link: transport.Link, message: object) -> None:
-        """Encode and send one message."""
-        link.send(codec.encode(message, now=self._clock()))
-
     def reply(self, reply: events.SendReply) -> None:
         """Send a result back and record when it has left."""
-        link = self.incoming.get(reply.link)
-        if link is None:
-            return
-        now = self._clock()
         delivery = answer_delivery.AnswerDelivery(
             request_id=reply.request_id,
             ingress=self._ingresses.get(reply.link, ids.InstanceId('')),
-            sent_at=now,
+            sent_at=self._clock(),
             clock=self._clock,
             histograms=self._counters.histograms,
         )
-        link.send(codec.encode(reply.message, now=now), left=delivery.finish)
+        self.writer.send_call(
+            reply.link,
+            reply.message,
+            urgency=reply.urgency,
+            left=delivery.finish,
+        )
 
     def link_to(
         self,
@@ -148,8 +161,21 @@
             # The call waited for the link, or the process was paused.
             self.refuse(call, states.RefusalReason.DEADLINE_PASSED)
         elif outgoing.link is not None:
-            outgoing.sent[call.request.call_id] = now
-            self.send(outgoing.link, call.request)
+            self.leaving.add(outgoing.number, call)
+            waits = self.writer.send_call(
+                outgoing.number,
+                call.request,
+                urgency=call.urgency,
+            )
+            if not waits:
+                self.note_sent(outgoing.number, call.request.call_id)
+
+    def note_sent(self, number: ids.LinkId, call_id: ids.CallId) -> None:
+        """Note that the last byte of a call was written."""
+        call = self.leaving.pop(number, call_id)
+        outgoing = None if call is None else self.outgoing.get(call.instance)
+        if outgoing is not None:
+            outgoing.sent[call_id] = self._clock()
 
     def refuse(
         self,
@@ -178,6 +204,7 @@
             )
             # Later calls open a new link instead of waiting for this one.
             self.outgoing.pop(outgoing.instance, None)
+            self.writer.forget(outgoing.number)
             outgoing.link.abort()
 
     def _connect(
@@ -188,11 +215,17 @@
         self.outgoing[call.instance] = outgoing
         link = transport.Link.connecting(
             path=CALL_PATH,
-            opened=functools.partial(self._opened, outgoing),
+            # Calls wait for the greeting of the other side, which follows
+            # at once: an address may by now belong to another instance.
+            opened=lambda opened: self.writer.send(
+                outgoing.number,
+                self._hello,
+            ),
             received=functools.partial(self._answered, outgoing),
             closed=functools.partial(self._lost, outgoing),
             heard=functools.partial(self._heard, outgoing),
         )
+        outgoing.number = self.writer.add(link)
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor,
             call.host,
@@ -210,15 +243,6 @@
     ) -> None:
         outgoing.heard_at = self._clock()
 
-    def _opened(
-        self,
-        outgoing: outgoing_link.OutgoingLink,
-        link: transport.Link,
-    ) -> None:
-        # Calls wait for the greeting of the other side, which follows the
-        # handshake at once: an address may by now belong to another instance.
-        self.send(link, self._hello)
-
     def _greeted(
         self,
         outgoing: outgoing_link.OutgoingLink,
@@ -244,7 +268,7 @@
         waiting = outgoing.waiting
         outgoing.waiting = []
         for notice in outgoing.notices:
-            self.send(link, notice)
+            self.writer.send(outgoing.number, notice)
         outgoing.notices = []
         for call in waiting:
             self.write_call(outgoing, call)
@@ -284,10 +308,12 @@
     ) -> None:
         if self.outgoing.get(outgoing.instance) is outgoing:
             self.outgoing.pop(outgoing.instance)
+        self.writer.forget(outgoing.number)
         if self.router is None:
             return
         # Calls still waiting were never sent, which proves them not run.
-        for call in outgoing.waiting:
+        leaving = self.leaving.pop_link(outgoing.number)
+        for call in (*outgoing.waiting, *leaving):
             self.refuse(call, states.RefusalReason.OWNER_UNREACHABLE)
         for call_id in outgoing.sent:
             self.router.post(
@@ -326,22 +352,35 @@
 @_handle.register
 def _send_cancel(message: events.SendCancel, owner: PeerLinks) -> None:
     outgoing = owner.outgoing.get(message.instance)
-    if outgoing is None:
+    if outgoing is None or _cancel_unsent(message, outgoing, owner):
         return
-    for call in outgoing.waiting:
-        if call.request.call_id == message.call_id:
-            outgoing.waiting.remove(call)
-            if message.expired:
-                owner.refuse(call, states.RefusalReason.OWNER_UNREACHABLE)
-            return
     if outgoing.link is None or message.call_id not in outgoing.sent:
         return
-    owner.send(outgoing.link, messages.CallCancel(call_id=message.call_id))
+    cancel = messages.CallCancel(call_id=message.call_id)
+    owner.writer.send(outgoing.number, cancel)
     if message.expired:
         owner.abort_if_silent(outgoing)
     outgoing.sent.pop(message.call_id, None)
 
 
+def _cancel_unsent(
+    message: events.SendCancel,
+    outgoing: outgoing_link.OutgoingLink,
+    owner: PeerLinks,
+) -> bool:
+    """Cancel a call that no owner can have run, if it is one."""
+    reason = states.RefusalReason.DEADLINE_PASSED
+    call = owner.leaving.pop(outgoing.number, message.call_id)
+    if call is None:
+        reason = states.RefusalReason.OWNER_UNREACHABLE
+        call = outgoing.take_waiting(message.call_id)
+    else:
+        owner.writer.withdraw(outgoing.number, message.call_id)
+    if call is not None and message.expired:
+        owner.refuse(call, reason)
+    return call is not None
+
+
 @_handle.register
 def _open_link(message: events.OpenLink, owner: PeerLinks) -> None:
     owner.link_to(message)
@@ -352,19 +391,41 @@
     owner.reply(message)
 
 
+@_handle.register
+def _write_fragment(message: events.WriteFragment, owner: PeerLinks) -> None:
+    owner.writer.write(message)
+    if message.kind is states.FragmentKind.LAST:
+        owner.note_sent(message.link, message.call_id)
+
+
+@_handle.register
+def _dropped(message: events.FrameDropped, owner: PeerLinks) -> None:
+    owner.writer.drop(message)
+    reason = states.RefusalReason.DEADLINE_PASSED
+    if message.link in owner.incoming:
+        owner.writer.send_call(
+            message.link,
+            messages.CallUnknown(call_id=message.call_id, reason=reason),
+        )
+        return
+    call = owner.leaving.pop(message.link, message.call_id)
+    if call is not None:
+        owner.refuse(call, reason)
+
+
 @_handle.register
 def _send_notice(message: events.SendNotice, owner: PeerLinks) -> None:
     outgoing = owner.link_to(message)
     if outgoing.link is None:
         outgoing.notices.append(message.message)
     else:
-        owner.send(outgoing.link, message.message)
+        owner.writer.send(outgoing.number, message.message)
 
 
 @_handle.register
 def _broadcast(message: events.BroadcastReply, owner: PeerLinks) -> None:
-    for link in owner.incoming.values():
-        owner.send(link, message.message)
+    for number in tuple(owner.incoming):
+        owner.writer.send(number, message.message)
 
 
 @_handle.register
--- a/medlarquay/tasks/tests/test_uplink.py
+++ b/medlarquay/tasks/tests/test_uplink.py
@@ -1,13 +1,16 @@
 """Large answers of many links on the one link of a machine."""
 
+import math
 import statistics
 
+from medlarquay import messages, states
 from medlarquay.tasks.tests import uplink_bench
 
 _ANSWERS = 8
 # Time that the link needs for one large answer.
 _ONE_S = uplink_bench.LARGE_BYTES / uplink_bench.BYTES_PER_S
 _SMALL = 99
+_SOCKET_BYTES = 32_768
 # A fragment or two may be under way when a small frame is sent.
 _SMALL_FRAME_S = 0.06
 
@@ -59,3 +62,53 @@
     bench.run(_ANSWERS * _ONE_S * 1.5)
     last = _arrivals(bench)[_ANSWERS - 1]
     assert last - started <= 3 * _ONE_S
+
+
+def test_an_answer_past_its_deadline_leaves_the_link_to_others() -> None:
+    """Guards against a link that carries answers nobody waits for."""
+    bench = uplink_bench.UplinkBench(ingresses=2)
+    started = bench.reactor.seconds()
+    for number in range(_ANSWERS):
+        bench.answer(
+            0,
+            number,
+            uplink_bench.LARGE_BYTES,
+            due=started,
+            deadline=started + 2 * _ONE_S,
+        )
+    bench.run(_ONE_S)
+    bench.answer(1, _SMALL, uplink_bench.LARGE_BYTES)
+    bench.run(_ANSWERS * _ONE_S)
+    assert _arrivals(bench)[_SMALL] - started <= 4 * _ONE_S
+    first, *others = bench.ingresses[0].results
+    assert isinstance(first, messages.CallAnswered)
+    # Nothing of an answer that was dropped on its way is delivered.
+    assert len(others) == _ANSWERS - 1
+    for told in others:
+        assert isinstance(told, messages.CallUnknown)
+        assert told.reason is states.RefusalReason.DEADLINE_PASSED
+
+
+def test_an_unknown_rate_bounds_what_waits_before_the_link() -> None:
+    """Guards against the sockets of all links filled at once."""
+    bench = uplink_bench.UplinkBench(
+        ingresses=3 * _ANSWERS,
+        bytes_per_s=math.inf,
+    )
+    for place in range(3 * _ANSWERS):
+        bench.answer(place, place, uplink_bench.LARGE_BYTES)
+    bench.run(3 * _ANSWERS * _ONE_S * 1.1)
+    assert bench.machine.most_queued <= _ANSWERS * _SOCKET_BYTES
+    assert len(_arrivals(bench)) == 3 * _ANSWERS
+
+
+def test_a_lost_link_does_not_stop_the_others() -> None:
+    """Guards against an uplink that waits for a fragment that never left."""
+    bench = uplink_bench.UplinkBench(ingresses=2)
+    bench.answer(0, 0, uplink_bench.LARGE_BYTES)
+    bench.answer(1, 1, uplink_bench.LARGE_BYTES)
+    bench.run(_ONE_S / 2)
+    bench.ingresses[0].near.connectionLost()
+    bench.run(2 * _ONE_S)
+    assert list(_arrivals(bench)) == [1]
+    assert not bench.uplink.schedule
--- a/medlarquay/transport/__init__.py
+++ b/medlarquay/transport/__init__.py
@@ -4,6 +4,7 @@
 from medlarquay.transport.caller_connection import CallerConnection
 from medlarquay.transport.caller_connections import CallerConnections
 from medlarquay.transport.factories import BuildingFactory
+from medlarquay.transport.fragment import Fragment
 from medlarquay.transport.frame_left import FrameLeft
 from medlarquay.transport.header_names import HeaderNames
 from medlarquay.transport.http_text import HOP_BY_HOP, format_answer
@@ -15,6 +16,7 @@
     'BuildingFactory',
     'CallerConnection',
     'CallerConnections',
+    'Fragment',
     'FrameLeft',
     'HeaderNames',
     'Link',
--- a/medlarquay/transport/fragment.py
+++ b/medlarquay/transport/fragment.py
@@ -3,19 +3,15 @@
 import dataclasses
 import struct
 
-from medlarquay import errors
+from medlarquay import errors, ids, states
 
-__all__ = ('FRAGMENT_BYTES', 'Fragment', 'is_fragment')
+__all__ = ('Fragment', 'is_fragment')
 
 # A frame is a CBOR array, whose first byte is never zero.
 _MARKER = 0
-_HEADER = struct.Struct('>BI?')
+_HEADER = struct.Struct('>BIB')
 _STEP = 'decode fragment'
 
-# At 4,000 Mbit/s shared by many links one fragment delays a small frame by
-# well under a millisecond.
-FRAGMENT_BYTES = 32768
-
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class Fragment:
@@ -23,16 +19,16 @@
 
     Attributes
     ----------
-    stream : int
-        Number of the large frame on its link.
-    last : bool
-        Whether it is the last part.
+    stream : StreamId
+        Number of the large frame at its sender.
+    kind : FragmentKind
+        Whether the frame goes on, ends or was dropped.
     content : bytes
         Part of the frame.
     """
 
-    stream: int
-    last: bool
+    stream: ids.StreamId
+    kind: states.FragmentKind
     content: bytes
 
     @classmethod
@@ -45,7 +41,7 @@
             If the header is truncated or malformed.
         """
         try:
-            marker, stream, last = _HEADER.unpack_from(frame)
+            marker, stream, kind = _HEADER.unpack_from(frame)
         except struct.error as cause:
             raise errors.DecodeError(
                 'fragment header is truncated',
@@ -53,14 +49,27 @@
             ) from cause
         if marker != _MARKER:
             raise errors.DecodeError('frame is no fragment', step=_STEP)
-        return cls(stream=stream, last=last, content=frame[_HEADER.size :])
+        return cls(
+            stream=ids.StreamId(stream),
+            kind=_kind_of(kind),
+            content=frame[_HEADER.size :],
+        )
 
     def encode(self) -> bytes:
         """Return the fragment as one frame."""
-        header = _HEADER.pack(_MARKER, self.stream, self.last)
+        header = _HEADER.pack(_MARKER, self.stream, self.kind.value)
         return header + self.content
 
 
 def is_fragment(frame: bytes) -> bool:
     """Tell fragments from whole frames."""
     return frame[:1] == bytes((_MARKER,))
+
+
+def _kind_of(number: int) -> states.FragmentKind:
+    try:
+        return states.FragmentKind(number)
+    except ValueError as cause:
+        raise errors.DecodeError(
+            'unknown kind of fragment', step=_STEP
+        ) from cause
--- a/medlarquay/transport/fragment_assembler.py
+++ b/medlarquay/transport/fragment_assembler.py
@@ -1,6 +1,6 @@
 """Assembly of large frames from their fragments."""
 
-from medlarquay import errors
+from medlarquay import errors, ids, states
 from medlarquay.transport import fragment
 
 __all__ = ('FragmentAssembler',)
@@ -20,8 +20,8 @@
     """
 
     def __init__(self, *, max_frame_bytes: int) -> None:
-        self._parts: dict[int, list[bytes]] = {}
-        self._sizes: dict[int, int] = {}
+        self._parts: dict[ids.StreamId, list[bytes]] = {}
+        self._sizes: dict[ids.StreamId, int] = {}
         self._max_frame_bytes = max_frame_bytes
 
     def add(self, part: fragment.Fragment) -> bytes | None:
@@ -32,6 +32,9 @@
         FrameTooLargeError
             If a frame, or the number of frames under way, exceeds its limit.
         """
+        if part.kind is states.FragmentKind.ABORT:
+            self._discard(part.stream)
+            return None
         size = self._sizes.get(part.stream, 0) + len(part.content)
         if size > self._max_frame_bytes:
             raise errors.FrameTooLargeError(
@@ -46,7 +49,11 @@
             )
         parts.append(part.content)
         self._sizes[part.stream] = size
-        if not part.last:
+        if part.kind is states.FragmentKind.PART:
             return None
-        self._sizes.pop(part.stream)
-        return b''.join(self._parts.pop(part.stream))
+        self._discard(part.stream)
+        return b''.join(parts)
+
+    def _discard(self, stream: ids.StreamId) -> None:
+        self._sizes.pop(stream, None)
+        self._parts.pop(stream, None)
--- a/medlarquay/transport/frame_watch.py
+++ b/medlarquay/transport/frame_watch.py
@@ -23,8 +23,6 @@
 
     def __init__(self) -> None:
         self._written = 0
-        # Frames that are written in part, by the number of their stream.
-        self._streams: dict[int, departure.Departure] = {}
         self._pending: collections.deque[tuple[int, departure.Departure]] = (
             collections.deque()
         )
@@ -38,8 +36,6 @@
         frame: bytes,
         observer: _Observer | None,
         transport: interfaces.ITransport,
-        *,
-        queued_bytes: int,
     ) -> departure.Departure | None:
         """Note what waits before a frame; None if nobody observes it.
 
@@ -51,14 +47,12 @@
             Receives ``FrameLeft``.
         transport : ITransport
             Connection.
-        queued_bytes : int
-            Bytes of earlier frames that were not written yet.
         """
         if observer is None:
             return None
         return departure.Departure(
             frame_bytes=len(frame),
-            ahead_bytes=queued_bytes + send_buffer.waiting_bytes(transport),
+            ahead_bytes=send_buffer.waiting_bytes(transport),
             report=observer,
         )
 
@@ -66,15 +60,6 @@
         """Count bytes written to the connection."""
         self._written += length
 
-    def queue(self, stream: int, leaving: departure.Departure | None) -> None:
-        """Observe a frame that is written in parts."""
-        if leaving is not None:
-            self._streams[stream] = leaving
-
-    def end(self, stream: int, transport: interfaces.ITransport) -> None:
-        """Note that the last part of a frame was written just now."""
-        self.written(self._streams.pop(stream, None), transport)
-
     def written(
         self,
         leaving: departure.Departure | None,
@@ -98,8 +83,6 @@
     def lose(self) -> None:
         """Report the frames that did not leave before the link was lost."""
         lost = [leaving for _, leaving in self._pending]
-        lost.extend(self._streams.values())
         self._pending.clear()
-        self._streams.clear()
         for leaving in lost:
             leaving.lose()
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -13,7 +13,6 @@
 from medlarquay.transport import (
     fragment,
     fragment_assembler,
-    fragment_queue,
     frame_left,
     frame_watch,
     prompt_write,
@@ -30,8 +29,8 @@
 class Link(protocol.Protocol):
     """Carries binary frames over the sans-IO ``websockets`` library.
 
-    Large frames are sent in fragments, each when the socket has taken the
-    one before, so that small frames are never queued behind a large one.
+    Fragments of large frames may be sent between other frames; the receiver
+    delivers whole frames only.
 
     Parameters
     ----------
@@ -61,7 +60,6 @@
         self._heard = heard
         self._path = ''
         self._continued: list[bytes] = []
-        self._large_frames = fragment_queue.FragmentQueue()
         self._watch = frame_watch.FrameWatch()
         self._producing = False
         self._lost = False
@@ -154,22 +152,15 @@
         ordered : bool
             Whether no later frame may overtake this one, as on control
             links, where a heartbeat confirms the records sent before it.
+            Frames are always sent in order.
         left : callable, optional
             Receives ``FrameLeft`` once the kernel has taken the last byte,
             possibly within this call, or the link was lost before.
         """
-        leaving = self._watch.begin(
-            frame,
-            left,
-            self.transport,
-            queued_bytes=self._large_frames.waiting_bytes,
-        )
+        leaving = self._watch.begin(frame, left, self.transport)
         if self._lost or self._engine.state is not ws_protocol.OPEN:
             if leaving is not None:
                 leaving.lose()
-        elif len(frame) > fragment.FRAGMENT_BYTES and not ordered:
-            self._watch.queue(self._large_frames.append(frame), leaving)
-            self._produce()
         else:
             self._engine.send_binary(frame)
             self._flush()
@@ -181,21 +172,14 @@
         self.transport.loseConnection()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Send the next fragment; called when the socket took the last."""
+        """Report what has left; called when the buffer is empty."""
         self._watch.settle(self.transport)
-        if self._large_frames and self._engine.state is ws_protocol.OPEN:
-            part = self._large_frames.take()
-            self._engine.send_binary(part.encode())
-            self._flush()
-            if part.last:
-                self._watch.end(part.stream, self.transport)
-        if not self._large_frames and not self._watch:
+        if self._producing and not self._watch:
             self._producing = False
             self.transport.unregisterProducer()
 
     def stopProducing(self) -> None:  # noqa: N802
-        """Drop the fragments that wait; the connection is lost."""
-        self._large_frames = fragment_queue.FragmentQueue()
+        """Report what did not leave; the connection is lost."""
         self._watch.lose()
 
     def abort(self) -> None:
@@ -244,8 +228,7 @@
 
     def _produce(self) -> None:
         # The transport tells only its producer that its buffer is empty.
-        wanted = self._large_frames or self._watch
-        if wanted and not self._producing:
+        if self._watch and not self._producing:
             self._producing = True
             self.transport.registerProducer(self, False)  # noqa: FBT003
 
