--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -13,7 +13,6 @@
 from medlarquay.transport import (
     fragment,
     fragment_assembler,
-    fragment_queue,
     frame_left,
     frame_watch,
     prompt_write,
@@ -22,12 +21,16 @@
 __all__ = ('Link',)
 
 
+def _ignore(link: 'Link') -> None:
+    """Take no notice of bytes that arrive."""
+
+
 @implementer(interfaces.IPullProducer)
 class Link(protocol.Protocol):
     """Carries binary frames over the sans-IO ``websockets`` library.
 
-    Large frames are sent in fragments, each when the socket has taken the
-    one before, so that small frames are never queued behind a large one.
+    Fragments of large frames may be sent between other frames; the receiver
+    delivers whole frames only.
 
     Parameters
     ----------
@@ -37,6 +40,8 @@
     opened, received, closed : callable
         Receive this link (and the frame) when the handshake completes, for
         each frame, and once when the link is lost.
+    heard : callable
+        Receives this link whenever bytes arrive, also within a frame.
     """
 
     def __init__(
@@ -46,14 +51,15 @@
         opened: Callable[['Link'], None],
         received: Callable[['Link', bytes], None],
         closed: Callable[['Link'], None],
+        heard: Callable[['Link'], None] = _ignore,
     ) -> None:
         self._engine = engine
         self._opened = opened
         self._received = received
         self._closed = closed
+        self._heard = heard
         self._path = ''
         self._continued: list[bytes] = []
-        self._large_frames = fragment_queue.FragmentQueue()
         self._watch = frame_watch.FrameWatch()
         self._producing = False
         self._lost = False
@@ -85,6 +91,7 @@
         opened: Callable[['Link'], None],
         received: Callable[['Link', bytes], None],
         closed: Callable[['Link'], None],
+        heard: Callable[['Link'], None] = _ignore,
     ) -> 'Link':
         """Return the connecting side of a link."""
         target = uri.parse_uri(f'ws://node{path}')
@@ -96,6 +103,7 @@
             opened=opened,
             received=received,
             closed=closed,
+            heard=heard,
         )
         link._path = path  # noqa: SLF001
         return link
@@ -114,6 +122,7 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed received bytes and deliver the frames they complete."""
+        self._heard(self)
         self._engine.receive_data(data)
         for event in self._engine.events_received():
             self._handle(event)
@@ -143,22 +152,15 @@
         ordered : bool
             Whether no later frame may overtake this one, as on control
             links, where a heartbeat confirms the records sent before it.
+            Frames are always sent in order.
         left : callable, optional
             Receives ``FrameLeft`` once the kernel has taken the last byte,
             possibly within this call, or the link was lost before.
         """
-        leaving = self._watch.begin(
-            frame,
-            left,
-            self.transport,
-            queued_bytes=self._large_frames.waiting_bytes,
-        )
+        leaving = self._watch.begin(frame, left, self.transport)
         if self._lost or self._engine.state is not ws_protocol.OPEN:
             if leaving is not None:
                 leaving.lose()
-        elif len(frame) > fragment.FRAGMENT_BYTES and not ordered:
-            self._watch.queue(self._large_frames.append(frame), leaving)
-            self._produce()
         else:
             self._engine.send_binary(frame)
             self._flush()
@@ -170,21 +172,14 @@
         self.transport.loseConnection()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Send the next fragment; called when the socket took the last."""
+        """Report what has left; called when the buffer is empty."""
         self._watch.settle(self.transport)
-        if self._large_frames and self._engine.state is ws_protocol.OPEN:
-            part = self._large_frames.take()
-            self._engine.send_binary(part.encode())
-            self._flush()
-            if part.last:
-                self._watch.end(part.stream, self.transport)
-        if not self._large_frames and not self._watch:
+        if self._producing and not self._watch:
             self._producing = False
             self.transport.unregisterProducer()
 
     def stopProducing(self) -> None:  # noqa: N802
-        """Drop the fragments that wait; the connection is lost."""
-        self._large_frames = fragment_queue.FragmentQueue()
+        """Report what did not leave; the connection is lost."""
         self._watch.lose()
 
     def abort(self) -> None:
@@ -233,8 +228,7 @@
 
     def _produce(self) -> None:
         # The transport tells only its producer that its buffer is empty.
-        wanted = self._large_frames or self._watch
-        if wanted and not self._producing:
+        if self._watch and not self._producing:
             self._producing = True
             self.transport.registerProducer(self, False)  # noqa: FBT003
 
