Measure the lag of the event loop and name the longest handler

Whether a node of 0.43 of a core answers late because its loop is busy, because it is not scheduled, or because of the network could not be told from its log.

A timer fires every 0.1 s; its lateness goes to medlarquay_loop_lag_seconds. At 0.1 s or more one line gives the lag, the processor time of the process in that period (far less than the lag: it was not scheduled) and the task and message of the longest handler, without the handlers that ran within it. A task measures each handler with two readings of the clock and keeps the longest only; the line is bounded to five a second by its own condition.

--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -19,6 +19,7 @@
 from medlarquay.daemon import deployment as deployments
 from medlarquay.tasks import (
     connector,
+    loop_watch,
     peer_links,
     peer_listener,
     readiness,
@@ -117,5 +118,11 @@
         reactor=reactor,
         target=life,
     )
+    watch = loop_watch.LoopWatch(
+        reactor=reactor,
+        clock=clock,
+        histograms=observed.counters.histograms,
+    )
+    watch.start()
     distributing.start()
     return distributing
--- /dev/null
+++ b/medlarquay/tasks/loop_watch.py
@@ -0,0 +1,93 @@
+"""The task that measures how late the event loop is."""
+
+import time
+from collections.abc import Callable
+
+from twisted.internet import interfaces
+
+from medlarquay import events, telemetry
+from medlarquay.tasks import alarm, handler_times, task
+
+__all__ = ('LoopWatch',)
+
+# A busy turn is seen if it lasts longer than this and the reported lag.
+_PERIOD_S = 0.1
+_REPORTED_S = 0.1
+_MS_PER_SECOND = 1000
+
+
+class LoopWatch(task.Task):
+    """Measures how late a timer fires, and names what was busy.
+
+    Parameters
+    ----------
+    reactor : IReactorTime
+        Schedules the timer.
+    clock : callable
+        Returns seconds on the monotonic clock.
+    histograms : Histograms
+        Takes the lag.
+    handlers : HandlerTimes, optional
+        Knows the longest handler; that of all tasks of the process if left
+        out.
+    processor_clock : callable, optional
+        Returns the seconds of processor time that the process has used.
+
+    Notes
+    -----
+    A line that shows far less processor time than lag tells of a process
+    that was not scheduled, and one whose longest handler is far below the
+    processor time of work outside handlers, such as reading from sockets.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTime,
+        clock: Callable[[], float],
+        histograms: telemetry.Histograms,
+        handlers: handler_times.HandlerTimes | None = None,
+        processor_clock: Callable[[], float] = time.process_time,
+    ) -> None:
+        super().__init__(name='loop')
+        self._clock = clock
+        self._histograms = histograms
+        self._handlers = handlers or task.HANDLER_TIMES
+        self._processor_clock = processor_clock
+        self._processor_s: float = 0
+        self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
+
+    def start(self) -> None:
+        """Begin to measure."""
+        self._begin_period()
+
+    def receive(self, message: object) -> None:
+        """Handle one message."""
+        if isinstance(message, events.Tick):
+            self._measure(message)
+            self._begin_period()
+
+    def _begin_period(self) -> None:
+        self._handlers.take()
+        self._processor_s = self._processor_clock()
+        self._alarm.wake_at(self._clock() + _PERIOD_S)
+
+    def _measure(self, tick: events.Tick) -> None:
+        self._histograms.loop_lag.observe(max(0, tick.late))
+        if tick.late < _REPORTED_S:
+            return
+        longest = self._handlers.take()
+        self._log.warning(
+            telemetry.format_fields(
+                lag_ms=_ms(tick.late),
+                period_ms=_ms(tick.late + _PERIOD_S),
+                processor_ms=_ms(self._processor_clock() - self._processor_s),
+                longest_ms=_ms(longest.seconds),
+                task=longest.task or None,
+                message=longest.message,
+            ),
+        )
+
+
+def _ms(seconds: float) -> int:
+    return round(seconds * _MS_PER_SECOND)
--- a/medlarquay/tasks/task.py
+++ b/medlarquay/tasks/task.py
@@ -5,7 +5,12 @@
 
 import logbook
 
-__all__ = ('Task',)
+from medlarquay.tasks import handler_times
+
+__all__ = ('HANDLER_TIMES', 'Task')
+
+#: Handlers of all tasks, which share the one event loop of the process.
+HANDLER_TIMES = handler_times.HandlerTimes()
 
 
 class Task(abc.ABC):
@@ -27,13 +32,14 @@
 
     def __init__(self, *, name: str) -> None:
         self._log = logbook.Logger(name)
+        self._name = name
         self._queue: collections.deque[object] = collections.deque()
         self._busy = False
 
     @property
     def name(self) -> str:
         """Name of the task."""
-        return str(self._log.name)
+        return self._name
 
     def post(self, message: object) -> None:
         """Deliver a message to the task.
@@ -60,7 +66,7 @@
         while self._queue:
             message = self._queue.popleft()
             try:
-                self.receive(message)
+                HANDLER_TIMES.run(self.receive, message, self._name)
             except Exception:
                 # A fault in one message must not end the task: the state of
                 # other calls is still needed to answer their callers.
