Log each applied change of the configuration with its age and cost

The line in force named revisions only. How old a change was when it came into force, how many bytes it took on the link to this node and how long the node needed for it had to be guessed from the clocks of several nodes.

A peer's message does not say when the source confirmed this change, so age_ms of a change from a peer is the age of the latest confirmation.

--- a/bench/control_mesh.py
+++ b/bench/control_mesh.py
@@ -18,7 +18,7 @@
 _TEAMS = 40
 _SERVICES = 12
 _IN_FORCE = re.compile(
-    r'(\d\d:\d\d:\d\d\.\d+).*in force: tree revision (\d+)',
+    r'(\d\d:\d\d:\d\d\.\d+).*configuration: tree_revision=(\d+)',
 )
 _POLL_S = 0.05
 
--- a/medlarquay/events/documents_read.py
+++ b/medlarquay/events/documents_read.py
@@ -26,6 +26,8 @@
         history after that revision sends.
     asked_at : float
         When the read was sent, seconds on the monotonic clock.
+    wire_bytes : int
+        Length of the answer.
     """
 
     tree: replica.SourceTree
@@ -34,3 +36,4 @@
     entries: tuple[replica.SourceValue, ...]
     asked_at: float
     whole: bool = False
+    wire_bytes: int = 0
--- a/medlarquay/events/records_received.py
+++ b/medlarquay/events/records_received.py
@@ -17,7 +17,14 @@
         Address of the peer.
     delta : replica.Delta
         Records that it sent.
+    wire_bytes : int
+        Length of the message.
+    received_at : float or None
+        When it arrived, before it was decoded, seconds on the monotonic
+        clock; None if that was not noted.
     """
 
     peer: str
     delta: replica.Delta
+    wire_bytes: int = 0
+    received_at: float | None = None
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -1,6 +1,7 @@
 """Enumerated states and reasons."""
 
 from medlarquay.states.backend_state import BackendState
+from medlarquay.states.change_origin import ChangeOrigin
 from medlarquay.states.dropped_message import DroppedMessage
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.node_part import NodePart
@@ -17,6 +18,7 @@
 from medlarquay.states.unanswered import Unanswered
 
 __all__ = (
+    'ChangeOrigin',
     'DroppedMessage',
     'ParentFault',
     'ReadingMode',
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -11,7 +11,12 @@
     states,
     telemetry,
 )
-from medlarquay.tasks import alarm, snapshot_builder, task
+from medlarquay.tasks import (
+    alarm,
+    received_change,
+    snapshot_builder,
+    task,
+)
 
 __all__ = ('Configuration',)
 
@@ -68,11 +73,16 @@
         self._guard = replica.LapseGuard()
         # Whether the replica holds what the last snapshot does not.
         self._unpublished = False
+        self._received: received_change.ReceivedChange | None = None
 
     def receive(self, message: object) -> None:
         """Handle one message."""
         _handle(message, self)
 
+    def now(self) -> float:
+        """Return seconds on the monotonic clock."""
+        return self._clock()
+
     def start(self) -> None:
         """Begin to check the freshness regularly."""
         self._alarm.wake_at(self._clock() + _CHECK_S)
@@ -89,10 +99,20 @@
             self._tell_freshness()
         if self._builder.release(tick.now):
             self._unpublished = True
+            self._received = self._received or received_change.ReceivedChange(
+                origin=states.ChangeOrigin.HELD,
+                received_at=tick.now,
+                confirmed_at=self.freshness.confirmed_at,
+            )
         self._publish_when_allowed()
         self._alarm.wake_at(tick.now + _CHECK_S)
 
-    def take_change(self, change: replica.Change) -> None:
+    def take_change(
+        self,
+        change: replica.Change,
+        received: received_change.ReceivedChange,
+        wire_bytes: int,
+    ) -> None:
         """Count what was not applied and pass on what was."""
         for note in change.notes:
             self.counters.increment(note)
@@ -101,6 +121,10 @@
         if not change.anything:
             return
         self._unpublished = True
+        if self._received is not None:
+            received.continue_after(self._received)
+        received.add(change, wire_bytes)
+        self._received = received
         self._builder.note(
             change,
             hold_until=self._guard.hold_until(
@@ -143,15 +167,19 @@
             self._publish()
 
     def _publish(self) -> None:
-        vector = self.replica.vector
         snapshot = self._builder.build(self.replica)
-        self._log.info(
-            'in force: tree revision {}, list revision {}',
-            vector.tree_revision,
-            vector.list_revision,
-        )
         for subscriber in self._subscribers:
             subscriber.post(events.SnapshotReplaced(snapshot=snapshot))
+        self._report_applied()
+
+    def _report_applied(self) -> None:
+        received = self._received
+        if received is None:
+            return
+        self._received = None
+        now = self._clock()
+        received.measure(self.counters.histograms, now)
+        self._log.info(received.describe(self.replica.vector, now))
 
 
 @functools.singledispatch
@@ -166,6 +194,7 @@
 
 @_handle.register
 def _read(message: events.DocumentsRead, configuration: Configuration) -> None:
+    started_at = configuration.now()
     change = replica.apply_source(
         configuration.replica,
         tree=message.tree,
@@ -174,7 +203,15 @@
         entries=message.entries,
         whole=message.whole,
     )
-    configuration.take_change(change)
+    configuration.take_change(
+        change,
+        received_change.ReceivedChange(
+            origin=states.ChangeOrigin.SOURCE,
+            received_at=started_at,
+            confirmed_at=message.asked_at,
+        ),
+        message.wire_bytes,
+    )
     if states.ReplicaEvent.SOURCE_STALE in change.notes:
         return
     # Both trees have to be confirmed, so the older of the two reads counts.
@@ -189,8 +226,19 @@
     message: events.RecordsReceived,
     configuration: Configuration,
 ) -> None:
+    received_at = message.received_at
+    if received_at is None:
+        received_at = configuration.now()
     change = configuration.replica.apply_delta(message.delta)
-    configuration.take_change(change)
+    configuration.take_change(
+        change,
+        received_change.ReceivedChange(
+            origin=states.ChangeOrigin.PEER,
+            received_at=received_at,
+            confirmed_at=configuration.freshness.confirmed_at,
+        ),
+        message.wire_bytes,
+    )
 
 
 @_handle.register
--- a/medlarquay/tasks/followed.py
+++ b/medlarquay/tasks/followed.py
@@ -40,6 +40,9 @@
     refetched : bytes
         Digest for which all records were requested; they are requested once
         for each digest, because a conflict would not be resolved by more.
+    heard_at, heard_bytes : float, int
+        Arrival of the latest frame, seconds on the monotonic clock, and its
+        length.
     """
 
     parent: topology.Peer
@@ -50,6 +53,8 @@
     probes: dict[int, float] = dataclasses.field(default_factory=dict)
     fault: states.ParentFault = states.ParentFault.CLOSED
     refetched: bytes = b''
+    heard_at: float = 0
+    heard_bytes: int = 0
 
     @classmethod
     def start(cls, parent: topology.Peer, *, now: float) -> 'Followed':
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -193,11 +193,13 @@
         if link not in {self.current, self.next}:
             return
         parent = link.state.parent
+        link.state.heard_at = self._clock()
+        link.state.heard_bytes = len(frame)
         self.link_bytes.count_received(parent.region, len(frame))
         try:
             message = codec.decode(
                 frame,
-                now=self._clock(),
+                now=link.state.heard_at,
                 peer=parent.address,
             )
         except errors.DecodeError as failure:
@@ -276,6 +278,8 @@
             events.RecordsReceived(
                 peer=link.state.parent.address,
                 delta=message.delta,
+                wire_bytes=link.state.heard_bytes,
+                received_at=link.state.heard_at,
             ),
         )
 
--- a/medlarquay/tasks/source_fetcher.py
+++ b/medlarquay/tasks/source_fetcher.py
@@ -99,6 +99,7 @@
         entries=entries,
         whole=whole,
         asked_at=asked_at,
+        wire_bytes=len(content),
     )
 
 
