--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -1,6 +1,7 @@
 """Enumerated states and reasons."""
 
 from medlarquay.states.backend_state import BackendState
+from medlarquay.states.change_origin import ChangeOrigin
 from medlarquay.states.dropped_message import DroppedMessage
 from medlarquay.states.fragment_kind import FragmentKind
 from medlarquay.states.instance_state import InstanceState
@@ -18,6 +19,7 @@
 from medlarquay.states.unanswered import Unanswered
 
 __all__ = (
+    'ChangeOrigin',
     'DroppedMessage',
     'FragmentKind',
     'ParentFault',
