Count the relay's frames against the link of the machine

Records and heartbeats to children share the link with large answers, but only frames of call links were counted, so that a change sent to eight children was followed by fragments as if the link were free. The relay reports the bytes of each frame to the uplink. Frames of the follower and of the survey are some ten bytes and stay uncounted; records are written whole, so a large one still delays what is sent after it.

Evidence: test_control_bytes failed before.

--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -25,6 +25,8 @@
 
     Attributes
     ----------
+    uplink : Uplink
+        Shares the link of the machine.
     links : PeerLinks
         Call links to and from other nodes.
     owner : Owner
@@ -35,6 +37,7 @@
         Connections of callers.
     """
 
+    uplink: uplink.Uplink
     links: peer_links.PeerLinks
     owner: owner.Owner
     router: router.Router
@@ -80,4 +83,10 @@
     own.router = routing
     links.router = routing
     links.owner = own
-    return CallPath(links=links, owner=own, router=routing, callers=callers)
+    return CallPath(
+        uplink=sharing,
+        links=links,
+        owner=own,
+        router=routing,
+        callers=callers,
+    )
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -93,6 +93,7 @@
             counters=observed.counters,
         ),
     )
+    distributing.relay.uplink = path.uplink
     peers = peer_listener.PeerListener(
         acceptors={
             peer_links.CALL_PATH: path.links,
--- a/medlarquay/tasks/relay.py
+++ b/medlarquay/tasks/relay.py
@@ -51,6 +51,7 @@
         super().__init__(name='relay')
         self.configuration: task.Task | None = None
         self.membership: task.Task | None = None
+        self.uplink: task.Task | None = None
         self.link_bytes = telemetry.LinkBytes()
         self.children: dict[ids.LinkId, child.Child] = {}
         self.held = events.ReplicaChanged(
@@ -188,6 +189,8 @@
         """Send one frame to a child."""
         self.link_bytes.count_sent(found.region, len(frame))
         found.link.send(frame, ordered=True)
+        if self.uplink is not None:
+            self.uplink.post(events.BytesSent(length=len(frame)))
 
 
 def _count(children: Iterable[child.Child]) -> int:
