Read what the link of the machine carries

A node knew nothing of the bandwidth of its machine, so neither admission nor the sending of large frames could take it into account. Nothing uses the value yet.

Evidence: tests of both readers, among them the unit and a missing field; pytest medlarquay/daemon medlarquay/platform passes.

--- a/medlarquay/daemon/checks.py
+++ b/medlarquay/daemon/checks.py
@@ -5,10 +5,11 @@
 import re
 from urllib.parse import SplitResult, urlsplit
 
-from medlarquay import telemetry
+from medlarquay import telemetry, units
 
 __all__ = (
     'ip_address',
+    'link_rate',
     'log_level',
     'name',
     'seconds',
@@ -58,6 +59,19 @@
     return found
 
 
+def link_rate(text: str, *, low: float) -> float:
+    """Return bytes a second for a text in Mbit/s, at least ``low``."""
+    rule = f'must be {low:g} Mbit/s or more, or inf'
+    try:
+        found = float(text)
+    except ValueError as cause:
+        raise ValueError(rule) from cause
+    # NaN is not above anything.
+    if found >= low:
+        return found * units.BYTES_PER_MEGABIT
+    raise ValueError(rule)
+
+
 def log_level(text: str) -> str:
     """Return a log level."""
     if text in telemetry.LOG_LEVELS:
--- a/medlarquay/daemon/node_settings.py
+++ b/medlarquay/daemon/node_settings.py
@@ -34,6 +34,9 @@
         the same on all nodes.
     drain_timeout_s : float
         Longest time for a graceful stop, in seconds.
+    link_bytes_per_s : float
+        What the link of the machine carries, in bytes a second; infinite when
+        unknown.
     log_level : str
         Least level of the log lines that are written.
     """
@@ -51,4 +54,5 @@
     seed: tuple[addresses.NodeAddress, ...]
     key_retention_s: float
     drain_timeout_s: float
+    link_bytes_per_s: float
     log_level: str
--- a/medlarquay/daemon/setting.py
+++ b/medlarquay/daemon/setting.py
@@ -25,6 +25,9 @@
         Text of the default; None if the setting is required.
     repeated : bool
         Whether the flag may occur several times.
+    attribute : str
+        Attribute of ``NodeSettings`` if it is not named after the flag, as
+        when its unit differs.
     """
 
     name: str
@@ -32,6 +35,7 @@
     summary: str
     default: str | None = None
     repeated: bool = False
+    attribute: str = ''
 
     @property
     def flag(self) -> str:
@@ -41,9 +45,13 @@
     @property
     def variable(self) -> str:
         """Environment variable."""
-        return _PREFIX + self.field.upper()
+        return _PREFIX + self._identifier.upper()
 
     @property
     def field(self) -> str:
         """Field of ``NodeSettings``."""
+        return self.attribute or self._identifier
+
+    @property
+    def _identifier(self) -> str:
         return self.name.replace('-', '_')
--- a/medlarquay/daemon/setting_list.py
+++ b/medlarquay/daemon/setting_list.py
@@ -11,6 +11,7 @@
 _MIN_RETENTION_S = 1
 _MAX_RETENTION_S = 86400
 _MAX_DRAIN_S = 3600
+_MIN_LINK_MBPS = 0.1
 
 SETTINGS = (
     setting.Setting(
@@ -86,6 +87,13 @@
         summary='longest time for a graceful stop',
         default='30',
     ),
+    setting.Setting(
+        name='link-mbps',
+        check=functools.partial(checks.link_rate, low=_MIN_LINK_MBPS),
+        summary='what the link of the machine carries, in Mbit/s',
+        default='inf',
+        attribute='link_bytes_per_s',
+    ),
     setting.Setting(
         name='log-level',
         check=checks.log_level,
--- a/medlarquay/daemon/tests/test_settings.py
+++ b/medlarquay/daemon/tests/test_settings.py
@@ -1,5 +1,6 @@
 """Settings from flags and environment variables."""
 
+import math
 from types import MappingProxyType
 
 import pytest
@@ -43,6 +44,7 @@
         '10.0.0.2:8001',
     ]
     assert (found.key_retention_s, found.drain_timeout_s) == (600, 30)
+    assert math.isinf(found.link_bytes_per_s)
 
 
 def test_flag_takes_precedence_over_variable() -> None:
@@ -52,6 +54,13 @@
     assert found.seed == (addresses.NodeAddress(host='::1', port=1),)
 
 
+def test_link_rate_is_converted_to_bytes() -> None:
+    """Guards against a rate in Mbit/s that is taken for bytes."""
+    variable = {'MEDLARQUAY_LINK_MBPS': '3.5'}
+    assert _parse('--link-mbps', '8').link_bytes_per_s == 1_000_000
+    assert _parse(**variable).link_bytes_per_s == 437_500
+
+
 @pytest.mark.parametrize(
     ('name', 'text', 'rule'),
     [
@@ -68,6 +77,8 @@
         ('seed', 'localhost:1', 'localhost'),
         ('key-retention-s', '0', 'must be 1 to 86400'),
         ('drain-timeout-s', 'nan', 'must be 0 to 3600'),
+        ('link-mbps', '0', 'must be 0.1 Mbit/s or more'),
+        ('link-mbps', 'nan', 'must be 0.1 Mbit/s or more'),
         ('log-level', 'loud', 'must be one of'),
     ],
 )
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -48,6 +48,7 @@
         seed=(),
         key_retention_s=_KEY_RETENTION_S,
         drain_timeout_s=own.drain_timeout_s - _STOP_MARGIN_S,
+        link_bytes_per_s=own.link_bytes_per_s,
         log_level='info',
     )
 
--- a/medlarquay/platform/platform_settings.py
+++ b/medlarquay/platform/platform_settings.py
@@ -29,6 +29,9 @@
         Service of the backend server beside the node.
     drain_timeout_s : float
         Time from SIGTERM to SIGKILL, in seconds.
+    link_bytes_per_s : float
+        What the link of the machine carries, in bytes a second; infinite if
+        the file states none.
     fleet_burst : int or None
         Repeated requests that all nodes together may send to one service
         beyond a share of its requests; None if the file states none.
@@ -46,4 +49,5 @@
     admin_port: int
     service: ids.ServiceName
     drain_timeout_s: float
+    link_bytes_per_s: float
     fleet_burst: int | None = None
--- a/medlarquay/platform/settings_file.py
+++ b/medlarquay/platform/settings_file.py
@@ -1,9 +1,10 @@
 """Reading of the platform's settings file."""
 
+import math
 import pathlib
 from collections.abc import Mapping
 
-from medlarquay import addresses, errors, ids
+from medlarquay import addresses, errors, ids, units
 from medlarquay.platform import duration, platform_settings
 
 __all__ = ('PATH_VARIABLE', 'parse_settings', 'read_settings')
@@ -15,6 +16,7 @@
 _ZONE_PREFIX = 'zones.'
 _GRACE = 'grace'
 _EXTRA = 'budget_extra'
+_LINK_RATE = 'limits.link_mbps'
 _MAX_DIGITS = 9
 # Used when the file states no time between SIGTERM and SIGKILL.
 _DEFAULT_GRACE = '6s'
@@ -72,6 +74,7 @@
         admin_port=high,
         service=ids.ServiceName(_text(fields, 'service')),
         drain_timeout_s=_grace_s(bounds),
+        link_bytes_per_s=_link_bytes_per_s(fields),
         fleet_burst=_fleet_burst(bounds),
     )
 
@@ -126,6 +129,19 @@
     return found / _MS_PER_SECOND
 
 
+def _link_bytes_per_s(fields: Mapping[str, str]) -> float:
+    text = fields.get(_LINK_RATE)
+    if text is None:
+        return math.inf
+    try:
+        found = float(text)
+    except ValueError as cause:
+        raise _error(_LINK_RATE, text, 'must be a number') from cause
+    if found > 0:
+        return found * units.BYTES_PER_MEGABIT
+    raise _error(_LINK_RATE, text, 'must be above 0')
+
+
 def _fleet_burst(bounds: Mapping[str, str]) -> int | None:
     text = bounds.get(_EXTRA)
     if text is None:
--- a/medlarquay/platform/tests/test_settings_file.py
+++ b/medlarquay/platform/tests/test_settings_file.py
@@ -1,5 +1,7 @@
 """Tests of the settings file."""
 
+import math
+
 import pytest
 
 from medlarquay import errors
@@ -15,6 +17,7 @@
     'bind.outbound=10.1.0.41:8629',
     'bind.readiness=10.1.0.41:8625',
     'internal_ports=7600,7615',
+    'limits.link_mbps=3.5',
     'bounds=drain=2500ms,grace=6s',
     'app_addr=10.1.0.41:8628',
     'service=desk',
@@ -39,7 +42,7 @@
     assert str(found.callers) == '10.1.0.41:8629'
     assert str(found.backend) == '10.1.0.41:8628'
     assert str(found.store) == '10.200.1.7:8627'
-    assert found.drain_timeout_s == 6
+    assert (found.drain_timeout_s, found.link_bytes_per_s) == (6, 437_500)
 
 
 def test_unknown_fields_and_other_lines_are_ignored() -> None:
@@ -48,6 +51,13 @@
     assert settings_file.parse_settings(content).service == 'desk'
 
 
+def test_a_link_without_a_rate_is_unlimited() -> None:
+    """Guards against a start that fails where no rate is stated."""
+    kept = [line for line in LINES if not line.startswith('limits.')]
+    found = settings_file.parse_settings('\n'.join(kept))
+    assert math.isinf(found.link_bytes_per_s)
+
+
 @pytest.mark.parametrize(
     ('name', 'text'),
     [
@@ -57,6 +67,8 @@
         ('app_addr', '10.1.0.41'),
         ('bind.readiness', '10.1.0.41:0'),
         ('platform.address', 'store:80'),
+        ('limits.link_mbps', 'nan'),
+        ('limits.link_mbps', 'fast'),
         ('bounds', 'grace=soon'),
         ('bounds', 'budget_extra=-1'),
     ],
