Replay large answers against the link of an owner's machine

The replay of admission ended a request with its run, so it could not show that answers wait on the link of the machine. It now sends each answer over a link, small ones first. Limits and Finished carry the rate and the size, which admission does not use yet.

--- a/medlarquay/admission/inputs/finished.py
+++ b/medlarquay/admission/inputs/finished.py
@@ -15,6 +15,9 @@
     ----------
     exchange : ExchangeId
         Number of the exchange at the owner.
+    answer_bytes : int
+        Size of the answer, which leaves by the link of the machine.
     """
 
     exchange: ids.ExchangeId
+    answer_bytes: int = 0
--- a/medlarquay/admission/limits.py
+++ b/medlarquay/admission/limits.py
@@ -1,11 +1,15 @@
 """What the operators set for one backend server."""
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
 from medlarquay import states
 
-__all__ = ('Limits',)
+__all__ = ('LARGE_ANSWER_BYTES', 'Limits')
+
+#: Larger answers leave in parts, between which smaller ones are sent.
+LARGE_ANSWER_BYTES = 16384
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -25,6 +29,8 @@
         so a shed answer is a fault of the backend server and no lack of room.
     cold_start : float
         Seconds over which slots are ramped up after a start.
+    link_bytes_per_s : float
+        What the link of the machine carries; infinite when unknown.
     """
 
     slots: int
@@ -32,3 +38,4 @@
     queue_limit: int
     exclusive: bool = False
     cold_start: float = 0
+    link_bytes_per_s: float = math.inf
--- /dev/null
+++ b/medlarquay/admission/tests/test_link.py
@@ -0,0 +1,145 @@
+"""Replayed overloads of the link of an owner's machine."""
+
+import dataclasses
+from types import MappingProxyType
+
+import pytest
+
+from medlarquay import admission, ids, states
+from medlarquay.testing import replay
+
+_LINK_BYTES_PER_S = 440_000
+_BUNDLE_BYTES = 90_000
+_BUNDLE = ids.RouteName('archive-bundle')
+_CHECK = ids.RouteName('source-verify')
+_CHECKS_PER_S = 15
+_SECONDS = 40
+_FLOORS = MappingProxyType({
+    states.Rank.URGENT: 0.3,
+    states.Rank.NORMAL: 0.2,
+    states.Rank.BULK: 0.1,
+})
+# Of the time until the answer is due; what is told within it costs a caller
+# nothing.
+_AT_ONCE = 0.125
+
+
+@pytest.fixture(params=[1.0, 1.5, 2.5])
+def load(request: pytest.FixtureRequest) -> float:
+    """Bytes of the bundles offered over what the link carries."""
+    return float(request.param)
+
+
+@pytest.fixture(params=[3, 6])
+def results(
+    request: pytest.FixtureRequest,
+    load: float,
+) -> list[replay.ReplayResult]:
+    """Replay bundles with short calls between them at one owner."""
+    slots: int = request.param
+    bounds = admission.Limits(
+        slots=slots,
+        floors=_FLOORS,
+        queue_limit=64,
+        link_bytes_per_s=_LINK_BYTES_PER_S,
+    )
+    return replay.replay(
+        _requests(load, slots),
+        admission.Admission(bounds=bounds),
+        link_bytes_per_s=_LINK_BYTES_PER_S,
+    )
+
+
+def _requests(load: float, slots: int) -> list[replay.ReplayRequest]:
+    bundles_per_s = load * _LINK_BYTES_PER_S / _BUNDLE_BYTES
+    requests = replay.make_flood(
+        [
+            replay.Demand(
+                rank=states.Rank.BULK,
+                load=bundles_per_s * 0.1 / slots,
+                service=0.1,
+                patience=3.926,
+                target=1.963,
+                route=_BUNDLE,
+                answer_bytes=_BUNDLE_BYTES,
+            ),
+            replay.Demand(
+                rank=states.Rank.URGENT,
+                load=_CHECKS_PER_S * 0.031 / slots,
+                service=0.031,
+                patience=0.921,
+                target=0.276,
+                route=_CHECK,
+                answer_bytes=500,
+            ),
+        ],
+        slots=slots,
+        seconds=_SECONDS,
+        seed=7,
+    )
+    # Every third request was refused by other owners before.
+    return [
+        dataclasses.replace(entry, last=not number % 3)
+        for number, entry in enumerate(requests)
+    ]
+
+
+def _of(
+    results: list[replay.ReplayResult],
+    route: ids.RouteName,
+) -> list[replay.ReplayResult]:
+    return [entry for entry in results if entry.request.route == route]
+
+
+def test_bundles_leave_the_link_when_due(
+    results: list[replay.ReplayResult],
+) -> None:
+    """Guards against bundles that are all late on a link that is full.
+
+    Goodput is to stay at 90% of capacity; here the link is the capacity.
+    """
+    bundles = _of(results, _BUNDLE)
+    offered = sum(entry.request.answer_bytes for entry in bundles)
+    carried = min(offered, _LINK_BYTES_PER_S * _SECONDS)
+    good = sum(
+        entry.request.answer_bytes for entry in bundles if entry.when_due
+    )
+    assert good >= 0.9 * carried
+
+
+def test_short_calls_pass_the_bundles(
+    results: list[replay.ReplayResult],
+) -> None:
+    """Guards against urgent calls that wait for bundles.
+
+    At least 99% of urgent work is to be in time in an overload of the rest.
+    """
+    checks = _of(results, _CHECK)
+    assert sum(entry.when_due for entry in checks) >= 0.99 * len(checks)
+
+
+def test_what_finds_no_room_on_the_link_is_told_at_once(
+    results: list[replay.ReplayResult],
+) -> None:
+    """Guards against requests held until no time is left to ask elsewhere."""
+    refused = [entry for entry in results if entry.reason is not None]
+    prompt = [
+        entry
+        for entry in refused
+        if entry.held
+        <= _AT_ONCE * (entry.request.due - entry.request.arrives_at)
+    ]
+    assert len(prompt) >= 0.95 * len(refused)
+
+
+def test_an_overload_of_the_link_is_refused(
+    load: float,
+    results: list[replay.ReplayResult],
+) -> None:
+    """Guards against an owner that admits bundles which the link delays.
+
+    What the link cannot carry has to go to another owner or to be told.
+    """
+    bundles = _of(results, _BUNDLE)
+    refused = sum(entry.reason is not None for entry in bundles)
+    assert refused >= (1 - 1 / load) * 0.8 * len(bundles)
--- a/medlarquay/testing/replay/flood.py
+++ b/medlarquay/testing/replay/flood.py
@@ -5,7 +5,7 @@
 import random
 from collections.abc import Iterable
 
-from medlarquay import states
+from medlarquay import ids, states
 from medlarquay.testing.replay import replay_request
 
 __all__ = ('Demand', 'make_flood')
@@ -14,6 +14,10 @@
 _SPREAD = 0.5
 # Exponential service times end at this multiple of their mean.
 _LONGEST = 8
+# Sizes of answers: deviation of the logarithm, and the largest size as a
+# multiple of the mean.
+_SIZE_DEVIATION = 0.6
+_LARGEST = 6
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,6 +34,10 @@
         Mean seconds that a request holds a slot.
     patience, target : float
         Seconds from arrival to deadline, and to the time it is due.
+    route : RouteName
+        Route of the requests.
+    answer_bytes : int
+        Mean size of an answer; the sizes have a lognormal distribution.
     tailed : bool
         Whether service times are exponential instead of uniform.
     """
@@ -40,6 +48,8 @@
     patience: float
     tailed: bool = False
     target: float = math.inf
+    route: ids.RouteName = ids.RouteName('')
+    answer_bytes: int = 0
 
 
 def make_flood(
@@ -78,5 +88,15 @@
             rank=demand.rank,
             service=demand.service * factor,
             due=now + demand.target,
+            route=demand.route,
+            answer_bytes=_draw_bytes(demand, source),
         )
         now += source.expovariate(rate)
+
+
+def _draw_bytes(demand: Demand, source: random.Random) -> int:
+    if not demand.answer_bytes:
+        return 0
+    # The mean of the factor is 1.
+    factor = source.lognormvariate(-(_SIZE_DEVIATION**2) / 2, _SIZE_DEVIATION)
+    return int(demand.answer_bytes * min(factor, _LARGEST))
--- a/medlarquay/testing/replay/replay_request.py
+++ b/medlarquay/testing/replay/replay_request.py
@@ -3,7 +3,7 @@
 import dataclasses
 import math
 
-from medlarquay import states
+from medlarquay import ids, states
 
 __all__ = ('ReplayRequest',)
 
@@ -24,6 +24,10 @@
         When an answer is worth most, seconds from the start.
     last : bool
         Whether no other owner would be asked.
+    route : RouteName
+        Route of the request.
+    answer_bytes : int
+        Size of the answer.
     """
 
     arrives_at: float
@@ -32,3 +36,5 @@
     service: float
     due: float = math.inf
     last: bool = True
+    route: ids.RouteName = ids.RouteName('')
+    answer_bytes: int = 0
--- a/medlarquay/testing/replay/replay_result.py
+++ b/medlarquay/testing/replay/replay_result.py
@@ -16,13 +16,17 @@
     ----------
     request : ReplayRequest
         Request.
+    ended_at : float
+        When its answer had left or it was refused, seconds from the start.
     finished_at : float or None
-        Seconds from the start; None when it was refused.
+        When its answer had left, seconds from the start; None when it was
+        refused.
     reason : RefusalReason or None
         Why it was refused.
     """
 
     request: replay_request.ReplayRequest
+    ended_at: float
     finished_at: float | None
     reason: states.RefusalReason | None = None
 
@@ -40,3 +44,8 @@
         return self.finished_at is not None and self.finished_at <= min(
             self.request.due, self.request.deadline
         )
+
+    @property
+    def held(self) -> float:
+        """Seconds from the arrival to the answer or the refusal."""
+        return self.ended_at - self.request.arrives_at
