Admit large answers by the link of the machine

Cause: an owner admitted by slots alone.

Change: admission counts the bytes that it hands over and lets them flow out at the rate of the link. Sizes are estimated by route. A request with a large answer starts when the link will be free soon after its run, so the wait is in the queue of admission, where the order can still change; small answers pass. One whose answer could not leave when due is refused at once as link_full, also if no other owner is left, since every answer behind it would be late as well. Large answers that the ingress of the machine passes on are counted too. The owner now wakes at the next time that admission names; before, it woke at the deadline of the request only, unless another timer came first.

The estimate of a size is smoothed over 50 samples, and the first samples of each estimate weigh equally. The table of estimates by kind is now one type for service times and sizes.

--- a/medlarquay/admission/__init__.py
+++ b/medlarquay/admission/__init__.py
@@ -3,6 +3,7 @@
 from medlarquay.admission.admission import Admission
 from medlarquay.admission.decide import Decision, decide
 from medlarquay.admission.inputs import (
+    AnswerRelayed,
     Arrived,
     BackendStarted,
     Cancelled,
@@ -21,6 +22,7 @@
 __all__ = (
     'LARGE_ANSWER_BYTES',
     'Admission',
+    'AnswerRelayed',
     'Arrived',
     'BackendStarted',
     'Cancelled',
--- a/medlarquay/admission/admission.py
+++ b/medlarquay/admission/admission.py
@@ -4,8 +4,9 @@
 
 from medlarquay import ids, states
 from medlarquay.admission import (
+    estimate_table,
     limits,
-    next_work,
+    link_queue,
     queued_work,
     running_work,
     service_times,
@@ -15,6 +16,9 @@
 
 __all__ = ('Admission',)
 
+# Sizes vary more than service times and drift less.
+_SIZE_SMOOTHING = 0.02
+
 
 class Admission:
     """State of admission at one backend server.
@@ -35,6 +39,11 @@
         self.limit.configure(bounds.slots)
         self.shares = slot_shares.SlotShares()
         self.times = service_times.ServiceTimes()
+        self.link = link_queue.LinkQueue()
+        self.link.configure(bounds.link_bytes_per_s)
+        self.answer_bytes: estimate_table.EstimateTable[ids.RouteName] = (
+            estimate_table.EstimateTable(smoothing=_SIZE_SMOOTHING)
+        )
         self.running: dict[ids.ExchangeId, running_work.RunningWork] = {}
         self.queued_ranks: dict[ids.ExchangeId, states.Rank] = {}
         self.queues: dict[
@@ -42,14 +51,22 @@
             collections.OrderedDict[ids.ExchangeId, queued_work.QueuedWork],
         ] = {rank: collections.OrderedDict() for rank in states.Rank}
 
-    def pop_next(
-        self,
-        rank: states.Rank,
-        now: float,
-    ) -> queued_work.QueuedWork:
-        """Take the next request out of the queue of a rank."""
-        queue = self.queues[rank]
-        work = next_work.next_work(queue.values(), now)
-        queue.pop(work.exchange)
-        self.queued_ranks.pop(work.exchange)
-        return work
+    def link_free_at(self, now: float) -> float:
+        """Return when the large answers under way will have left the link.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
+        expected = sum(
+            self.answer_bytes.mean(work.route)
+            for work in self.running.values()
+            if work.large
+        )
+        return self.link.free_at(now) + self.link.time_of(expected)
+
+    def pop(self, work: queued_work.QueuedWork) -> None:
+        """Take a request out of the queue of its rank."""
+        rank = self.queued_ranks.pop(work.exchange)
+        self.queues[rank].pop(work.exchange)
--- a/medlarquay/admission/choose_rank.py
+++ b/medlarquay/admission/choose_rank.py
@@ -1,11 +1,12 @@
 """Choice of the rank that gets the next free slot."""
 
 import math
+from collections.abc import Iterator
 
 from medlarquay import states
-from medlarquay.admission import admission
+from medlarquay.admission import admission, link_room, queued_work
 
-__all__ = ('choose_rank', 'is_open')
+__all__ = ('choose_rank', 'is_open', 'startable')
 
 # Share of the slots that may stay idle for urgent work; goodput is to stay at
 # or above 0.9 of capacity.
@@ -23,6 +24,7 @@
 def choose_rank(
     state: admission.Admission,
     slots: int,
+    now: float,
 ) -> states.Rank | None:
     """Return the rank whose first queued request is to start.
 
@@ -32,21 +34,38 @@
         State with the time advanced.
     slots : int
         Usable slots.
+    now : float
+        Seconds on the monotonic clock.
 
     Returns
     -------
     Rank or None
-        None when nothing is queued or the free slots are reserved.
+        None when nothing is queued that may start, or the free slots are
+        reserved.
     """
-    below = _largest_deficit(state, slots)
+    below = _largest_deficit(state, slots, now)
     if below is not None:
         return below
     for rank in states.Rank:
-        if state.queues[rank] and _unreserved(state, rank, slots):
+        waits = any(startable(state, rank, now))
+        if waits and _unreserved(state, rank, slots):
             return rank
     return None
 
 
+def startable(
+    state: admission.Admission,
+    rank: states.Rank,
+    now: float,
+) -> Iterator[queued_work.QueuedWork]:
+    """Return the queued requests of a rank that the link has room for."""
+    return (
+        work
+        for work in state.queues[rank].values()
+        if link_room.has_room(state, work, now)
+    )
+
+
 def is_open(
     state: admission.Admission,
     rank: states.Rank,
@@ -74,11 +93,12 @@
 def _largest_deficit(
     state: admission.Admission,
     slots: int,
+    now: float,
 ) -> states.Rank | None:
     largest: float = 0
     found = None
     for rank, floor in state.bounds.floors.items():
-        if not state.queues[rank]:
+        if not any(startable(state, rank, now)):
             continue
         deficit = _deficit(state, rank, floor, slots)
         if deficit > largest:
--- a/medlarquay/admission/expected_wait.py
+++ b/medlarquay/admission/expected_wait.py
@@ -1,7 +1,7 @@
 """Expected wait in a queue."""
 
 from medlarquay import states
-from medlarquay.admission import admission, inputs, next_work
+from medlarquay.admission import admission, queued_before, queued_work
 
 __all__ = ('expected_wait',)
 
@@ -14,10 +14,11 @@
 
 def expected_wait(
     state: admission.Admission,
-    event: inputs.Arrived,
+    work: queued_work.QueuedWork,
+    rank: states.Rank,
     now: float,
 ) -> float:
-    """Return the expected wait of a new request, in seconds.
+    """Return the expected wait of a new request for a slot, in seconds.
 
     Notes
     -----
@@ -26,32 +27,17 @@
     behind its own queue only. The shorter wait counts.
     """
     slots = state.limit.usable(now)
-    rank = event.rank
-    own = state.times.queued_before(
-        _place_of(event, state, now),
-        rank,
-        state.queues[rank],
-        now,
-    )
+    before = queued_before.queued_before(state, work, rank, now)
+    own = state.times.queued(rank, before)
     ahead = own
     taken: float = 0
     for other in states.Rank:
         if other is rank:
             break
-        ahead += state.times.queued(other, state.queues[other])
+        ahead += state.times.queued(other, state.queues[other].values())
         taken += state.shares.held(other)
     left = max(slots - taken, _SMALLEST_SHARE * slots)
     floor = max(state.bounds.floors.get(rank, 0), _SMALLEST_SHARE)
     in_turn = ahead / left
     by_floor = own / (floor * slots)
     return _CAUTION * min(in_turn, by_floor) + state.times.overall / slots
-
-
-def _place_of(
-    event: inputs.Arrived,
-    state: admission.Admission,
-    now: float,
-) -> next_work.Place:
-    due = min(event.due, event.deadline)
-    service = state.times.cautious(event.rank, event.route)
-    return due < now + service, due
--- /dev/null
+++ b/medlarquay/admission/fill_slots.py
@@ -0,0 +1,90 @@
+"""Start of queued requests in free slots."""
+
+from medlarquay import states
+from medlarquay.admission import (
+    admission,
+    choose_rank,
+    link_room,
+    next_work,
+    queued_work,
+    refuse,
+    running_work,
+    start,
+)
+
+__all__ = ('Decision', 'fill_slots', 'may_start', 'start_work')
+
+Decision = tuple[start.Start | refuse.Refuse, ...]
+
+
+def fill_slots(state: admission.Admission, now: float) -> Decision:
+    """Start queued requests while slots and the link have room."""
+    if not state.queued_ranks:
+        return ()
+    decided: list[start.Start | refuse.Refuse] = []
+    slots = state.limit.usable(now)
+    while len(state.running) < slots:
+        rank = choose_rank.choose_rank(state, slots, now)
+        if rank is None:
+            break
+        decided.append(_take_first(rank, state, now))
+    return tuple(decided)
+
+
+def _take_first(
+    rank: states.Rank,
+    state: admission.Admission,
+    now: float,
+) -> start.Start | refuse.Refuse:
+    work = next_work.next_work(choose_rank.startable(state, rank, now), now)
+    state.pop(work)
+    reason = _refusal_at_start(work, rank, state, now)
+    if reason is not None:
+        return refuse.Refuse(exchange=work.exchange, reason=reason)
+    return start_work(work, rank, state, now)
+
+
+def _refusal_at_start(
+    work: queued_work.QueuedWork,
+    rank: states.Rank,
+    state: admission.Admission,
+    now: float,
+) -> states.RefusalReason | None:
+    if work.deadline <= now:
+        return states.RefusalReason.DEADLINE_PASSED
+    if now + state.times.of_route(rank, work.route) > work.deadline:
+        state.times.relax(rank, work.route)
+        return states.RefusalReason.DEADLINE_UNREACHABLE
+    return None
+
+
+def start_work(
+    work: queued_work.QueuedWork,
+    rank: states.Rank,
+    state: admission.Admission,
+    now: float,
+) -> start.Start:
+    """Give a request a slot."""
+    state.running[work.exchange] = running_work.RunningWork(
+        rank=rank,
+        started_at=now,
+        route=work.route,
+        large=work.large,
+    )
+    state.shares.change(rank, 1)
+    return start.Start(exchange=work.exchange)
+
+
+def may_start(
+    work: queued_work.QueuedWork,
+    rank: states.Rank,
+    state: admission.Admission,
+    now: float,
+) -> bool:
+    """Return whether a new request may start at once."""
+    slots = state.limit.usable(now)
+    if state.queued_ranks or len(state.running) >= slots:
+        return False
+    if not link_room.has_room(state, work, now):
+        return False
+    return choose_rank.is_open(state, rank, slots)
--- a/medlarquay/admission/inputs/__init__.py
+++ b/medlarquay/admission/inputs/__init__.py
@@ -1,5 +1,6 @@
 """Events that admission decides on."""
 
+from medlarquay.admission.inputs.answer_relayed import AnswerRelayed
 from medlarquay.admission.inputs.arrived import Arrived
 from medlarquay.admission.inputs.backend_started import BackendStarted
 from medlarquay.admission.inputs.cancelled import Cancelled
@@ -10,6 +11,7 @@
 from medlarquay.admission.inputs.was_shed import WasShed
 
 __all__ = (
+    'AnswerRelayed',
     'Arrived',
     'BackendStarted',
     'Cancelled',
--- a/medlarquay/admission/next_check.py
+++ b/medlarquay/admission/next_check.py
@@ -1,6 +1,6 @@
 """The next time at which queued work is to be checked."""
 
-from medlarquay.admission import admission
+from medlarquay.admission import admission, link_room
 
 __all__ = ('next_check',)
 
@@ -16,13 +16,15 @@
     float or None
         Seconds on the monotonic clock.
     """
-    deadlines = [
-        work.latest_start
-        for queue in state.queues.values()
-        for work in queue.values()
+    waiting = [
+        work for queue in state.queues.values() for work in queue.values()
     ]
-    if not deadlines:
+    if not waiting:
         return None
+    deadlines = [work.latest_start for work in waiting]
+    rooms = (link_room.room_at(state, work, now) for work in waiting)
+    # Work that the link has room for waits for a slot, which is an event.
+    deadlines.extend(room for room in rooms if room > now)
     if state.limit.restricted(now):
         deadlines.append(now + _RAMP_INTERVAL_S)
     return min(deadlines)
--- a/medlarquay/admission/queued_work.py
+++ b/medlarquay/admission/queued_work.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids
+from medlarquay import ids, states
 
 __all__ = ('QueuedWork',)
 
@@ -21,8 +21,14 @@
     service : float
         Seconds at the backend server that few requests of the route exceed;
         0 before the first sample.
+    transfer : float
+        Expected seconds of its answer on the link.
+    large : bool
+        Whether its answer waits on the link until those before it have left.
     latest_start : float
         Time at which the request is refused if it still waits.
+    late_reason : RefusalReason
+        Why it is refused then.
     route : RouteName
         Route of the request.
     """
@@ -33,3 +39,22 @@
     latest_start: float
     due: float
     route: ids.RouteName
+    transfer: float = 0
+    large: bool = False
+    late_reason: states.RefusalReason = (
+        states.RefusalReason.DEADLINE_UNREACHABLE
+    )
+
+    def answered_at(self, start_at: float, link_free_at: float) -> float:
+        """Return when the answer has left if the request starts at a time.
+
+        Parameters
+        ----------
+        start_at, link_free_at : float
+            When it starts and when the large answers before it have left,
+            seconds on the monotonic clock.
+        """
+        ready_at = start_at + self.service
+        if self.large:
+            ready_at = max(ready_at, link_free_at)
+        return ready_at + self.transfer
--- a/medlarquay/admission/running_work.py
+++ b/medlarquay/admission/running_work.py
@@ -19,8 +19,11 @@
         Seconds on the monotonic clock.
     route : RouteName
         Route of the request.
+    large : bool
+        Whether a large answer is expected.
     """
 
     rank: states.Rank
     started_at: float
     route: ids.RouteName
+    large: bool = False
--- a/medlarquay/admission/service_times.py
+++ b/medlarquay/admission/service_times.py
@@ -1,18 +1,18 @@
 """Smoothed service times by route."""
 
-import collections
-from collections.abc import Mapping
+from collections.abc import Iterable
 
 from medlarquay import ids, states
-from medlarquay.admission import next_work, queued_work, time_estimate
+from medlarquay.admission import (
+    estimate_table,
+    queued_work,
+    smoothed_estimate,
+)
 
 __all__ = ('ServiceTimes',)
 
 _SMOOTHING = 0.1
-# Routes of earlier configurations are forgotten beyond this number.
-_MAX_ROUTES = 256
 
-_Queue = Mapping[ids.ExchangeId, queued_work.QueuedWork]
 # A caller may lower the rank of a request, so a route can have several.
 _Kind = tuple[states.Rank, ids.RouteName]
 
@@ -29,11 +29,12 @@
     """
 
     def __init__(self) -> None:
-        self._routes: collections.OrderedDict[
-            _Kind, time_estimate.TimeEstimate
-        ] = collections.OrderedDict()
+        self._routes: estimate_table.EstimateTable[_Kind] = (
+            estimate_table.EstimateTable(smoothing=_SMOOTHING)
+        )
         self._ranks = {
-            rank: time_estimate.TimeEstimate() for rank in states.Rank
+            rank: smoothed_estimate.SmoothedEstimate(smoothing=_SMOOTHING)
+            for rank in states.Rank
         }
         self._overall: float = 0
 
@@ -48,35 +49,19 @@
 
     def of_route(self, rank: states.Rank, route: ids.RouteName) -> float:
         """Return the expected time of a request of a route, in seconds."""
-        found = self._routes.get((rank, route))
-        return 0 if found is None else found.mean
+        return self._routes.mean((rank, route))
 
     def cautious(self, rank: states.Rank, route: ids.RouteName) -> float:
         """Return a time that few requests of a route exceed, in seconds."""
-        found = self._routes.get((rank, route))
-        return 0 if found is None else found.cautious
+        return self._routes.cautious((rank, route))
 
     def queued(
         self,
         rank: states.Rank,
-        queue: _Queue,
-    ) -> float:
-        """Return the expected time of the queued requests, in seconds."""
-        return sum(self.of_route(rank, work.route) for work in queue.values())
-
-    def queued_before(
-        self,
-        place: next_work.Place,
-        rank: states.Rank,
-        queue: _Queue,
-        now: float,
+        queue: Iterable[queued_work.QueuedWork],
     ) -> float:
-        """Return the expected time of the requests that start first."""
-        return sum(
-            self.of_route(rank, work.route)
-            for work in queue.values()
-            if next_work.place_of(work, now) <= place
-        )
+        """Return the expected time of queued requests, in seconds."""
+        return sum(self.of_route(rank, work.route) for work in queue)
 
     def add(
         self,
@@ -86,20 +71,10 @@
     ) -> None:
         """Add a sample."""
         self._ranks[rank].add(seconds)
-        kind = (rank, route)
-        found = self._routes.get(kind)
-        if found is None:
-            found = time_estimate.TimeEstimate()
-            self._routes[kind] = found
-            if len(self._routes) > _MAX_ROUTES:
-                self._routes.popitem(last=False)
-        found.add(seconds)
-        self._routes.move_to_end(kind)
+        self._routes.add((rank, route), seconds)
         overall = self._overall or seconds
         self._overall = overall + _SMOOTHING * (seconds - overall)
 
     def relax(self, rank: states.Rank, route: ids.RouteName) -> None:
         """Lower the estimate after a refusal that relied on it."""
-        found = self._routes.get((rank, route))
-        if found is not None:
-            found.relax()
+        self._routes.relax((rank, route))
--- a/medlarquay/admission/time_estimate.py
+++ b/medlarquay/admission/smoothed_estimate.py
@@ -1,8 +1,8 @@
-"""Smoothed mean and deviation of one kind of times."""
+"""Smoothed mean and deviation of one kind of samples."""
 
 import dataclasses
 
-__all__ = ('TimeEstimate',)
+__all__ = ('SmoothedEstimate',)
 
 _SMOOTHING = 0.1
 # Without this an estimate above every deadline would refuse all requests and
@@ -15,31 +15,35 @@
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
-class TimeEstimate:
-    """Smoothed mean and deviation of one kind of times.
+class SmoothedEstimate:
+    """Smoothed mean and deviation of one kind of samples.
 
     Attributes
     ----------
     mean, deviation : float
-        Seconds; 0 before the first sample.
+        In the unit of the samples; 0 before the first one.
     """
 
+    smoothing: float = _SMOOTHING
     mean: float = 0
     deviation: float = 0
+    samples: int = 0
 
     @property
     def cautious(self) -> float:
-        """A time that few samples exceed, in seconds."""
+        """A value that few samples exceed."""
         return self.mean + _DEVIATIONS * self.deviation
 
-    def add(self, seconds: float) -> None:
+    def add(self, sample: float) -> None:
         """Add a sample."""
-        if not self.mean:
-            self.mean = seconds
+        self.samples += 1
+        if self.samples == 1:
+            self.mean = sample
             return
-        difference = seconds - self.mean
-        self.mean += _SMOOTHING * difference
-        self.deviation += _SMOOTHING * (abs(difference) - self.deviation)
+        weight = max(self.smoothing, 1 / self.samples)
+        difference = sample - self.mean
+        self.mean += weight * difference
+        self.deviation += weight * (abs(difference) - self.deviation)
 
     def relax(self) -> None:
         """Lower the estimate after a refusal that relied on it."""
--- a/medlarquay/daemon/build_owner.py
+++ b/medlarquay/daemon/build_owner.py
@@ -29,6 +29,7 @@
         records=observed.records,
     )
     own.local = deployment.local
+    own.local.link_bytes_per_s = settings.link_bytes_per_s
     own.ledger = ledger.Ledger(
         instance=observed.hello.instance,
         incarnation=observed.hello.incarnation,
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -2,6 +2,7 @@
 
 from medlarquay.events.abort_request import AbortRequest
 from medlarquay.events.answer_ready import AnswerReady
+from medlarquay.events.answer_relayed import AnswerRelayed
 from medlarquay.events.backend_answered import BackendAnswered
 from medlarquay.events.backend_changed import BackendChanged
 from medlarquay.events.backend_crashed import BackendCrashed
@@ -69,6 +70,7 @@
     'SendNotice',
     'AbortRequest',
     'AnswerReady',
+    'AnswerRelayed',
     'BackendAnswered',
     'BackendChanged',
     'BackendCrashed',
--- a/medlarquay/ingress/answers.py
+++ b/medlarquay/ingress/answers.py
@@ -46,6 +46,7 @@
     states.RefusalReason.QUEUE_FULL: 429,
     states.RefusalReason.SHED: 429,
     states.RefusalReason.DEADLINE_UNREACHABLE: 429,
+    states.RefusalReason.LINK_FULL: 429,
 })
 
 # The home of the key did not look it up, so this attempt was not run and
--- a/medlarquay/ingress/retry_after.py
+++ b/medlarquay/ingress/retry_after.py
@@ -20,6 +20,7 @@
 _FOR_LOAD = frozenset((
     states.RefusalReason.QUEUE_FULL,
     states.RefusalReason.DEADLINE_UNREACHABLE,
+    states.RefusalReason.LINK_FULL,
     states.RefusalReason.SHED,
     states.RefusalReason.COLD_START,
     states.RefusalReason.NO_BACKEND,
--- a/medlarquay/routing/decide_retry.py
+++ b/medlarquay/routing/decide_retry.py
@@ -33,6 +33,7 @@
     states.RefusalReason.DEADLINE_UNREACHABLE: (
         states.RetryReason.REFUSED_FOR_LOAD
     ),
+    states.RefusalReason.LINK_FULL: states.RetryReason.REFUSED_FOR_LOAD,
     states.RefusalReason.SHED: states.RetryReason.REFUSED_FOR_LOAD,
     states.RefusalReason.COLD_START: states.RetryReason.REFUSED_FOR_LOAD,
     states.RefusalReason.BACKEND_DOWN: states.RetryReason.REFUSED_BACKEND_DOWN,
--- a/medlarquay/states/refusal_reason.py
+++ b/medlarquay/states/refusal_reason.py
@@ -18,6 +18,7 @@
     DRAINING = 'draining'
     QUEUE_FULL = 'queue_full'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
+    LINK_FULL = 'link_full'
     DEADLINE_PASSED = 'deadline_passed'
     SHED = 'shed'
     COLD_START = 'cold_start'
--- a/medlarquay/tasks/local_backend.py
+++ b/medlarquay/tasks/local_backend.py
@@ -1,6 +1,7 @@
 """What the owner knows of the backend server beside it."""
 
 import dataclasses
+import math
 
 from medlarquay import states, transport
 
@@ -23,6 +24,8 @@
         will not answer any more, and its slot is given up.
     exclusive : bool
         Whether this node alone sends it work.
+    link_bytes_per_s : float
+        What the link of their machine carries; infinite when unknown.
     state : BackendState
         Whether it accepts connections.
     """
@@ -32,4 +35,5 @@
     )
     hung_s: float = _HUNG_S
     exclusive: bool = False
+    link_bytes_per_s: float = math.inf
     state: states.BackendState = states.BackendState.UP
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -97,7 +97,10 @@
             fingerprint=job.fingerprint,
         )
         _tell_quarantine(completed, owner)
-        finished = admission.Finished(exchange=job.exchange)
+        finished = admission.Finished(
+            exchange=job.exchange,
+            answer_bytes=len(message.body),
+        )
         decisions = admission.decide(finished, owner.admission, owner.now())
         owner_results.answer_job(job, message, owner)
     owner_starts.carry_out(decisions, owner)
@@ -121,6 +124,15 @@
     owner_starts.readmit_held(owner)
 
 
+@handle.register
+def _relayed(
+    message: events.AnswerRelayed,
+    owner: owner_base.OwnerBase,
+) -> None:
+    relayed = admission.AnswerRelayed(answer_bytes=message.answer_bytes)
+    owner_starts.tell_admission(relayed, owner)
+
+
 @handle.register
 def _failed(
     message: events.BackendFailed,
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -91,6 +91,7 @@
         queue_limit=parameters.queue_limit,
         exclusive=owner.local.exclusive,
         cold_start=parameters.cold_start_ms / _MS_PER_SECOND,
+        link_bytes_per_s=owner.local.link_bytes_per_s,
     )
     owner_starts.tell_admission(admission.LimitsChanged(limits=limits), owner)
     if first:
--- a/medlarquay/tasks/owner_starts.py
+++ b/medlarquay/tasks/owner_starts.py
@@ -52,6 +52,9 @@
     waiting = list(decisions)
     while waiting:
         waiting.extend(_carry_out(waiting.pop(0), owner))
+    checked = admission.next_check(owner.admission, owner.now())
+    if checked is not None:
+        owner.wake_at(checked)
 
 
 def _ask_for_slot(
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -224,6 +224,7 @@
         message: messages.CallAnswered,
     ) -> None:
         """Give the caller of a call the answer of a backend server."""
+        self.sender.note_relayed(call.node, len(message.body))
         answer = ingress.answer(caller=call.caller, message=message)
         self.reporter.told(call, answer, states.Outcome.RUN, None)
         self.answer(answer)
