--- a/medlarquay/events/send_reply.py
+++ b/medlarquay/events/send_reply.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids, messages
+from medlarquay import ids, messages, pacing
 
 __all__ = ('SendReply',)
 
@@ -17,7 +17,13 @@
         Link of the call.
     message : messages.CallAnswered | messages.CallRefused | messages.CallUnknown
         Result.
+    request_id : str
+        Id of the request for logs; empty if it has none.
+    urgency : pacing.Urgency
+        Decides when a large result is sent.
     """
 
     link: ids.LinkId
     message: messages.CallAnswered | messages.CallRefused | messages.CallUnknown
+    request_id: str = ''
+    urgency: pacing.Urgency = pacing.NO_HURRY
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -2,6 +2,7 @@
 
 from medlarquay.states.backend_state import BackendState
 from medlarquay.states.dropped_message import DroppedMessage
+from medlarquay.states.fragment_kind import FragmentKind
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
@@ -14,9 +15,11 @@
 from medlarquay.states.replica_event import ReplicaEvent
 from medlarquay.states.retry_denial import RetryDenial
 from medlarquay.states.retry_reason import RetryReason
+from medlarquay.states.unanswered import Unanswered
 
 __all__ = (
     'DroppedMessage',
+    'FragmentKind',
     'ParentFault',
     'ReadingMode',
     'ReplicaEvent',
@@ -30,4 +33,5 @@
     'RefusalReason',
     'RetryDenial',
     'RetryReason',
+    'Unanswered',
 )
--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -12,6 +12,7 @@
     states,
     telemetry,
 )
+from medlarquay.pacing import urgency as urgencies
 from medlarquay.tasks import (
     alarm,
     clocks,
@@ -100,10 +101,24 @@
         hello = self.hello
         return f'{hello.instance}/{hello.incarnation}/{self._crashes}'
 
-    def reply(self, link: ids.LinkId, message: Result) -> None:
+    def reply(
+        self,
+        link: ids.LinkId,
+        message: Result,
+        request_id: str = '',
+        *,
+        urgency: urgencies.Urgency = urgencies.NO_HURRY,
+    ) -> None:
         """Send a result to the ingress of a call."""
         if link:
-            self._links.post(events.SendReply(link=link, message=message))
+            self._links.post(
+                events.SendReply(
+                    link=link,
+                    message=message,
+                    request_id=request_id,
+                    urgency=urgency,
+                ),
+            )
         elif self.router is not None:
             self.router.post(message)
 
