Report a call whose link was given up before it left

A fragment can be under way to the links task when a silent link is given up. It was not written, but its last one marked the call as sent, on the next link to the same instance if there was one, where no answer can come: the caller waited until its deadline. A call is now marked as sent only on its own link, so the loss of the old link reports it as not run.

--- a/medlarquay/tasks/leaving_calls.py
+++ b/medlarquay/tasks/leaving_calls.py
@@ -18,6 +18,14 @@
         """Add a call that is sent on a link."""
         self._calls[number, call.request.call_id] = call
 
+    def find(
+        self,
+        number: ids.LinkId,
+        call_id: ids.CallId,
+    ) -> events.SendCall | None:
+        """Return a call, if it has not left."""
+        return self._calls.get((number, call_id))
+
     def pop(
         self,
         number: ids.LinkId,
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -172,9 +172,12 @@
 
     def note_sent(self, number: ids.LinkId, call_id: ids.CallId) -> None:
         """Note that the last byte of a call was written."""
-        call = self.leaving.pop(number, call_id)
+        call = self.leaving.find(number, call_id)
         outgoing = None if call is None else self.outgoing.get(call.instance)
-        if outgoing is not None:
+        # Nothing is written on a link that was given up; its loss reports
+        # the call.
+        if outgoing is not None and outgoing.number == number:
+            self.leaving.pop(number, call_id)
             outgoing.sent[call_id] = self._clock()
 
     def refuse(
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -376,3 +376,30 @@
     refused = {result.call_id for result in bench.results()}
     assert len(arrived) >= 20
     assert refused == set(range(2, 40)) - arrived
+
+
+def test_a_fragment_for_a_link_that_was_given_up_is_not_sent(
+    bench: _Bench,
+) -> None:
+    """Guards against a call that waits for an answer on another link."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.pump(_Far(bench, 'a1'))
+    outgoing = bench.links.outgoing[ids.InstanceId('a1')]
+    bench.call('a1', 2, _LARGE)
+    bench.now += 2
+    bench.links.abort_if_silent(outgoing)
+    bench.links.post(
+        events.WriteFragment(
+            link=outgoing.number,
+            call_id=ids.CallId(2),
+            stream=ids.StreamId(1),
+            kind=states.FragmentKind.LAST,
+            content=b'',
+        ),
+    )
+    bench.near[0].connectionLost(_LOST)
+    refused, unknown = bench.results()
+    assert refused.call_id == 2
+    assert refused.reason is states.RefusalReason.OWNER_UNREACHABLE
+    assert isinstance(unknown, messages.CallUnknown)
