Admit large answers by the share of the link that frames are paced to

The pacing of large frames fills 0.9 of the link; admission counted with 0.96, so in an overload frames would wait in the pacing without bound. Both now use PACED_SHARE.

--- a/medlarquay/admission/limits.py
+++ b/medlarquay/admission/limits.py
@@ -30,7 +30,8 @@
     cold_start : float
         Seconds over which slots are ramped up after a start.
     link_bytes_per_s : float
-        What the link of the machine carries; infinite when unknown.
+        What answers may use of the link of the machine; infinite when
+        unknown.
     """
 
     slots: int
--- a/medlarquay/admission/link_queue.py
+++ b/medlarquay/admission/link_queue.py
@@ -4,9 +4,6 @@
 
 __all__ = ('LinkQueue',)
 
-# Header fields of the answer, and the headers of frames and packets.
-_OVERHEAD = 1.04
-
 
 class LinkQueue:
     """Answers that wait on the link of the machine, as a fluid.
@@ -27,7 +24,7 @@
 
     def time_of(self, answer_bytes: float) -> float:
         """Return the seconds that an answer takes on the link."""
-        return answer_bytes * _OVERHEAD / self._bytes_per_s
+        return answer_bytes / self._bytes_per_s
 
     def free_at(self, now: float) -> float:
         """Return when all answers have left, on the monotonic clock."""
--- a/medlarquay/pacing/__init__.py
+++ b/medlarquay/pacing/__init__.py
@@ -2,7 +2,7 @@
 
 from medlarquay.pacing.drop_frame import DropFrame
 from medlarquay.pacing.large_frame import LargeFrame
-from medlarquay.pacing.pace import Pace, fragment_bytes
+from medlarquay.pacing.pace import PACED_SHARE, Pace, fragment_bytes
 from medlarquay.pacing.schedule import Schedule, Step
 from medlarquay.pacing.send_part import SendPart
 from medlarquay.pacing.urgency import NO_HURRY, Urgency
@@ -10,6 +10,7 @@
 
 __all__ = (
     'NO_HURRY',
+    'PACED_SHARE',
     'DropFrame',
     'LargeFrame',
     'Pace',
--- a/medlarquay/pacing/pace.py
+++ b/medlarquay/pacing/pace.py
@@ -2,7 +2,7 @@
 
 import math
 
-__all__ = ('Pace', 'fragment_bytes')
+__all__ = ('PACED_SHARE', 'Pace', 'fragment_bytes')
 
 #: A fragment of this size costs little compared with its bytes, and delays a
 #: small frame by well under a millisecond at 4,000 Mbit/s.
@@ -11,9 +11,9 @@
 _MIN_FRAGMENT_BYTES = 2048
 #: Time for which one fragment may occupy the link, in seconds.
 _FRAGMENT_S = 0.016
-# Share of the link that fragments and counted frames may fill; the rest is
-# for headers, acknowledgements and frames that are not counted.
-_SHARE = 0.9
+#: Share of the link that fragments and counted frames may fill; the rest is
+#: for headers, acknowledgements and frames that are not counted.
+PACED_SHARE = 0.9
 # Fragments are written this long before the link is expected to be free, so
 # that a timer that fires late does not leave it idle.
 _AHEAD_S = 0.016
@@ -44,7 +44,7 @@
     def count(self, length: int, now: float) -> None:
         """Count bytes given to the sockets of the machine."""
         busy_until = max(self._free_at, now)
-        busy_until += length / (self._bytes_per_s * _SHARE)
+        busy_until += length / (self._bytes_per_s * PACED_SHARE)
         self._free_at = min(busy_until, now + _MAX_DEBT_S)
 
     def ready_at(self) -> float:
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -4,6 +4,7 @@
     admission,
     ids,
     ledger,
+    pacing,
     quarantine,
     replica,
     snapshots,
@@ -91,7 +92,7 @@
         queue_limit=parameters.queue_limit,
         exclusive=owner.local.exclusive,
         cold_start=parameters.cold_start_ms / _MS_PER_SECOND,
-        link_bytes_per_s=owner.local.link_bytes_per_s,
+        link_bytes_per_s=owner.local.link_bytes_per_s * pacing.PACED_SHARE,
     )
     owner_starts.tell_admission(admission.LimitsChanged(limits=limits), owner)
     if first:
