--- /dev/null
+++ b/bench/configuration_change.py
@@ -0,0 +1,125 @@
+"""Cost of one changed route among 1,400, at the reader and at a child.
+
+Prints one ``name=value`` per line: the median time of each step on the way
+of a change from the store into force, and the bytes of the first whole
+message and of a change. ``read`` is base64 and JSON of the store's answer,
+``join`` includes the check of the document, ``bind`` builds the snapshot. A
+machine with a share of a core takes the time divided by its share.
+"""
+
+import base64
+import functools
+import json
+
+from bench import platform_document, step_times
+from medlarquay import codec, ids, messages, replica, settings
+from medlarquay.platform import operators_document
+from medlarquay.tasks import snapshot_builder
+
+__all__ = ('main',)
+
+_ROUTES = 1400
+_VERSIONS = 16
+
+
+def main() -> None:
+    """Measure a series of changes and print the figures."""
+    steps = step_times.StepTimes()
+    frames = _run_reader(steps)
+    _run_child(steps, frames)
+    steps.show()
+    print(f'stored_bytes={len(_stored_answer(1))}')
+    print(f'whole_frame_bytes={len(frames[0])}')
+    print(f'change_frame_bytes={len(frames[-1])}')
+
+
+def _run_reader(steps: step_times.StepTimes) -> list[bytes]:
+    held = replica.Replica()
+    builder = snapshot_builder.SnapshotBuilder()
+    frames = []
+    for version in range(1, _VERSIONS + 1):
+        stored = _stored_answer(version)
+        published = steps.run('read', functools.partial(_read, stored))
+        content = steps.run(
+            'translate',
+            functools.partial(
+                operators_document.translate_configuration,
+                published,
+            ),
+        )
+        base = held.vector
+        change = steps.run(
+            'join',
+            functools.partial(_apply, held, content, version),
+        )
+        builder.note(change)
+        steps.run('bind', functools.partial(builder.build, held))
+        delta = steps.run('delta', functools.partial(held.delta_after, base))
+        frames.append(
+            steps.run(
+                'encode',
+                functools.partial(
+                    codec.encode,
+                    messages.Records(delta=delta),
+                    now=0,
+                ),
+            ),
+        )
+    return frames
+
+
+def _run_child(steps: step_times.StepTimes, frames: list[bytes]) -> None:
+    held = replica.Replica()
+    for frame in frames:
+        found = steps.run(
+            'decode',
+            functools.partial(codec.decode, frame, now=0, peer='parent'),
+        )
+        if isinstance(found, messages.Records):
+            steps.run(
+                'child_join',
+                functools.partial(held.apply_delta, found.delta),
+            )
+
+
+def _stored_answer(version: int) -> bytes:
+    published = platform_document.build_configuration(
+        _ROUTES,
+        version=version,
+        changed=(version % _ROUTES,),
+    )
+    item = {
+        'key': 'op/config',
+        'value': base64.b64encode(published).decode(),
+        'revision': version,
+    }
+    return json.dumps({'at': version, 'events': [item]}).encode()
+
+
+def _read(stored: bytes) -> bytes:
+    answer = json.loads(stored)
+    return base64.b64decode(answer['events'][0]['value'], validate=True)
+
+
+def _apply(
+    held: replica.Replica,
+    content: bytes,
+    version: int,
+) -> replica.Change:
+    return replica.apply_source(
+        held,
+        tree=replica.SourceTree.TEAMS,
+        after=ids.Revision(version - 1),
+        revision=ids.Revision(version),
+        entries=(
+            replica.SourceValue(
+                key=settings.SHARED_TEAM,
+                revision=ids.Revision(version),
+                content=content,
+            ),
+        ),
+    )
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/bench/platform_document.py
@@ -0,0 +1,59 @@
+"""A configuration of the platform with many routes, for measurements."""
+
+import hashlib
+import json
+
+__all__ = ('build_configuration',)
+
+_SERVICES = 40
+_PLANNED_TIMEOUT = '2s'
+
+
+def build_configuration(
+    routes: int,
+    *,
+    version: int = 1,
+    changed: tuple[int, ...] = (),
+) -> bytes:
+    """Return a published configuration (JSON).
+
+    Parameters
+    ----------
+    routes : int
+        Number of routes.
+    version : int
+        Version that it states.
+    changed : tuple of int
+        Routes whose timeout differs with the version.
+    """
+    timeout = f'{version + 2}s'
+    return json.dumps({
+        'version': f'r{version}',
+        'services': {f'service-{number}': {} for number in range(_SERVICES)},
+        'routes': {
+            f'route-{number}': _route(
+                number,
+                timeout=timeout if number in changed else _PLANNED_TIMEOUT,
+            )
+            for number in range(routes)
+        },
+    }).encode()
+
+
+def _route(number: int, *, timeout: str) -> dict[str, object]:
+    service = number % _SERVICES
+    return {
+        'host': f'service-{service}.example',
+        'path_prefix': f'/{_name(number)}/',
+        'kind': 'idempotent' if number % 3 else 'non_idempotent',
+        'timeout': timeout,
+        'target_latency': '500ms',
+        'priority': number % 3,
+        'attempts': 3,
+        'service': f'service-{service}',
+    }
+
+
+def _name(number: int) -> str:
+    """Return a name that hardly compresses."""
+    return hashlib.sha256(str(number).encode()).hexdigest()[:10]
