Add failing tests of what a changed route costs

A change of one route among 1,400 is translated, parsed, bound and sent whole, and each version of a storm is translated.

--- a/medlarquay/platform/tests/test_store_fetcher.py
+++ b/medlarquay/platform/tests/test_store_fetcher.py
@@ -9,7 +9,7 @@
 from twisted.internet import defer
 
 from medlarquay import errors, ids, replica
-from medlarquay.platform import settings_file, store_fetcher
+from medlarquay.platform import duration, settings_file, store_fetcher
 from medlarquay.platform.tests import test_settings_file
 
 _OWN = settings_file.parse_settings('\n'.join(test_settings_file.LINES))
@@ -58,10 +58,21 @@
     tree: replica.SourceTree,
     after: int,
 ) -> Any:
-    fetcher = store_fetcher.StoreFetcher(
+    return _read(_fetcher(store), tree, after)
+
+
+def _fetcher(store: ScriptedStore) -> store_fetcher.StoreFetcher:
+    return store_fetcher.StoreFetcher(
         client=store,  # type: ignore[arg-type]
         own=_OWN,
     )
+
+
+def _read(
+    fetcher: store_fetcher.StoreFetcher,
+    tree: replica.SourceTree,
+    after: int,
+) -> Any:
     reading = fetcher.fetch(tree, after=ids.Revision(after), wait_ms=1000)
     found: list[Any] = []
     failed: list[Any] = []
@@ -141,3 +152,75 @@
     found = _fetch(store, replica.SourceTree.TEAMS, 0)
     assert [entry['key'] for entry in found['entries']] == ['operators']
     assert found['entries'][0]['value'] == 'unreadable'
+
+
+def _configuration(*timeouts: str, revision: int) -> dict[str, object]:
+    return _item(
+        'op/config',
+        {
+            'services': {'desk': {}},
+            'routes': {
+                f'r-{number}': {
+                    'host': 'desk.example',
+                    'path_prefix': f'/{number}/',
+                    'kind': 'idempotent',
+                    'timeout': timeout,
+                    'target_latency': '400ms',
+                    'priority': 1,
+                    'attempts': 2,
+                    'service': 'desk',
+                }
+                for number, timeout in enumerate(timeouts)
+            },
+        },
+        revision,
+    )
+
+
+def _count_durations(
+    monkeypatch: pytest.MonkeyPatch,
+) -> list[str]:
+    parsed: list[str] = []
+    parse = duration.parse_duration_ms
+
+    def count(text: object, *, field: str) -> int:
+        parsed.append(field)
+        return parse(text, field=field)
+
+    monkeypatch.setattr(duration, 'parse_duration_ms', count)
+    return parsed
+
+
+def test_only_changed_routes_are_translated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against translating 1,400 routes for a change of one."""
+    store = ScriptedStore(
+        {'events': [_configuration('1s', '2s', '3s', revision=8)], 'at': 8},
+        {'events': [_configuration('1s', '4s', '3s', revision=9)], 'at': 9},
+    )
+    fetcher = _fetcher(store)
+    _read(fetcher, replica.SourceTree.TEAMS, 7)
+    parsed = _count_durations(monkeypatch)
+    found = _read(fetcher, replica.SourceTree.TEAMS, 8)
+    routes = json.loads(found['entries'][0]['value'])['routes']
+    assert [route['timeout_ms'] for route in routes] == [1000, 4000, 3000]
+    assert len(parsed) == 2
+
+
+def test_superseded_versions_are_not_translated(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against translating each version of a storm of changes."""
+    store = ScriptedStore({
+        'events': [
+            _configuration('1s', revision=8),
+            _configuration('2s', revision=9),
+            _configuration('3s', revision=11),
+        ],
+        'at': 11,
+    })
+    parsed = _count_durations(monkeypatch)
+    found = _read(_fetcher(store), replica.SourceTree.TEAMS, 7)
+    assert [entry['revision'] for entry in found['entries']] == [11]
+    assert len(parsed) == 2
--- a/medlarquay/snapshots/tests/test_snapshots.py
+++ b/medlarquay/snapshots/tests/test_snapshots.py
@@ -149,3 +149,32 @@
     }
     assert changed == {('agency', 'a')}
     assert after.routes[b'x.coop'] is before.routes[b'x.coop']
+
+
+def _two_hosts(timeout_ms: int) -> settings.TeamDocument:
+    tree = {
+        'services': {'desk': {}},
+        'routes': [
+            {'host': 'a.example', 'service': 'desk', 'timeout_ms': timeout_ms},
+            {'host': 'b.example', 'service': 'desk'},
+        ],
+    }
+    return settings.parse_document(
+        team=ids.TeamName(settings.SHARED_TEAM),
+        content=json.dumps(tree).encode(),
+    )
+
+
+def test_hosts_without_a_change_keep_their_routes() -> None:
+    """Guards against binding the routes of all hosts for a change of one."""
+    before = _build([_two_hosts(1)], [])
+    after = snapshots.apply_change(
+        before,
+        snapshots.SnapshotChange(
+            tree_revision=_ZERO,
+            list_revision=_ZERO,
+            documents=(_two_hosts(2),),
+        ),
+    )
+    assert after.routes[b'b.example'] is before.routes[b'b.example']
+    assert after.routes[b'a.example'] != before.routes[b'a.example']
