--- a/medlarquay/tasks/source_reader.py
+++ b/medlarquay/tasks/source_reader.py
@@ -54,6 +54,7 @@
         self._fetcher = fetcher
         self._clock = clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
+        self._failing: set[replica.SourceTree] = set()
         self._reachable = True
 
     def receive(self, message: object) -> None:
@@ -68,6 +69,7 @@
                 reader.machine.choose(mode)
             else:
                 reader.machine.stop()
+                self._failing.discard(reader.tree)
 
     def plan(self, reader: tree_reader.TreeReader) -> None:
         """Schedule the next read of one tree."""
@@ -101,7 +103,8 @@
         reader.limiter.succeeded()
         if self.configuration is not None:
             self.configuration.post(answer)
-        self._note(reachable=True)
+        self._failing.discard(reader.tree)
+        self._tell_reachable()
         reader.machine.ended()
 
     def fail(
@@ -116,10 +119,13 @@
             failure,
         )
         reader.limiter.failed(now=self._clock())
-        self._note(reachable=False)
+        self._failing.add(reader.tree)
+        self._tell_reachable()
         reader.machine.ended()
 
-    def _note(self, *, reachable: bool) -> None:
+    def _tell_reachable(self) -> None:
+        # The documents need far more of the link than the instance list.
+        reachable = not self._failing
         if reachable is self._reachable:
             return
         self._reachable = reachable
