--- a/medlarquay/tasks/tests/test_distribution_traces.py
+++ b/medlarquay/tasks/tests/test_distribution_traces.py
@@ -93,12 +93,13 @@
 
 
 def _mark_reader(replay: Replay, step: dict[str, Any]) -> None:
-    """Name the reader of a region ``reader``."""
+    """Name the reader of a region ``reader``, its other nodes ``others``."""
     nodes = sorted(
         (peer for peer in replay.peers.values() if peer.region == step['of']),
         key=lambda peer: topology.rank_value(peer.instance),
     )
     replay.marked['reader'] = [nodes[0].address]
+    replay.marked['others'] = [node.address for node in nodes[1:]]
 
 
 def _mark_parent(replay: Replay, step: dict[str, Any]) -> None:
@@ -151,6 +152,13 @@
     replay.mesh.without_source = set(replay.chosen(step['nodes']))
 
 
+def _saturate(replay: Replay, step: dict[str, Any]) -> None:
+    """Keep the links of some nodes, but let none of them connect."""
+    nodes = set(replay.chosen(step['nodes']))
+    replay.mesh.without_source = nodes
+    replay.mesh.without_new_links = nodes
+
+
 def _expect_revision(replay: Replay, step: dict[str, Any]) -> None:
     found = {
         address: node.revision
@@ -215,6 +223,7 @@
     'heal': _heal,
     'source': _source,
     'cut_source': _cut_source,
+    'saturate': _saturate,
     'expect_revision': _expect_revision,
     'expect_age': _expect_age,
     'expect_calls': _expect_calls,
--- a/medlarquay/testing/simulated_mesh.py
+++ b/medlarquay/testing/simulated_mesh.py
@@ -68,6 +68,8 @@
         self.source = memory_source.MemorySource(clock=self.clock)
         #: Nodes that reach all other nodes but not the source.
         self.without_source: set[str] = set()
+        #: Nodes that keep their links, but open no others.
+        self.without_new_links: set[str] = set()
         self.nodes: dict[str, simulated_node.SimulatedNode] = {}
         self.crossings: collections.Counter[tuple[str, str]] = (
             collections.Counter()
@@ -159,7 +161,7 @@
         self._last_link += 1
         number = self._last_link
         node = self.nodes.get(target.address)
-        if node is None:
+        if node is None or own.address in self.without_new_links:
             self._later(own.address, watcher.closed)
             return
         relay = node.tasks.relay
