Leave a parent whose configuration ages for a fresher one

A node left a parent that was silent, closed or behind, but not one that answered while it read nothing itself: all nodes of a region age alike, so none saw its parent behind.

A child now tells the membership when the data of its parent was confirmed more than 3.5 s ago. It then tries another parent while it keeps this one, and takes it only if its data is fresh; the second and third node of a region read the source beside a stale parent. A fresh parent is left for a fresh one only.

Ruled out: leaving a stale parent at once, which lets every node of a region become its reader in turn while the source is down.

--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -21,6 +21,7 @@
 from medlarquay.events.lifecycle_changed import LifecycleChanged
 from medlarquay.events.link_closed import LinkClosed
 from medlarquay.events.open_link import OpenLink
+from medlarquay.events.parent_aged import ParentAged
 from medlarquay.events.parent_answered import ParentAnswered
 from medlarquay.events.parent_chosen import ParentChosen
 from medlarquay.events.parent_lost import ParentLost
@@ -59,6 +60,7 @@
     'DeltaReady',
     'HeartbeatDue',
     'ParentChosen',
+    'ParentAged',
     'ParentAnswered',
     'ParentLost',
     'ReadingChosen',
--- a/medlarquay/tasks/followed.py
+++ b/medlarquay/tasks/followed.py
@@ -5,10 +5,13 @@
 from medlarquay import messages, replica, states, topology
 from medlarquay.tasks import control_link
 
-__all__ = ('SILENT_S', 'Followed')
+__all__ = ('SILENT_S', 'STALE_S', 'Followed')
 
 #: A parent that answers no probe for this long counts as silent, in seconds.
 SILENT_S = 1.5
+#: A parent whose data was confirmed longer ago is stale, in seconds. At a
+#: reader the age rises to 2 s between two reads, and by up to 0.5 s a level.
+STALE_S = 3.5
 # A parent may be behind or stale for this long, in seconds: its own parent
 # may just have failed.
 _USELESS_S = 2
@@ -31,6 +34,9 @@
         When the parent counts as silent, seconds on the monotonic clock.
     useless_at : float
         When the parent counts as behind or stale.
+    confirmed_at : float
+        When the source confirmed what the parent holds; at first the time at
+        which the link was begun.
     link : control_link.ControlLink or None
         Open link.
     probes : dict of int to float
@@ -46,6 +52,7 @@
     must_be_fresh: bool
     silent_at: float
     useless_at: float
+    confirmed_at: float
     link: control_link.ControlLink | None = None
     probes: dict[int, float] = dataclasses.field(default_factory=dict)
     fault: states.ParentFault = states.ParentFault.CLOSED
@@ -59,8 +66,17 @@
             must_be_fresh=False,
             silent_at=now + SILENT_S,
             useless_at=now + SILENT_S + _USELESS_S,
+            confirmed_at=now,
         )
 
+    def is_stale(self, *, now: float) -> bool:
+        """Return whether the parent holds what was confirmed too long ago."""
+        return now - self.confirmed_at > STALE_S
+
+    def confirm(self, confirmed_at: float) -> None:
+        """Note when the source confirmed what the parent holds."""
+        self.confirmed_at = max(self.confirmed_at, confirmed_at)
+
     def note_probe(self, nonce: int, *, now: float) -> None:
         """Remember when a probe was sent."""
         self.probes[nonce] = now
@@ -70,6 +86,7 @@
     def expire(self, *, now: float) -> None:
         """Forget what was observed before a pause of this process."""
         self.probes.clear()
+        self.confirmed_at = now
         self.silent_at = now + SILENT_S
         self.useless_at = now + SILENT_S + _USELESS_S
 
@@ -83,9 +100,7 @@
         """Judge a heartbeat; return whether the parent is of use."""
         self.silent_at = now + SILENT_S
         age_ms = heartbeat.age_ms
-        fresh = (
-            age_ms is not None and age_ms <= replica.FRESH_S * _MS_PER_SECOND
-        )
+        fresh = age_ms is not None and age_ms <= STALE_S * _MS_PER_SECOND
         if heartbeat.vector == replica.VersionVector():
             # Nodes that start together as each other's seeds would otherwise
             # follow one another and never learn of the others.
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -71,6 +71,7 @@
         self._clock = clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
         self._nonces = itertools.count(1)
+        self._stale = False
 
     def receive(self, message: object) -> None:
         """Handle one message."""
@@ -99,9 +100,22 @@
         for held in (self.current, self.next):
             if held is not None:
                 _check_link(held, tick)
+        self.tell_age(tick.now)
         if self.current is not None or self.next is not None:
             self._alarm.wake_at(tick.now + PROBE_S)
 
+    def tell_age(self, now: float) -> None:
+        """Tell the membership when the parent becomes stale or fresh."""
+        link = self.current
+        if link is None or self.membership is None:
+            return
+        stale = link.state.is_stale(now=now)
+        if stale is not self._stale:
+            self._stale = stale
+            self.membership.post(
+                events.ParentAged(parent=link.state.parent, stale=stale),
+            )
+
     def write(self, link: following.Following, message: object) -> None:
         """Send a message on one link."""
         if link.state.link is not None:
@@ -124,6 +138,7 @@
         self._drop(self.current)
         self.current = link
         self.next = None
+        self._stale = False
         self._log.info('following {}', link.state.parent.address)
         if self.membership is not None:
             self.membership.post(
@@ -291,8 +306,14 @@
         # The probe was sent before a pause, or never.
         return
     now = follower.now()
+    confirmed_at = _confirmed_at(message, sent_at)
+    link.state.confirm(confirmed_at)
     if link.state.take_heartbeat(message, follower.vector, now=now):
         link.machine.useful()
+    elif _is_in_vain(follower, link):
+        link.machine.ended()
+        return
+    follower.tell_age(now)
     _resynchronize(message, follower, link)
     if follower.configuration is not None:
         follower.configuration.post(
@@ -300,7 +321,7 @@
                 peer=link.state.parent.address,
                 vector=message.vector,
                 asked_at=sent_at,
-                confirmed_at=_confirmed_at(message, sent_at),
+                confirmed_at=confirmed_at,
             ),
         )
 
@@ -322,6 +343,16 @@
         follower.write(link, messages.FetchAll())
 
 
+def _is_in_vain(follower: Follower, link: following.Following) -> bool:
+    # The present parent is kept while others are tried, so a stale one among
+    # those is left for the next at once.
+    return (
+        link is follower.next
+        and follower.current is not None
+        and link.state.fault is states.ParentFault.NOT_FRESH
+    )
+
+
 def _confirmed_at(heartbeat: messages.Heartbeat, sent_at: float) -> float:
     if heartbeat.age_ms is None:
         return -math.inf
--- a/medlarquay/tasks/membership.py
+++ b/medlarquay/tasks/membership.py
@@ -70,11 +70,18 @@
         self._alarm.wake_at(deadline)
         known = self.situation
         if known.parent == message.parent:
-            known = dataclasses.replace(known, parent=None)
+            known = dataclasses.replace(known, parent=None, stale=False)
         # The choice is announced again even if it is the same peer.
         self._chosen = None
         self.learn(known)
 
+    def take_parent(self, parent: topology.Peer) -> None:
+        """Follow a new parent; suspect the previous one if it was stale."""
+        known = self.situation
+        if known.stale and known.parent is not None:
+            self._suspects.mark(known.parent.address, now=self._clock())
+        self.learn(dataclasses.replace(known, parent=parent, stale=False))
+
     def learn(self, known: topology.Situation) -> None:
         """Choose again with what is known now."""
         now = self._clock()
@@ -125,9 +132,15 @@
 
 @_handle.register
 def _answered(message: events.ParentAnswered, membership: Membership) -> None:
-    membership.learn(
-        dataclasses.replace(membership.situation, parent=message.parent),
-    )
+    membership.take_parent(message.parent)
+
+
+@_handle.register
+def _aged(message: events.ParentAged, membership: Membership) -> None:
+    if message.parent == membership.situation.parent:
+        membership.learn(
+            dataclasses.replace(membership.situation, stale=message.stale),
+        )
 
 
 @_handle.register
--- a/medlarquay/topology/choose.py
+++ b/medlarquay/topology/choose.py
@@ -1,5 +1,6 @@
 """Choice of the parent and of the nodes that read the source."""
 
+import dataclasses
 from collections.abc import Iterable
 
 from medlarquay import states
@@ -16,6 +17,9 @@
 # follows, is more likely cut off than the next reader of its region. It
 # reads rarely, which bounds the calls when all nodes are cut off alike.
 _MAX_SUSPECTED = 4
+# Beside a stale parent the second and third node of a region read as well.
+# All parents are stale while the source is down, and each read counts there.
+_MAX_BEFORE_SECOND_READER = 2
 
 
 def choose(known: situation.Situation) -> choice.Choice:
@@ -24,6 +28,39 @@
     A parent in the own region always precedes the child in the distribution
     order, which no list influences, so no cycle can form.
     """
+    chosen = _choose(known)
+    parent = known.parent
+    if known.stale and parent is not None and chosen.parent == parent:
+        return _choose_fresher(known, parent)
+    if parent is None or chosen.parent in {None, parent}:
+        return chosen
+    # A parent that is fresh is left for none that is not.
+    return dataclasses.replace(chosen, must_be_fresh=True)
+
+
+def _choose_fresher(
+    known: situation.Situation,
+    parent: peer.Peer,
+) -> choice.Choice:
+    """Look for a fresher parent while the present one is followed.
+
+    The source may be down, and then there is none, so few nodes of a region
+    read it beside their parents.
+    """
+    others = dataclasses.replace(
+        known,
+        suspects=known.suspects | {parent.address},
+    )
+    chosen = _choose(others)
+    if chosen.mode is states.ReadingMode.NONE:
+        return dataclasses.replace(chosen, must_be_fresh=True)
+    before = known.members.before(known.own)
+    if len(before) <= _MAX_BEFORE_SECOND_READER and parent in before:
+        return choice.Choice(parent=parent, mode=states.ReadingMode.READER)
+    return _choose(known)
+
+
+def _choose(known: situation.Situation) -> choice.Choice:
     if not known.members:
         return _bootstrap(known)
     local = _usable(known.members.before_in_centre(known.own), known)
--- a/medlarquay/topology/situation.py
+++ b/medlarquay/topology/situation.py
@@ -27,6 +27,9 @@
         Whether this node's last read of the source succeeded.
     children : int
         Nodes that follow this one.
+    stale : bool
+        Whether the parent answers, but the source confirmed what it holds
+        too long ago.
     """
 
     own: peer.Peer
@@ -36,3 +39,4 @@
     parent: peer.Peer | None = None
     source_reachable: bool = True
     children: int = 0
+    stale: bool = False
