Send between nodes what differs in a document

What a child at an older version lacks is one difference from the document that it holds to the newest: ranges that are copied and bytes that follow them, with the digests of both documents. The child builds the document, compares its digest and only then validates and joins it, so nothing is applied in part; where the base is not what it holds it changes nothing and asks for everything.

--- a/medlarquay/codec/control_decoders.py
+++ b/medlarquay/codec/control_decoders.py
@@ -19,6 +19,11 @@
 _MAX_PORT = 65535
 # A tombstone carries its key and revision only.
 _TOMBSTONE_FIELDS = 2
+# A difference carries two digests more than a record.
+_DIFFERENCE_FIELDS = 8
+_EDIT_FIELDS = 3
+
+_Team = replica.TeamRecord | replica.TeamDifference
 
 
 def _subscribe(reader: checked.Checked, now: float) -> messages.Subscribe:
@@ -47,9 +52,19 @@
 
 
 def _records(reader: checked.Checked, now: float) -> messages.Records:
+    teams = tuple(_teams(reader))
     return messages.Records(
         delta=replica.Delta(
-            teams=tuple(_teams(reader)),
+            teams=tuple(
+                found
+                for found in teams
+                if isinstance(found, replica.TeamRecord)
+            ),
+            differences=tuple(
+                found
+                for found in teams
+                if isinstance(found, replica.TeamDifference)
+            ),
             instances=tuple(_instances(reader)),
             base=_vector(reader),
             reached=_vector(reader),
@@ -58,10 +73,14 @@
     )
 
 
-def _teams(reader: checked.Checked) -> Iterator[replica.TeamRecord]:
+def _teams(reader: checked.Checked) -> Iterator[_Team]:
     left = control_limits.MAX_MESSAGE_BYTES
     for fields in reader.take(list):
-        record = _team(reader.nested(fields), left)
+        entry = reader.nested(fields)
+        if entry.length == _DIFFERENCE_FIELDS:
+            yield _difference(entry)
+            continue
+        record = _team(entry, left)
         left -= len(record.content)
         yield record
 
@@ -84,23 +103,58 @@
     return record
 
 
+def _difference(reader: checked.Checked) -> replica.TeamDifference:
+    found = replica.TeamDifference(
+        team=ids.TeamName(_text(reader)),
+        revision=ids.Revision(_count(reader)),
+        digest=_full_digest(reader),
+        accepted_revision=ids.Revision(_count(reader)),
+        edits=tuple(_edits(reader)),
+        rejection=_text(reader),
+        base=_full_digest(reader),
+        accepted_digest=_full_digest(reader),
+    )
+    reader.finish()
+    return found
+
+
+def _edits(reader: checked.Checked) -> Iterator[replica.ContentEdit]:
+    entry = reader.nested(
+        _load_packed(reader, limit=control_limits.MAX_DOCUMENT_BYTES),
+    )
+    if entry.length % _EDIT_FIELDS:
+        raise reader.error('does not consist of whole edits')
+    for _ in range(entry.length // _EDIT_FIELDS):
+        yield replica.ContentEdit(
+            start=_count(entry),
+            length=_count(entry),
+            inserted=entry.take(bytes),
+        )
+
+
 def _instances(reader: checked.Checked) -> Iterator[replica.InstanceRecord]:
+    entries = _load_packed(reader, limit=control_limits.MAX_ENTRIES_BYTES)
+    for fields in entries:
+        yield _instance(reader.nested(fields))
+
+
+def _load_packed(reader: checked.Checked, *, limit: int) -> list[object]:
+    """Return a compressed CBOR array; empty bytes stand for an empty one."""
     content = compression.decompress(
         reader.take(bytes),
-        limit=control_limits.MAX_ENTRIES_BYTES,
+        limit=limit,
         peer=reader.peer,
     )
     if not content:
-        return
+        return []
     try:
         entries = cbor2.loads(content)
     except Exception as cause:
         # The library raises many types for malformed input.
         raise reader.error('is not CBOR after decompression') from cause
-    if not isinstance(entries, list):
-        raise reader.error('is no array after decompression')
-    for fields in entries:
-        yield _instance(reader.nested(fields))
+    if isinstance(entries, list):
+        return entries
+    raise reader.error('is no array after decompression')
 
 
 def _instance(reader: checked.Checked) -> replica.InstanceRecord:
--- a/medlarquay/codec/control_encoding.py
+++ b/medlarquay/codec/control_encoding.py
@@ -46,7 +46,10 @@
     entries = [_instance_fields(entry) for entry in delta.instances]
     return [
         int(message_type.MessageType.RECORDS),
-        [_team_fields(record) for record in delta.teams],
+        [
+            *(_team_fields(record) for record in delta.teams),
+            *(_difference_fields(found) for found in delta.differences),
+        ],
         compression.compress(cbor2.dumps(entries)) if entries else b'',
         delta.base.tree_revision,
         delta.base.list_revision,
@@ -67,6 +70,24 @@
     ]
 
 
+def _difference_fields(found: replica.TeamDifference) -> list[object]:
+    edits = [
+        member
+        for edit in found.edits
+        for member in (edit.start, edit.length, edit.inserted)
+    ]
+    return [
+        found.team,
+        found.revision,
+        found.digest,
+        found.accepted_revision,
+        compression.compress(cbor2.dumps(edits)),
+        found.rejection,
+        found.base,
+        found.accepted_digest,
+    ]
+
+
 def _instance_fields(entry: replica.InstanceRecord) -> list[object]:
     if entry.deleted:
         return [entry.instance, entry.revision]
--- a/medlarquay/codec/tests/test_control_fuzz.py
+++ b/medlarquay/codec/tests/test_control_fuzz.py
@@ -52,10 +52,34 @@
         digest=_DIGEST,
     ),
 )
+_DIFFERENCES = messages.Records(
+    delta=replica.Delta(
+        teams=(),
+        differences=(
+            replica.TeamDifference(
+                team=ids.TeamName('agency'),
+                revision=ids.Revision(9),
+                digest=_DIGEST,
+                accepted_revision=ids.Revision(9),
+                base=_DIGEST,
+                accepted_digest=_DIGEST,
+                edits=(
+                    replica.ContentEdit(start=0, length=7, inserted=b'{}'),
+                    replica.ContentEdit(start=9, length=2, inserted=b''),
+                ),
+            ),
+        ),
+        instances=(),
+        base=_VECTOR,
+        reached=_VECTOR,
+        digest=_DIGEST,
+    ),
+)
 _MESSAGES = (
     messages.Subscribe(vector=_VECTOR, digest=_DIGEST),
     messages.FetchAll(),
     _RECORDS,
+    _DIFFERENCES,
     messages.Probe(nonce=3),
     messages.Heartbeat(nonce=3, age_ms=12, vector=_VECTOR, digest=_DIGEST),
     messages.Heartbeat(nonce=3, age_ms=None, vector=_VECTOR, digest=_DIGEST),
--- a/medlarquay/replica/__init__.py
+++ b/medlarquay/replica/__init__.py
@@ -3,6 +3,7 @@
 from medlarquay.replica.acceptance import check_record, record_of
 from medlarquay.replica.apply_source import apply_source
 from medlarquay.replica.change import Change
+from medlarquay.replica.content_edit import ContentEdit
 from medlarquay.replica.delta import Delta
 from medlarquay.replica.documents import digest_of, parse_instance
 from medlarquay.replica.floor import FRESH_S, STARTUP_S, Floor
@@ -14,6 +15,7 @@
 from medlarquay.replica.source_tree import SourceTree
 from medlarquay.replica.source_value import SourceValue
 from medlarquay.replica.split import split_delta
+from medlarquay.replica.team_difference import TeamDifference
 from medlarquay.replica.team_record import TeamRecord
 from medlarquay.replica.version_vector import VersionVector
 
@@ -22,6 +24,7 @@
     'FRESH_S',
     'STARTUP_S',
     'Change',
+    'ContentEdit',
     'Delta',
     'Floor',
     'Freshness',
@@ -29,6 +32,7 @@
     'Replica',
     'SourceTree',
     'SourceValue',
+    'TeamDifference',
     'TeamRecord',
     'VersionVector',
     'apply_source',
--- a/medlarquay/replica/delta.py
+++ b/medlarquay/replica/delta.py
@@ -3,7 +3,12 @@
 import dataclasses
 
 from medlarquay import ids
-from medlarquay.replica import instance_record, team_record, version_vector
+from medlarquay.replica import (
+    instance_record,
+    team_difference,
+    team_record,
+    version_vector,
+)
 
 __all__ = ('Delta',)
 
@@ -16,6 +21,9 @@
     ----------
     teams : tuple[TeamRecord, ...]
         Changed team records, in order of revision.
+    differences : tuple[TeamDifference, ...]
+        Changed team records that are told by what differs from those which
+        a node at the base holds.
     instances : tuple[InstanceRecord, ...]
         Changed instance records, in order of revision.
     base : VersionVector
@@ -31,3 +39,4 @@
     base: version_vector.VersionVector
     reached: version_vector.VersionVector
     digest: ids.Digest
+    differences: tuple[team_difference.TeamDifference, ...] = ()
--- a/medlarquay/replica/replica.py
+++ b/medlarquay/replica/replica.py
@@ -4,13 +4,13 @@
 
 from medlarquay import errors, ids, settings, states
 from medlarquay.replica import (
-    acceptance,
     change,
     delta,
     instance_record,
     join,
     record_set,
     team_record,
+    team_records,
     version_vector,
 )
 
@@ -28,13 +28,10 @@
     """
 
     def __init__(self) -> None:
-        self._teams: record_set.RecordSet[
-            ids.TeamName, team_record.TeamRecord
-        ] = record_set.RecordSet()
+        self._teams = team_records.TeamRecords()
         self._instances: record_set.RecordSet[
             ids.InstanceId, instance_record.InstanceRecord
         ] = record_set.RecordSet()
-        self._documents: dict[ids.TeamName, settings.TeamDocument] = {}
         self._vector = version_vector.VersionVector()
 
     @property
@@ -51,7 +48,7 @@
     @property
     def documents(self) -> Iterable[settings.TeamDocument]:
         """Accepted documents."""
-        return self._documents.values()
+        return self._teams.documents
 
     @property
     def teams(self) -> Iterator[team_record.TeamRecord]:
@@ -65,7 +62,7 @@
 
     def document(self, team: ids.TeamName) -> settings.TeamDocument | None:
         """Return the accepted document of a team, if any."""
-        return self._documents.get(team)
+        return self._teams.document(team)
 
     def instance(
         self,
@@ -78,14 +75,16 @@
         """Join a peer's records into the replica.
 
         The vector rises only if the delta leaves no gap above the vector
-        held; records above a gap are joined all the same.
+        held; records above a gap are joined all the same. A difference from
+        a document that is not held leaves a gap.
         """
         found = change.Change()
         for record in offered.teams:
             self._join_offered(record, found)
+        whole = self._join_differences(offered, found)
         for entry in offered.instances:
             self.join_instance(entry, found)
-        if self._vector.covers(offered.base):
+        if whole and self._vector.covers(offered.base):
             self.raise_vector(offered.reached, found)
         else:
             found.note(states.ReplicaEvent.DELTA_GAP)
@@ -118,10 +117,8 @@
                 states.ReplicaEvent.DOCUMENT_REJECTED,
                 f'teams/{merged.team}@{merged.revision}: {merged.rejection}',
             )
-        self._teams.put(merged.team, merged)
+        self._teams.put(merged)
         found.teams.add(merged.team)
-        if held is None or held.accepted_revision != merged.accepted_revision:
-            self._bring_into_force(merged)
 
     def join_instance(
         self,
@@ -138,8 +135,10 @@
 
     def delta_after(self, base: version_vector.VersionVector) -> delta.Delta:
         """Return all records newer than a version vector."""
+        whole, differences = self._teams.newer_than(base.tree_revision)
         return delta.Delta(
-            teams=self._teams.newer_than(base.tree_revision),
+            teams=whole,
+            differences=differences,
             instances=self._instances.newer_than(base.list_revision),
             base=base,
             reached=self._vector,
@@ -151,7 +150,7 @@
         record: team_record.TeamRecord,
         found: change.Change,
     ) -> None:
-        checked = acceptance.check_record(record)
+        checked = self._teams.check(record)
         if checked is None:
             found.note(
                 states.ReplicaEvent.RECORD_INVALID,
@@ -160,18 +159,27 @@
         else:
             self.join_team(checked, found)
 
+    def _join_differences(
+        self,
+        offered: delta.Delta,
+        found: change.Change,
+    ) -> bool:
+        """Join records told by differences; return whether all are held."""
+        held = True
+        for difference in offered.differences:
+            record = self._teams.resolve(difference)
+            if record is None:
+                found.note(states.ReplicaEvent.BASE_DIFFERS)
+                held = False
+            else:
+                self._join_offered(record, found)
+        return held
+
     def _differs(self, offered: delta.Delta) -> bool:
         # Digests of nodes at different vectors differ in any case.
         same = self._vector == offered.reached
         return same and self.digest != offered.digest
 
-    def _bring_into_force(self, record: team_record.TeamRecord) -> None:
-        document = acceptance.document_of(record)
-        if document is None:
-            self._documents.pop(record.team, None)
-        else:
-            self._documents[record.team] = document
-
 
 def _is_newer(
     merged: team_record.TeamRecord,
--- /dev/null
+++ b/medlarquay/replica/team_difference.py
@@ -0,0 +1,34 @@
+"""The record of one team, told by what differs from an earlier one."""
+
+import dataclasses
+
+from medlarquay import ids
+from medlarquay.replica import content_edit
+
+__all__ = ('TeamDifference',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class TeamDifference:
+    """The record of one team, told by what differs from an earlier one.
+
+    Attributes
+    ----------
+    team, revision, digest, accepted_revision, rejection
+        As in ``TeamRecord``.
+    base : ids.Digest
+        Digest of the accepted document that the edits copy from.
+    accepted_digest : ids.Digest
+        Digest of the accepted document that they build.
+    edits : tuple of ContentEdit
+        How the accepted document is built.
+    """
+
+    team: ids.TeamName
+    revision: ids.Revision
+    digest: ids.Digest
+    accepted_revision: ids.Revision
+    base: ids.Digest
+    accepted_digest: ids.Digest
+    edits: tuple[content_edit.ContentEdit, ...]
+    rejection: str = ''
--- a/medlarquay/states/replica_event.py
+++ b/medlarquay/states/replica_event.py
@@ -15,3 +15,4 @@
     DOCUMENT_REJECTED = 'document_rejected'
     DIGEST_MISMATCH = 'digest_mismatch'
     DELTA_GAP = 'delta_gap'
+    BASE_DIFFERS = 'base_differs'
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -293,6 +293,10 @@
                 delta=message.delta,
             ),
         )
+        # The parent may have told a difference from another document.
+        reached = follower.vector.covers(message.delta.reached)
+        if message.delta.differences and not reached:
+            follower.write(link, messages.FetchAll())
 
 
 @_take.register
--- a/medlarquay/testing/simulated_mesh.py
+++ b/medlarquay/testing/simulated_mesh.py
@@ -205,7 +205,9 @@
         frame: bytes,
     ) -> None:
         message = codec.decode(frame, now=0, peer='simulated')
-        changes = isinstance(message, messages.Records) and message.delta.teams
+        changes = isinstance(message, messages.Records) and (
+            message.delta.teams or message.delta.differences
+        )
         if changes and sender.region != receiver.region:
             self.crossings[sender.region, receiver.region] += 1
         watcher.received(frame)
