--- a/medlarquay/tasks/tests/ingress_bench.py
+++ b/medlarquay/tasks/tests/ingress_bench.py
@@ -77,7 +77,12 @@
 class IngressBench:
     """A router of instance ``a0`` between recording fakes."""
 
-    def __init__(self, *backends: replica.InstanceRecord) -> None:
+    def __init__(
+        self,
+        *backends: replica.InstanceRecord,
+        timeout_ms: int = 2000,
+    ) -> None:
+        self.timeout_ms = timeout_ms
         self.clock = twisted_task.Clock()
         self.links = Recorder()
         self.owner = Recorder()
@@ -127,7 +132,7 @@
                     path_prefix='/',
                     service=_SERVICE,
                     rank=states.Rank.NORMAL,
-                    timeout_ms=2000,
+                    timeout_ms=self.timeout_ms,
                     idempotent_methods=('GET',),
                 ),
             ),
