Answer every open request before a stopping ingress ends

Cause: the drain deadline is known to the lifecycle only. The router learns of the end from its broken links, after the callers' sockets are gone, and the 502 that it then logs reaches nobody. Requests that it takes while it stops carry their own deadline to the owner, often later than its own end.

--- a/medlarquay/daemon/lifecycle.py
+++ b/medlarquay/daemon/lifecycle.py
@@ -66,8 +66,13 @@
     def start_drain(self) -> None:
         """Ask the parts to finish their work before the drain deadline."""
         now = self._clock()
-        self.stop_by(now + self._drain_timeout_s)
-        requested = events.DrainRequested(refuse_at=now + self._pace.linger_s)
+        deadline = now + self._drain_timeout_s
+        self.stop_by(deadline)
+        answer_by = deadline - self._pace.flush_s
+        requested = events.DrainRequested(
+            refuse_at=min(now + self._pace.linger_s, answer_by),
+            answer_by=answer_by,
+        )
         for part in self._parts:
             part.post(requested)
 
--- a/medlarquay/daemon/stop_pace.py
+++ b/medlarquay/daemon/stop_pace.py
@@ -15,8 +15,8 @@
         Seconds for which callers still send requests after the node was
         asked to stop.
     flush_s : float
-        Seconds for which answers that were written may leave the socket
-        buffers; stopping the reactor would cut them off.
+        Seconds before the drain deadline at which requests that are still
+        open are answered, so that these answers leave the socket buffers.
     """
 
     linger_s: float = 0
--- a/medlarquay/daemon/tests/test_lifecycle.py
+++ b/medlarquay/daemon/tests/test_lifecycle.py
@@ -77,7 +77,7 @@
 def test_node_stops_when_all_parts_finished(node: _Node) -> None:
     """Guards against a stop that aborts requests in flight."""
     node.life.post(events.DrainRequested())
-    assert node.part.messages == [events.DrainRequested()]
+    assert node.part.messages == [events.DrainRequested(answer_by=29)]
     _finish(node, states.NodePart.OWNER, states.NodePart.OWNER)
     node.reactor.advance(10)
     assert node.reactor.stops == 0
--- a/medlarquay/ingress/ingress_call.py
+++ b/medlarquay/ingress/ingress_call.py
@@ -4,7 +4,11 @@
 
 from medlarquay import events, ids, routing, snapshots
 
-__all__ = ('IngressCall',)
+__all__ = ('OWNER_LEAD_S', 'IngressCall')
+
+#: The owner's deadline comes this much first, so that its reason, which knows
+#: more, is what the caller is told; it needs up to 60 ms between two regions.
+OWNER_LEAD_S = 0.1
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -63,3 +67,19 @@
     def caller(self) -> ids.CallerId:
         """Connection that waits for the answer."""
         return self.message.caller
+
+    def end_by(self, deadline: float) -> None:
+        """Let the call end at a time, or at its own deadline if earlier.
+
+        Parameters
+        ----------
+        deadline : float
+            Latest end at the ingress, seconds on the monotonic clock.
+        """
+        self.deadline = min(self.deadline, deadline)
+        at_owner = min(self.parameters.deadline, deadline - OWNER_LEAD_S)
+        self.parameters = dataclasses.replace(
+            self.parameters,
+            deadline=at_owner,
+            due=min(self.parameters.due, at_owner),
+        )
--- a/medlarquay/ingress/ingress_calls.py
+++ b/medlarquay/ingress/ingress_calls.py
@@ -52,6 +52,11 @@
         call_id = self._by_caller.get(caller)
         return None if call_id is None else self.finish(call_id)
 
+    def end_by(self, deadline: float) -> None:
+        """Let all calls end at a time or before, see ``IngressCall``."""
+        for call in self._by_id.values():
+            call.end_by(deadline)
+
     def expired(self, now: float) -> tuple[ingress_call.IngressCall, ...]:
         """Return the calls past their deadline at the ingress."""
         return tuple(
--- a/medlarquay/ingress/open_call.py
+++ b/medlarquay/ingress/open_call.py
@@ -9,9 +9,6 @@
     ingress_call.IngressCall | key_wanted.KeyWanted | routing.ChoiceRefused
 )
 
-# The owner's deadline comes first, so that its reason, which knows more, is
-# what the caller is told; it needs up to 60 ms between two regions.
-_GRACE_S = 0.1
 _HOST = b'host'
 _POST = b'POST'
 
@@ -67,7 +64,7 @@
         route=route,
         service=turns.choose(route),
         parameters=parameters,
-        deadline=parameters.deadline + _GRACE_S,
+        deadline=parameters.deadline + ingress_call.OWNER_LEAD_S,
         received_at=now,
     )
 
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -95,7 +95,7 @@
         )
         self.front = ingress.Front()
         self.draining = False
-        self.refuse_at: float = 0
+        self.drain = events.DrainRequested()
         self.clock = clock
         self.reporter = reporter
 
@@ -278,8 +278,8 @@
             return
         now = self.clock()
         wanted = min(self.calls.next_deadline(), now + _HOUSEKEEPING_S)
-        if now < self.refuse_at:
-            wanted = min(wanted, self.refuse_at)
+        if now < self.drain.refuse_at:
+            wanted = min(wanted, self.drain.refuse_at)
         self.alarm.wake_at(wanted)
 
     def _tried(
@@ -308,7 +308,7 @@
     def _report_if_finished(self) -> None:
         if len(self.calls) or len(self.incarnations) or self.lifecycle is None:
             return
-        if self.clock() < self.refuse_at:
+        if self.clock() < self.drain.refuse_at:
             return
         lifecycle = self.lifecycle
         # Reported once; refusing a request after that is not work.
@@ -374,7 +374,7 @@
 @_handle.register
 def _received(message: events.RequestReceived, router: Router) -> None:
     now = router.clock()
-    if router.draining and now >= router.refuse_at:
+    if router.draining and now >= router.drain.refuse_at:
         router.refuse_request(message, states.RefusalReason.DRAINING)
         return
     opened = ingress.open_call(message, router.table, router.chooser.turns, now)
@@ -384,6 +384,8 @@
         router.key_issuer.request(opened, router.chooser, now)
     else:
         opened.request_id = router.request_id(message)
+        if router.draining:
+            opened.end_by(router.drain.answer_by)
         router.chooser.budgets.of(opened.service).count_first_attempt()
         router.attempt(opened)
 
@@ -449,7 +451,10 @@
     call = router.calls.finish(message.call_id)
     if call is not None:
         router.observe(routing.LossObserved(instance=call.instance))
-        router.tell_unknown(call, states.RefusalReason.DEADLINE_PASSED)
+        reason = states.RefusalReason.DEADLINE_PASSED
+        if router.clock() >= router.drain.answer_by:
+            reason = states.RefusalReason.DRAINING
+        router.tell_unknown(call, reason)
 
 
 @_handle.register
@@ -492,5 +497,6 @@
 @_handle.register
 def _drain(message: events.DrainRequested, router: Router) -> None:
     router.draining = True
-    router.refuse_at = message.refuse_at
+    router.drain = message
+    router.calls.end_by(message.answer_by)
     router.wake()
