Stop a node when its answers have left, not after a fixed time

Fault: what waits in the buffers of a stopping node when its last run is over gets 0.3 s (1 s on the product) and is then cut off: at the ingress the end of a large answer to a slow caller, at an owner the answers queued on its links, whose ingresses tell 502 owner_lost. Change: a state flushing between draining and stopped. Callers: connections are closed in order, each after its buffer has emptied. Links from ingresses: a WebSocket closing handshake (1001) follows the frames that wait; the other side's close proves that they arrived. The process stops when all are closed, at the drain deadline at the latest. An ingress whose link was closed by that handshake knows that its remaining calls were not run, since no call is taken after it, and may try another owner. FrameReader takes the joining of frames out of Link. The test of the lifecycle waited for the fixed time; it now states that both holders of connections have to report.

--- a/medlarquay/daemon/lifecycle.py
+++ b/medlarquay/daemon/lifecycle.py
@@ -11,6 +11,10 @@
 
 __all__ = ('Lifecycle',)
 
+# Parts with requests under way; the others only hold bytes that have not
+# left.
+_WITH_REQUESTS = frozenset((states.NodePart.OWNER, states.NodePart.ROUTER))
+
 
 class Lifecycle(task.Task, lifecycle_effects.LifecycleEffects):
     """Owns the state of the node and its graceful stop.
@@ -76,9 +80,12 @@
         for part in self._parts:
             part.post(requested)
 
-    def flush(self) -> None:
-        """Stop once the answers written have left the socket buffers."""
-        self.stop_by(self._clock() + self._pace.flush_s)
+    def go_on(self) -> None:
+        """Flush once no request is under way, stop once nothing is left."""
+        if not self.working:
+            self.machine.finish()
+        elif not self.working & _WITH_REQUESTS:
+            self.machine.flush()
 
     def stop_by(self, deadline: float) -> None:
         """Stop at a time, in seconds on the monotonic clock, or earlier."""
@@ -114,8 +121,7 @@
     if lifecycle.stop_at is None:
         return
     lifecycle.working.discard(message.part)
-    if not lifecycle.working:
-        lifecycle.flush()
+    lifecycle.go_on()
 
 
 @_handle.register
--- a/medlarquay/daemon/lifecycle_inputs.py
+++ b/medlarquay/daemon/lifecycle_inputs.py
@@ -14,5 +14,8 @@
     def drain(self) -> None:
         """Stop accepting new work."""
 
+    def flush(self) -> None:
+        """Take note that no request is under way."""
+
     def finish(self) -> None:
         """Take note that no work is left or the drain deadline passed."""
--- a/medlarquay/daemon/lifecycle_machine.py
+++ b/medlarquay/daemon/lifecycle_machine.py
@@ -23,19 +23,24 @@
     starting = builder.state(states.NodeState.STARTING.value)
     serving = builder.state(states.NodeState.SERVING.value)
     draining = builder.state(states.NodeState.DRAINING.value)
+    flushing = builder.state(states.NodeState.FLUSHING.value)
     stopped = builder.state(states.NodeState.STOPPED.value)
 
     starting.upon(_Inputs.configure).to(serving)(_serve)
     for accepting in (starting, serving):
         accepting.upon(_Inputs.drain).to(draining)(_drain)
         accepting.upon(_Inputs.finish).loop().returns(None)
-    draining.upon(_Inputs.finish).to(stopped)(_stop)
-    for configured in (serving, draining, stopped):
-        configured.upon(_Inputs.configure).loop().returns(None)
+    draining.upon(_Inputs.flush).to(flushing)(_flush)
+    for state in (draining, flushing):
+        state.upon(_Inputs.finish).to(stopped)(_stop)
+    for state in (serving, draining, flushing, stopped):
+        state.upon(_Inputs.configure).loop().returns(None)
     # A second signal does not shorten the drain: a planned stop aborts no
     # request in flight.
-    draining.upon(_Inputs.drain).loop().returns(None)
-    stopped.upon(_Inputs.drain).loop().returns(None)
+    for state in (draining, flushing, stopped):
+        state.upon(_Inputs.drain).loop().returns(None)
+    for state in (flushing, stopped):
+        state.upon(_Inputs.flush).loop().returns(None)
     stopped.upon(_Inputs.finish).loop().returns(None)
     return builder.build()
 
@@ -49,6 +54,10 @@
     effects.start_drain()
 
 
+def _flush(inputs: _Inputs, effects: _Effects) -> None:
+    effects.enter(states.NodeState.FLUSHING)
+
+
 def _stop(inputs: _Inputs, effects: _Effects) -> None:
     effects.enter(states.NodeState.STOPPED)
     effects.stop()
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -69,13 +69,16 @@
         reactor=reactor,
         clock=clock,
         parts=(path.owner, path.router, path.callers, path.links),
-        # The router reports the calls that a stop leaves open.
-        subscribers=(operators, ready, path.router),
+        # The router reports the calls that a stop leaves open; callers and
+        # links let go of what has left.
+        subscribers=(operators, ready, path.router, path.callers, path.links),
         drain_timeout_s=settings.drain_timeout_s,
         pace=deployment.pace,
     )
     path.owner.lifecycle = life
     path.router.lifecycle = life
+    path.callers.lifecycle = life
+    path.links.closing.lifecycle = life
     distributing = distribution.build_distribution(
         own=known_peers.own_peer(settings),
         hello=observed.hello,
--- a/medlarquay/daemon/tests/test_lifecycle.py
+++ b/medlarquay/daemon/tests/test_lifecycle.py
@@ -83,11 +83,15 @@
     assert node.reactor.stops == 0
     _finish(node, states.NodePart.ROUTER)
     # Answers just written must leave the socket buffers first.
+    assert node.entered[-1] is states.NodeState.FLUSHING
+    _finish(node, states.NodePart.CALLERS)
+    node.reactor.advance(10)
     assert node.reactor.stops == 0
-    node.reactor.advance(1)
+    _finish(node, states.NodePart.LINKS)
     assert node.reactor.stops == 1
     assert node.entered[1:] == [
         states.NodeState.DRAINING,
+        states.NodeState.FLUSHING,
         states.NodeState.STOPPED,
     ]
 
--- a/medlarquay/daemon/tests/test_stop.py
+++ b/medlarquay/daemon/tests/test_stop.py
@@ -87,12 +87,13 @@
                 self.callers,
                 self.links,
             ),
-            subscribers=(),
+            subscribers=(self.callers, self.links),
             drain_timeout_s=_DRAIN_S,
             pace=stop_pace.StopPace(linger_s=_LINGER_S, flush_s=_FLUSH_S),
         )
-        for part in (self.bench.router, self.callers, self.links):
-            part.lifecycle = self.life
+        self.bench.router.lifecycle = self.life
+        self.callers.lifecycle = self.life
+        self.links.closing.lifecycle = self.life
         self.life.machine.configure()
 
     def send_over_links(self) -> None:
--- a/medlarquay/states/node_part.py
+++ b/medlarquay/states/node_part.py
@@ -6,7 +6,13 @@
 
 
 class NodePart(enum.Enum):
-    """Parts of a node that finish their work while draining."""
+    """Parts of a node that finish their work while draining.
+
+    The owner and the router have requests under way; callers and links hold
+    bytes that were written and have not left.
+    """
 
     OWNER = 'owner'
     ROUTER = 'router'
+    CALLERS = 'callers'
+    LINKS = 'links'
--- a/medlarquay/states/node_state.py
+++ b/medlarquay/states/node_state.py
@@ -11,4 +11,5 @@
     STARTING = 'starting'
     SERVING = 'serving'
     DRAINING = 'draining'
+    FLUSHING = 'flushing'
     STOPPED = 'stopped'
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -4,7 +4,7 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import events, transport
+from medlarquay import events, states, transport
 from medlarquay.tasks import task
 
 __all__ = ('CallerListener',)
@@ -28,6 +28,7 @@
         reactor: interfaces.IReactorTime,
     ) -> None:
         super().__init__(name='callers')
+        self.lifecycle: task.Task | None = None
         self.connections = transport.CallerConnections(
             deliver=router.post,
             reactor=reactor,
@@ -37,6 +38,13 @@
         """Handle one message."""
         _handle(message, self)
 
+    def report_finished(self) -> None:
+        """Tell the lifecycle that all answers have left."""
+        if self.lifecycle is not None:
+            self.lifecycle.post(
+                events.WorkFinished(part=states.NodePart.CALLERS),
+            )
+
 
 @functools.singledispatch
 def _handle(message: object, owner: CallerListener) -> None:
@@ -51,3 +59,9 @@
 @_handle.register
 def _drain(message: events.DrainRequested, owner: CallerListener) -> None:
     """Go on listening: a refusal proves not run, a closed port does not."""
+
+
+@_handle.register
+def _changed(message: events.LifecycleChanged, owner: CallerListener) -> None:
+    if message.state is states.NodeState.FLUSHING:
+        owner.connections.finish(owner.report_finished)
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -15,7 +15,7 @@
     telemetry,
     transport,
 )
-from medlarquay.tasks import outgoing_link, task
+from medlarquay.tasks import link_closing, outgoing_link, task
 
 __all__ = ('CALL_PATH', 'PeerLinks')
 
@@ -59,6 +59,7 @@
         self.owner: task.Task | None = None
         self.outgoing: dict[ids.InstanceId, outgoing_link.OutgoingLink] = {}
         self.incoming: dict[ids.LinkId, transport.Link] = {}
+        self.closing = link_closing.LinkClosing()
         self._numbers: dict[transport.Link, ids.LinkId] = {}
         self._reactor = reactor
         self._hello = hello
@@ -82,7 +83,9 @@
         """Decode a frame of an incoming link and pass it to the owner."""
         number = self._numbers.get(link)
         message = self._decode(link, frame)
-        if number is None or self.owner is None:
+        if number is None or self.owner is None or self.closing.started:
+            # The other side takes the close as proof that what crossed it
+            # was not run.
             return
         if isinstance(message, messages.CallRequest):
             self.owner.post(events.RunCall(link=number, request=message))
@@ -104,6 +107,7 @@
         self.incoming.pop(number, None)
         if self.owner is not None:
             self.owner.post(events.LinkClosed(link=number))
+        self.closing.forget(link)
 
     def send(self, link: transport.Link, message: object) -> None:
         """Encode and send one message."""
@@ -263,12 +267,7 @@
         for call in outgoing.waiting:
             self.refuse(call, states.RefusalReason.OWNER_UNREACHABLE)
         for call_id in outgoing.sent:
-            self.router.post(
-                messages.CallUnknown(
-                    call_id=call_id,
-                    reason=states.RefusalReason.OWNER_LOST,
-                ),
-            )
+            self.router.post(_unanswered(call_id, link))
         outgoing.waiting = []
         outgoing.sent.clear()
         self.router.post(events.PeerLost(instance=outgoing.instance))
@@ -282,6 +281,20 @@
             return None
 
 
+def _unanswered(call_id: ids.CallId, link: transport.Link) -> _Result:
+    """Return what the end of a link says of a call sent on it."""
+    if link.finished_by_peer:
+        # The owner had answered all calls that it took before it closed.
+        return messages.CallRefused(
+            call_id=call_id,
+            reason=states.RefusalReason.DRAINING,
+        )
+    return messages.CallUnknown(
+        call_id=call_id,
+        reason=states.RefusalReason.OWNER_LOST,
+    )
+
+
 @functools.singledispatch
 def _handle(message: object, owner: PeerLinks) -> None:
     raise TypeError(f'unexpected message {type(message).__name__}')
@@ -345,3 +358,9 @@
 @_handle.register
 def _drain(message: events.DrainRequested, owner: PeerLinks) -> None:
     """Keep the links: calls under way need them for their answers."""
+
+
+@_handle.register
+def _changed(message: events.LifecycleChanged, owner: PeerLinks) -> None:
+    if message.state is states.NodeState.FLUSHING:
+        owner.closing.start(owner.incoming.values())
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -20,6 +20,21 @@
 _LOST = failure.Failure(error.ConnectionLost())
 
 
+def _request(number: int, now: float) -> messages.CallRequest:
+    return messages.CallRequest(
+        call_id=ids.CallId(number),
+        team=ids.TeamName('team'),
+        service=ids.ServiceName('desk'),
+        method=b'POST',
+        target=b'/',
+        headers=(),
+        body=b'',
+        rank=states.Rank.NORMAL,
+        idempotent=False,
+        deadline=now + 5,
+    )
+
+
 class _Far:
     """The accepting side of a link, in memory."""
 
@@ -75,18 +90,7 @@
 
     def call(self, instance: str, number: int) -> None:
         """Send a call to an instance."""
-        request = messages.CallRequest(
-            call_id=ids.CallId(number),
-            team=ids.TeamName('team'),
-            service=ids.ServiceName('desk'),
-            method=b'POST',
-            target=b'/',
-            headers=(),
-            body=b'',
-            rank=states.Rank.NORMAL,
-            idempotent=False,
-            deadline=self.now + 5,
-        )
+        request = _request(number, self.now)
         self.links.post(
             events.SendCall(
                 instance=ids.InstanceId(instance),
@@ -261,3 +265,55 @@
         ),
     )
     assert bench.wires[0].disconnecting is closed
+
+
+def test_an_owner_that_closed_in_order_proves_the_rest_not_run(
+    bench: _Bench,
+) -> None:
+    """Guards against unknown told for calls that crossed a planned stop."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    far.link.finish()
+    bench.pump(far)
+    bench.near[0].connectionLost(_LOST)
+    refused = ingress_bench.only(bench.results())
+    assert refused.reason is states.RefusalReason.DRAINING
+
+
+def test_no_call_is_taken_after_the_links_began_to_close(
+    bench: _Bench,
+) -> None:
+    """Guards against a run whose ingress was told that it is not run."""
+    owner = ingress_bench.Recorder()
+    bench.links.owner = owner
+    near = transport.Link.accepting(
+        opened=bench.links.accept,
+        received=bench.links.receive_frame,
+        closed=bench.links.close_incoming,
+    )
+    far = transport.Link.connecting(
+        path=peer_links.CALL_PATH,
+        opened=lambda link: None,
+        received=lambda link, frame: None,
+        closed=lambda link: None,
+    )
+    for link in (near, far):
+        link.makeConnection(memory_transport.MemoryTransport())
+    for _ in range(2):
+        _carry(far, near)
+        _carry(near, far)
+    far.send(codec.encode(_request(1, bench.now), now=bench.now))
+    _carry(far, near)
+    assert [type(message) for message in owner.take()] == [events.RunCall]
+    bench.links.post(events.LifecycleChanged(state=states.NodeState.FLUSHING))
+    far.send(codec.encode(_request(2, bench.now), now=bench.now))
+    _carry(far, near)
+    assert not owner.take()
+
+
+def _carry(source: transport.Link, target: transport.Link) -> None:
+    sent = source.transport.value()
+    source.transport.clear()
+    target.dataReceived(sent)
--- a/medlarquay/testing/memory_transport.py
+++ b/medlarquay/testing/memory_transport.py
@@ -20,6 +20,9 @@
     def setTcpNoDelay(self, enabled: bool) -> None:  # noqa: N802, FBT001
         """Accept the option."""
 
+    def loseWriteConnection(self) -> None:  # noqa: N802
+        """Accept the end of writing; a close follows."""
+
     def abortConnection(self) -> None:  # noqa: N802
         """Close without sending the rest."""
         self._aborted = True
--- a/medlarquay/transport/caller_connection.py
+++ b/medlarquay/transport/caller_connection.py
@@ -118,6 +118,11 @@
         self._pending = b''
         self._feed(pending)
 
+    def finish(self) -> None:
+        """Close after the answer under way, or now if there is none."""
+        if not self._waiting and not self._closing:
+            self._close()
+
     def _feed(self, data: bytes) -> None:
         if data:
             self._assembler.feed(data)
--- a/medlarquay/transport/caller_connections.py
+++ b/medlarquay/transport/caller_connections.py
@@ -33,6 +33,9 @@
         self._reactor = reactor
         self._open: dict[ids.CallerId, caller_connection.CallerConnection] = {}
         self._last = 0
+        # Connections that have to be gone before the report.
+        self._leaving: set[ids.CallerId] = set()
+        self._report: Callable[[], None] | None = None
 
     def listen(
         self,
@@ -56,6 +59,26 @@
         if connection is not None:
             connection.answer(message)
 
+    def finish(self, report: Callable[[], None]) -> None:
+        """Close each connection once its answers have left the buffers.
+
+        Parameters
+        ----------
+        report : callable
+            Called when all connections that are open now are gone.
+        """
+        self._report = report
+        self._leaving = set(self._open)
+        for connection in tuple(self._open.values()):
+            connection.finish()
+        self._report_if_gone()
+
+    def _report_if_gone(self) -> None:
+        report = self._report
+        if report is not None and not self._leaving:
+            self._report = None
+            report()
+
     def _build(self) -> caller_connection.CallerConnection:
         self._last += 1
         caller = ids.CallerId(self._last)
@@ -70,4 +93,6 @@
     def _take(self, message: object) -> None:
         if isinstance(message, events.CallerGone):
             self._open.pop(message.caller, None)
+            self._leaving.discard(message.caller)
         self._deliver(message)
+        self._report_if_gone()
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -12,13 +12,15 @@
 from medlarquay import codec, errors
 from medlarquay.transport import (
     fragment,
-    fragment_assembler,
     fragment_queue,
+    frame_reader,
     prompt_write,
 )
 
 __all__ = ('Link',)
 
+_GOING_AWAY = frames.CloseCode.GOING_AWAY
+
 
 @implementer(interfaces.IPullProducer)
 class Link(protocol.Protocol):
@@ -50,11 +52,9 @@
         self._received = received
         self._closed = closed
         self._path = ''
-        self._continued: list[bytes] = []
+        self._finishing = False
         self._large_frames = fragment_queue.FragmentQueue()
-        self._assembler = fragment_assembler.FragmentAssembler(
-            max_frame_bytes=codec.MAX_FRAME_BYTES,
-        )
+        self._reader = frame_reader.FrameReader()
 
     @classmethod
     def accepting(
@@ -100,6 +100,12 @@
         """Path of the handshake, which tells call links from control links."""
         return self._path
 
+    @property
+    def finished_by_peer(self) -> bool:
+        """Whether the other side closed the link by ``finish``."""
+        received = self._engine.close_rcvd
+        return received is not None and received.code == _GOING_AWAY
+
     def connectionMade(self) -> None:  # noqa: N802
         """Start the handshake on the connecting side."""
         self.transport.setTcpNoDelay(True)
@@ -113,7 +119,7 @@
         for event in self._engine.events_received():
             self._handle(event)
         self._flush()
-        if self._engine.close_expected():
+        if self._engine.close_expected() and not _awaits_close(self._engine):
             self.transport.loseConnection()
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
@@ -143,6 +149,21 @@
         """Close the connection after what was sent."""
         self.transport.loseConnection()
 
+    def finish(self) -> None:
+        """Close the link once the other side has all that was sent.
+
+        Notes
+        -----
+        The closing handshake (RFC 6455, section 7.1.1) follows the frames
+        that wait; the answer of the other side proves that they arrived.
+        """
+        self._finishing = True
+        if self._engine.state is not ws_protocol.OPEN:
+            self.transport.loseConnection()
+        elif not self._large_frames:
+            self._engine.send_close(_GOING_AWAY)
+            self._flush()
+
     def resumeProducing(self) -> None:  # noqa: N802
         """Send the next fragment; called when the socket took the last."""
         if self._large_frames and self._engine.state is ws_protocol.OPEN:
@@ -150,6 +171,8 @@
             self._flush()
         if not self._large_frames:
             self.transport.unregisterProducer()
+            if self._finishing:
+                self.finish()
 
     def stopProducing(self) -> None:  # noqa: N802
         """Drop the fragments that wait; the connection is lost."""
@@ -160,39 +183,22 @@
         self.transport.abortConnection()
 
     def _handle(self, event: object) -> None:
-        if isinstance(event, http11.Request):
-            self._accept(event)
-        elif isinstance(event, http11.Response):
-            if self._engine.state is ws_protocol.OPEN:
-                self._opened(self)
-        elif isinstance(event, frames.Frame):
+        if isinstance(event, frames.Frame):
             self._handle_frame(event)
-
-    def _accept(self, request: http11.Request) -> None:
-        if not isinstance(self._engine, ws_server.ServerProtocol):
             return
-        self._path = request.path
-        self._engine.send_response(self._engine.accept(request))
+        engine = self._engine
+        if isinstance(engine, ws_server.ServerProtocol) and isinstance(
+            event,
+            http11.Request,
+        ):
+            self._path = event.path
+            engine.send_response(engine.accept(event))
         if self._engine.state is ws_protocol.OPEN:
             self._opened(self)
 
     def _handle_frame(self, frame: frames.Frame) -> None:
-        if frame.opcode is frames.Opcode.BINARY and frame.fin:
-            self._deliver(bytes(frame.data))
-            return
-        if frame.opcode in {frames.Opcode.BINARY, frames.Opcode.CONT}:
-            self._continued.append(bytes(frame.data))
-            if frame.fin:
-                whole = b''.join(self._continued)
-                self._continued = []
-                self._deliver(whole)
-
-    def _deliver(self, frame: bytes) -> None:
-        if not fragment.is_fragment(frame):
-            self._received(self, frame)
-            return
         try:
-            whole = self._assembler.add(fragment.Fragment.decode(frame))
+            whole = self._reader.add(frame)
         except errors.DecodeError:
             self.transport.abortConnection()
             return
@@ -216,3 +222,10 @@
                 prompt_write.write_promptly(self.transport, chunk)
             else:
                 self.transport.loseWriteConnection()
+
+
+def _awaits_close(engine: ws_protocol.Protocol) -> bool:
+    """Tell whether the other side has to answer the closing handshake."""
+    if engine.close_sent is None or engine.parser_exc is not None:
+        return False
+    return engine.close_rcvd is None
