End what a stopping owner has left as its ingresses may know it

Fault: an owner with work at its drain deadline resets its links; ingresses tell 502 owner_lost for running and queued requests alike, and answers that were ready and still queued are lost with them.

--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -1,5 +1,7 @@
 """State of the owner task and what it sends."""
 
+import math
+
 from twisted.internet import interfaces
 
 from medlarquay import (
@@ -76,6 +78,7 @@
         self.jobs = owner_jobs.OwnerJobs()
         self.local = local_backend.LocalBackend()
         self.draining = False
+        self._answer_by = math.inf
         self._stopping = False
         self._links = links
         self._crashes = 0
@@ -86,6 +89,11 @@
             target=self,
         )
 
+    @property
+    def answer_by(self) -> float:
+        """When what is left ends unfinished; infinity until a stop."""
+        return self._answer_by
+
     def now(self) -> float:
         """Return seconds on the monotonic clock."""
         return self.clock.monotonic()
@@ -142,9 +150,18 @@
             self._finished = False
             self._log.info('taking work again')
 
-    def stop(self) -> None:
-        """Finish the work before the process ends."""
+    def stop(self, answer_by: float) -> None:
+        """Finish the work before the process ends.
+
+        Parameters
+        ----------
+        answer_by : float
+            When what is left ends unfinished, seconds on the monotonic clock.
+        """
         self._stopping = True
+        self._answer_by = answer_by
+        if self.jobs:
+            self.wake_at(answer_by)
         # What was reported when the instance list said leaving came before
         # the lifecycle waited for it.
         self._finished = False
--- a/medlarquay/tasks/owner_deadlines.py
+++ b/medlarquay/tasks/owner_deadlines.py
@@ -10,7 +10,7 @@
     owner_starts,
 )
 
-__all__ = ('abort', 'check_deadlines', 'wake_again', 'withdraw')
+__all__ = ('abort', 'check_deadlines', 'end_all', 'wake_again', 'withdraw')
 
 # Bounds the cost of ticks when many deadlines lie close together.
 _SHORTEST_WAKE_S = 0.01
@@ -53,6 +53,8 @@
         deadlines = [caller.deadline for caller in job.callers]
         deadlines.append(job.request.deadline + owner.local.hung_s)
         earliest = min(earliest, *deadlines)
+    if owner.jobs:
+        earliest = min(earliest, owner.answer_by)
     if earliest < math.inf:
         owner.wake_at(max(earliest, now + _SHORTEST_WAKE_S))
 
@@ -68,11 +70,26 @@
     owner_starts.tell_admission(freed, owner)
 
 
-def abort(job: owner_job.OwnerJob, owner: owner_base.OwnerBase) -> None:
+def end_all(owner: owner_base.OwnerBase) -> None:
+    """End what a stopping owner has left, as each ingress may know it."""
+    reason = states.RefusalReason.DRAINING
+    # An abort frees a slot that a queued request would take.
+    for queued in owner.jobs:
+        if not queued.sent:
+            withdraw(queued, owner, reason)
+    for job in owner.jobs:
+        abort(job, owner, reason)
+
+
+def abort(
+    job: owner_job.OwnerJob,
+    owner: owner_base.OwnerBase,
+    reason: states.RefusalReason = states.RefusalReason.CANCELLED,
+) -> None:
     """Cancel a job at the backend server."""
     owner.ask_backend(events.AbortRequest(exchange=job.exchange))
     owner_results.release(job, owner)
-    owner_results.lose_job(job, states.RefusalReason.CANCELLED, owner)
+    owner_results.lose_job(job, reason, owner)
     freed = admission.Cancelled(exchange=job.exchange)
     owner_starts.tell_admission(freed, owner)
     owner_starts.readmit_held(owner)
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -246,7 +246,7 @@
     message: events.DrainRequested,
     owner: owner_base.OwnerBase,
 ) -> None:
-    owner.stop()
+    owner.stop(message.answer_by)
 
 
 @handle.register
@@ -259,6 +259,8 @@
         # The end of one job can end others.
         if owner.jobs.find(job.exchange) is job:
             owner_deadlines.check_deadlines(job, owner, now)
+    if now >= owner.answer_by:
+        owner_deadlines.end_all(owner)
     owner_deadlines.wake_again(owner, now)
 
 
