--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -14,6 +14,7 @@
     states,
     telemetry,
 )
+from medlarquay.pacing import urgency as urgencies
 from medlarquay.tasks import (
     alarm,
     clocks,
@@ -113,6 +114,8 @@
         link: ids.LinkId,
         message: Result,
         request_id: str = '',
+        *,
+        urgency: urgencies.Urgency = urgencies.NO_HURRY,
     ) -> None:
         """Send a result to the ingress of a call."""
         if link:
@@ -121,6 +124,7 @@
                     link=link,
                     message=message,
                     request_id=request_id,
+                    urgency=urgency,
                 ),
             )
         elif self.router is not None:
