Wait for the close of those links only that hold unacknowledged bytes

A link whose bytes the kernel of the other side has acknowledged (SIOCOUTQ) is still closed by the handshake, but not waited for.

--- a/medlarquay/tasks/link_closing.py
+++ b/medlarquay/tasks/link_closing.py
@@ -43,8 +43,9 @@
         """Close a link if its last large frame was written or dropped."""
         if self._sending and not self._writer.waits(number):
             link = self._sending.pop(number, None)
-            if link is not None:
-                link.finish()
+            if link is not None and link.finish():
+                # The ingress has its answers; it may be slow to close.
+                self._open.discard(number)
 
     def forget(self, number: ids.LinkId) -> None:
         """Take note that a link is closed."""
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -15,6 +15,7 @@
     frame_reader,
     frame_watch,
     prompt_write,
+    send_buffer,
 )
 
 __all__ = ('Link',)
@@ -175,19 +176,27 @@
         """Close the connection after what was sent."""
         self.transport.loseConnection()
 
-    def finish(self) -> None:
+    def finish(self) -> bool:
         """Close the link once the other side has all that was sent.
 
+        Returns
+        -------
+        bool
+            Whether it had acknowledged all of that before.
+
         Notes
         -----
         The closing handshake (RFC 6455, section 7.1.1) follows the frames
         sent; the answer of the other side proves that they arrived.
         """
+        waiting = send_buffer.waiting_bytes(self.transport)
+        acknowledged = send_buffer.kernel_bytes(self.transport) == 0
         if self._engine.state is ws_protocol.OPEN:
             self._engine.send_close(_GOING_AWAY)
             self._flush()
         else:
             self.transport.loseConnection()
+        return acknowledged and not waiting
 
     def resumeProducing(self) -> None:  # noqa: N802
         """Report what has left; called when the buffer is empty."""
