--- a/medlarquay/daemon/tests/test_lifecycle.py
+++ b/medlarquay/daemon/tests/test_lifecycle.py
@@ -77,17 +77,21 @@
 def test_node_stops_when_all_parts_finished(node: _Node) -> None:
     """Guards against a stop that aborts requests in flight."""
     node.life.post(events.DrainRequested())
-    assert node.part.messages == [events.DrainRequested()]
+    assert node.part.messages == [events.DrainRequested(answer_by=29)]
     _finish(node, states.NodePart.OWNER, states.NodePart.OWNER)
     node.reactor.advance(10)
     assert node.reactor.stops == 0
     _finish(node, states.NodePart.ROUTER)
     # Answers just written must leave the socket buffers first.
+    assert node.entered[-1] is states.NodeState.FLUSHING
+    _finish(node, states.NodePart.CALLERS)
+    node.reactor.advance(10)
     assert node.reactor.stops == 0
-    node.reactor.advance(1)
+    _finish(node, states.NodePart.LINKS)
     assert node.reactor.stops == 1
     assert node.entered[1:] == [
         states.NodeState.DRAINING,
+        states.NodeState.FLUSHING,
         states.NodeState.STOPPED,
     ]
 
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -19,6 +19,7 @@
 from medlarquay.tasks import (
     answer_delivery,
     leaving_calls,
+    link_closing,
     link_writer,
     outgoing_link,
     task,
@@ -82,6 +83,7 @@
             link_bytes_per_s=link_bytes_per_s,
         )
         self.leaving = leaving_calls.LeavingCalls()
+        self.closing = link_closing.LinkClosing(writer=self.writer)
 
     def receive(self, message: object) -> None:
         """Handle one message."""
@@ -93,12 +95,16 @@
         self.incoming[number] = link
         self._numbers[link] = number
         self.writer.send(number, self._hello)
+        if self.closing.started:
+            link.finish()
 
     def receive_frame(self, link: transport.Link, frame: bytes) -> None:
         """Decode a frame of an incoming link and pass it to the owner."""
         number = self._numbers.get(link)
         message = self._decode(link, frame)
-        if number is None or self.owner is None:
+        if number is None or self.owner is None or self.closing.started:
+            # The other side takes the close of the link as proof that what
+            # crossed it was not run.
             return
         if isinstance(message, messages.CallRequest):
             self.owner.post(events.RunCall(link=number, request=message))
@@ -125,6 +131,7 @@
         self.writer.forget(number)
         if self.owner is not None:
             self.owner.post(events.LinkClosed(link=number))
+        self.closing.forget(number)
 
     def reply(self, reply: events.SendReply) -> None:
         """Send a result back and record when it has left."""
@@ -319,12 +326,7 @@
         for call in (*outgoing.waiting, *leaving):
             self.refuse(call, states.RefusalReason.OWNER_UNREACHABLE)
         for call_id in outgoing.sent:
-            self.router.post(
-                messages.CallUnknown(
-                    call_id=call_id,
-                    reason=states.RefusalReason.OWNER_LOST,
-                ),
-            )
+            self.router.post(_unanswered(call_id, link))
         outgoing.waiting = []
         outgoing.sent.clear()
         self.router.post(events.PeerLost(instance=outgoing.instance))
@@ -338,6 +340,20 @@
             return None
 
 
+def _unanswered(call_id: ids.CallId, link: transport.Link) -> _Result:
+    """Return what the end of a link says of a call sent on it."""
+    if link.finished_by_peer:
+        # The owner had answered all calls that it took before it closed.
+        return messages.CallRefused(
+            call_id=call_id,
+            reason=states.RefusalReason.DRAINING,
+        )
+    return messages.CallUnknown(
+        call_id=call_id,
+        reason=states.RefusalReason.OWNER_LOST,
+    )
+
+
 @functools.singledispatch
 def _handle(message: object, owner: PeerLinks) -> None:
     raise TypeError(f'unexpected message {type(message).__name__}')
@@ -399,6 +415,7 @@
     owner.writer.write(message)
     if message.kind is states.FragmentKind.LAST:
         owner.note_sent(message.link, message.call_id)
+        owner.closing.go_on(message.link)
 
 
 @_handle.register
@@ -410,6 +427,7 @@
             message.link,
             messages.CallUnknown(call_id=message.call_id, reason=reason),
         )
+        owner.closing.go_on(message.link)
         return
     call = owner.leaving.pop(message.link, message.call_id)
     if call is not None:
@@ -434,3 +452,9 @@
 @_handle.register
 def _drain(message: events.DrainRequested, owner: PeerLinks) -> None:
     """Keep the links: calls under way need them for their answers."""
+
+
+@_handle.register
+def _changed(message: events.LifecycleChanged, owner: PeerLinks) -> None:
+    if message.state is states.NodeState.FLUSHING:
+        owner.closing.start(owner.incoming)
