Probe a silent link before it is taken for cut off

A link on which nothing was heard for 1 s while a call expired was closed, and all its calls were told unknown (502 owner_lost). That was never proof: an owner that runs one long call says nothing. Since large answers go one after the other, an answer may wait at its owner for seconds while the machine sends to others, so healthy links fall silent as a rule.

A link on which a call waits and nothing was heard for 1 s is now probed with a WebSocket ping, checked each 0.5 s while calls are open. It is closed at the expiry of a call only if a probe was not answered for 1 s. A call that is open for 2.5 s on a link that is cut off still closes it when it expires.

--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -1,11 +1,16 @@
 """State of a call link to the owner on another node."""
 
 import dataclasses
+import math
 
 from medlarquay import events, ids, transport
 
 __all__ = ('OutgoingLink',)
 
+# A link on which nothing was heard for this long, while a call waits, is
+# probed; a probe that is not answered for this long shows that it is cut off.
+_SILENCE_S = 1
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class OutgoingLink:
@@ -29,6 +34,8 @@
     heard_at : float
         Time at which bytes were last received, also a part of a frame,
         seconds on the monotonic clock.
+    probed_at : float
+        Time of the last probe, on the same clock.
     """
 
     instance: ids.InstanceId
@@ -38,6 +45,7 @@
     notices: list[object] = dataclasses.field(default_factory=list)
     sent: dict[ids.CallId, float] = dataclasses.field(default_factory=dict)
     heard_at: float = 0
+    probed_at: float = -math.inf
 
     def take_waiting(self, call_id: ids.CallId) -> events.SendCall | None:
         """Remove and return a call that waits for the link."""
@@ -46,3 +54,30 @@
                 self.waiting.remove(call)
                 return call
         return None
+
+    def note_heard(self, now: float) -> None:
+        """Note that bytes arrived."""
+        self.heard_at = now
+
+    def probe_if_silent(self, now: float) -> None:
+        """Ask for a sign of life if a call waits and nothing was heard.
+
+        Notes
+        -----
+        Silence alone proves nothing: large answers wait at their owner until
+        its machine has sent those before them.
+        """
+        silent_since = now - _SILENCE_S
+        oldest = min(self.sent.values(), default=math.inf)
+        heard = max(oldest, self.heard_at) > silent_since
+        if self.link is not None and not heard and not self._is_probed:
+            self.probed_at = now
+            self.link.ping()
+
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether a probe was not answered for too long."""
+        return self._is_probed and self.probed_at <= now - _SILENCE_S
+
+    @property
+    def _is_probed(self) -> bool:
+        return self.probed_at > self.heard_at
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -17,6 +17,7 @@
     transport,
 )
 from medlarquay.tasks import (
+    alarm,
     answer_delivery,
     leaving_calls,
     link_writer,
@@ -29,10 +30,8 @@
 #: Path of the handshake of call links.
 CALL_PATH = '/calls'
 _CONNECT_TIMEOUT_S = 1
-# A link that stayed silent this long while a call on it expired is taken for
-# cut off: closing it makes later calls fail before they are sent, which
-# proves that they were not run.
-_SILENCE_S = 1
+# How often links with calls are checked for silence.
+_CHECK_S = 0.5
 
 _Result = messages.CallAnswered | messages.CallRefused | messages.CallUnknown
 _Target = events.SendCall | events.SendNotice | events.OpenLink
@@ -82,6 +81,7 @@
             link_bytes_per_s=link_bytes_per_s,
         )
         self.leaving = leaving_calls.LeavingCalls()
+        self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
 
     def receive(self, message: object) -> None:
         """Handle one message."""
@@ -178,7 +178,9 @@
         # the call.
         if outgoing is not None and outgoing.number == number:
             self.leaving.pop(number, call_id)
-            outgoing.sent[call_id] = self._clock()
+            now = self._clock()
+            outgoing.sent[call_id] = now
+            self._alarm.wake_at(now + _CHECK_S)
 
     def refuse(
         self,
@@ -195,20 +197,30 @@
             )
 
     def abort_if_silent(self, outgoing: outgoing_link.OutgoingLink) -> None:
-        """Close a link on which nothing has been received for too long."""
-        silent_since = self._clock() - _SILENCE_S
-        oldest = min(outgoing.sent.values(), default=float('inf'))
-        if outgoing.link is None or oldest > silent_since:
+        """Close a link that is cut off.
+
+        Later calls then fail before they are sent, which proves that they
+        were not run.
+        """
+        if outgoing.link is None or not outgoing.is_cut_off(self._clock()):
             return
-        if outgoing.heard_at <= silent_since:
-            self._log.warning(
-                'closed the silent link to instance {}',
-                outgoing.instance,
-            )
-            # Later calls open a new link instead of waiting for this one.
-            self.outgoing.pop(outgoing.instance, None)
-            self.writer.forget(outgoing.number)
-            outgoing.link.abort()
+        self._log.warning(
+            'closed the silent link to instance {}',
+            outgoing.instance,
+        )
+        # Later calls open a new link instead of waiting for this one.
+        self.outgoing.pop(outgoing.instance, None)
+        self.writer.forget(outgoing.number)
+        outgoing.link.abort()
+
+    def probe_links(self) -> None:
+        """Probe the silent links on which calls wait."""
+        now = self._clock()
+        waiting = [found for found in self.outgoing.values() if found.sent]
+        for outgoing in waiting:
+            outgoing.probe_if_silent(now)
+        if waiting:
+            self._alarm.wake_at(now + _CHECK_S)
 
     def _connect(
         self,
@@ -226,7 +238,7 @@
             ),
             received=functools.partial(self._answered, outgoing),
             closed=functools.partial(self._lost, outgoing),
-            heard=functools.partial(self._heard, outgoing),
+            heard=lambda heard: outgoing.note_heard(self._clock()),
         )
         outgoing.number = self.writer.add(link)
         endpoint = endpoints.TCP4ClientEndpoint(
@@ -239,13 +251,6 @@
         connecting.addErrback(lambda failure: self._lost(outgoing, link))
         return outgoing
 
-    def _heard(
-        self,
-        outgoing: outgoing_link.OutgoingLink,
-        link: transport.Link,
-    ) -> None:
-        outgoing.heard_at = self._clock()
-
     def _greeted(
         self,
         outgoing: outgoing_link.OutgoingLink,
@@ -384,6 +389,11 @@
     return call is not None
 
 
+@_handle.register
+def _tick(message: events.Tick, owner: PeerLinks) -> None:
+    owner.probe_links()
+
+
 @_handle.register
 def _open_link(message: events.OpenLink, owner: PeerLinks) -> None:
     owner.link_to(message)
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -165,7 +165,17 @@
             self._engine.send_binary(frame)
             self._flush()
             self._watch.written(leaving, self.transport)
-            self._produce()
+            if self._watch and not self._producing:
+                # The transport tells only its producer that its buffer is
+                # empty.
+                self._producing = True
+                self.transport.registerProducer(self, False)  # noqa: FBT003
+
+    def ping(self) -> None:
+        """Ask the other side for a sign of life, which it sends at once."""
+        if not self._lost and self._engine.state is ws_protocol.OPEN:
+            self._engine.send_ping(b'')
+            self._flush()
 
     def close(self) -> None:
         """Close the connection after what was sent."""
@@ -226,12 +236,6 @@
         if whole is not None:
             self._received(self, whole)
 
-    def _produce(self) -> None:
-        # The transport tells only its producer that its buffer is empty.
-        if self._watch and not self._producing:
-            self._producing = True
-            self.transport.registerProducer(self, False)  # noqa: FBT003
-
     def _flush(self) -> None:
         try:
             chunks = self._engine.data_to_send()
