--- a/medlarquay/platform/store_fetcher.py
+++ b/medlarquay/platform/store_fetcher.py
@@ -59,6 +59,7 @@
         # A watch returns every version since the last read. A reader that
         # is behind lists instead, which brings the newest one alone.
         self._behind = False
+        self._routes = operators_document.new_translations()
 
     async def fetch(
         self,
@@ -83,6 +84,7 @@
     async def _documents(self, after: ids.Revision, wait_ms: int) -> _Answer:
         tree = replica.SourceTree.TEAMS
         listed = self._behind
+        self._behind = False
         try:
             answer = (
                 await self._list(tree)
@@ -93,10 +95,9 @@
             # A refusal says nothing about the size of the answer.
             self._behind = listed or not failure.status
             raise
-        newer = sum(entry['revision'] > after for entry in answer['entries'])
-        # A list holds one version however many there were.
-        known = 0 if listed else 1
-        self._behind = newer > known
+        if listed:
+            revisions = [entry['revision'] for entry in answer['entries']]
+            self._behind = any(revision > after for revision in revisions)
         return answer
 
     async def _changes(
@@ -131,9 +132,12 @@
                 _LOG.info('history after revision {} is gone', after)
                 return None
             raise
+        newest = _newest(found['events'])
+        if tree is replica.SourceTree.TEAMS:
+            self._behind = len(newest) < len(found['events'])
         return {
             'revision': found['at'],
-            'entries': list(self._entries(tree, found['events'])),
+            'entries': list(self._entries(tree, newest)),
         }
 
     async def _list(self, tree: replica.SourceTree) -> _Answer:
@@ -208,5 +212,13 @@
                 peer=name,
             ) from cause
         if tree is replica.SourceTree.TEAMS:
-            return operators_document.translate_configuration(content)
+            return operators_document.translate_configuration(
+                content,
+                known=self._routes,
+            )
         return backend_entry.translate_entry(name, content, own=self._own)
+
+
+def _newest(found: Iterable[_Item]) -> list[_Item]:
+    """Return the newest event of each key: a storm replaces one key often."""
+    return list({item['key']: item for item in found}.values())
