Bound the pages of a list that the store sends

A store that says has_more without end, or whose pages do not go on, was read without end, and all entries were kept. A list may now have 64 pages of 1 MB (more does not fit into the memory of a node), each has to begin after the one before, and an empty page that announces more is an error of the source instead of an IndexError.

--- a/medlarquay/platform/store_fetcher.py
+++ b/medlarquay/platform/store_fetcher.py
@@ -30,6 +30,9 @@
 _ANSWER_S = 1.0
 _MS_PER_SECOND = 1000
 _HISTORY_GONE = 410
+# A page holds 1 MB of values; more than this would not fit into the memory
+# of a node.
+_MAX_PAGES = 64
 # The product rejects it, since it is no document.
 _UNREADABLE = 'unreadable'
 
@@ -110,7 +113,9 @@
         entries: list[_Answer] = []
         after = ''
         revision = None
-        while True:
+        pages = 0
+        while pages < _MAX_PAGES:
+            pages += 1
             found = await self._client.get(
                 '/kv-range',
                 {'path_prefix': _PREFIXES[tree], 'after': after},
@@ -126,7 +131,12 @@
                     'entries': entries,
                     'whole': True,
                 }
-            after = found['items'][-1]['key']
+            after = _key_after(found['items'], after)
+        raise errors.SourceError(
+            f'list has more than {_MAX_PAGES} pages',
+            step=_STEP,
+            peer=tree.value,
+        )
 
     def _entries(
         self,
@@ -180,3 +190,15 @@
         if tree is replica.SourceTree.TEAMS:
             return operators_document.translate_configuration(content)
         return backend_entry.translate_entry(name, content, own=self._own)
+
+
+def _key_after(items: list[_Item], after: str) -> str:
+    """Return where the next page begins."""
+    last = str(items[-1]['key']) if items else ''
+    if last > after:
+        return last
+    raise errors.SourceError(
+        f'the page after {after!r} does not go on',
+        step=_STEP,
+        peer=after,
+    )
--- a/medlarquay/tasks/tests/test_endless_backend.py
+++ b/medlarquay/tasks/tests/test_endless_backend.py
@@ -19,7 +19,7 @@
 
 
 @implementer(interfaces.IPullProducer)
-class _EndlessServer(protocol.Protocol):
+class EndlessServer(protocol.Protocol):
     """Answers a request with bytes that end with the connection only."""
 
     def __init__(self, *, begin: bytes, endless: bytes) -> None:
@@ -50,7 +50,7 @@
 
     def __init__(self, *, begin: bytes, endless: bytes) -> None:
         self.reactor = selectreactor.SelectReactor()
-        self.server = _EndlessServer(begin=begin, endless=endless)
+        self.server = EndlessServer(begin=begin, endless=endless)
         self.port = self.reactor.listenTCP(
             0,
             factories.BuildingFactory(build=lambda: self.server),
