Send large answers where the link of the machine has room

Cause: an ingress chose the owner of a bundle by slots, which were free while the link of that machine was full, so a third of the bundles was refused by one owner and asked another. The latency that an ingress keeps for each owner mixed bundles of seconds with internal calls of milliseconds, so that a second attempt of a call was denied as too close to its deadline.

Change: the load on each result says how long another large answer would wait for the link. Large answers no longer count in the latency of an owner.

The load has one more field on the wire, so nodes of both versions do not understand each other's results.

Evidence: two tests of the choice and the expected time; they use the new fields and could not run before. pytest of routing, codec, router, lab, ingress, admission and bench passes.

--- a/medlarquay/admission/__init__.py
+++ b/medlarquay/admission/__init__.py
@@ -13,14 +13,13 @@
     QueuesEmptied,
     WasShed,
 )
-from medlarquay.admission.limits import LARGE_ANSWER_BYTES, Limits
+from medlarquay.admission.limits import Limits
 from medlarquay.admission.load import load_of
 from medlarquay.admission.next_check import next_check
 from medlarquay.admission.refuse import Refuse
 from medlarquay.admission.start import Start
 
 __all__ = (
-    'LARGE_ANSWER_BYTES',
     'Admission',
     'AnswerRelayed',
     'Arrived',
--- a/medlarquay/admission/arrival.py
+++ b/medlarquay/admission/arrival.py
@@ -2,12 +2,11 @@
 
 import dataclasses
 
-from medlarquay import states
+from medlarquay import messages, states
 from medlarquay.admission import (
     admission,
     expected_end,
     inputs,
-    limits,
     queued_work,
 )
 
@@ -90,7 +89,7 @@
         due=due,
         route=event.route,
         transfer=transfer,
-        large=size >= limits.LARGE_ANSWER_BYTES,
+        large=size >= messages.LARGE_ANSWER_BYTES,
     )
 
 
--- a/medlarquay/admission/limits.py
+++ b/medlarquay/admission/limits.py
@@ -6,10 +6,7 @@
 
 from medlarquay import states
 
-__all__ = ('LARGE_ANSWER_BYTES', 'Limits')
-
-#: Larger answers leave in parts, between which smaller ones are sent.
-LARGE_ANSWER_BYTES = 16384
+__all__ = ('Limits',)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
--- a/medlarquay/admission/load.py
+++ b/medlarquay/admission/load.py
@@ -13,4 +13,15 @@
         running=len(state.running),
         queued=len(state.queued_ranks),
         service_time=state.times.overall,
+        link_wait=_link_wait(state, now),
     )
+
+
+def _link_wait(state: admission.Admission, now: float) -> float:
+    queued = sum(
+        work.transfer
+        for queue in state.queues.values()
+        for work in queue.values()
+        if work.large
+    )
+    return state.link_free_at(now) - now + queued
--- a/medlarquay/codec/call_decoders.py
+++ b/medlarquay/codec/call_decoders.py
@@ -113,6 +113,7 @@
         running=reader.take(int),
         queued=reader.take(int),
         service_time=reader.take_number(),
+        link_wait=reader.take_number(),
     )
     reader.finish()
     return load
--- a/medlarquay/codec/encode.py
+++ b/medlarquay/codec/encode.py
@@ -135,4 +135,10 @@
 def _load_fields(load: messages.LoadState | None) -> list[object] | None:
     if load is None:
         return None
-    return [load.slots, load.running, load.queued, load.service_time]
+    return [
+        load.slots,
+        load.running,
+        load.queued,
+        load.service_time,
+        load.link_wait,
+    ]
--- a/medlarquay/ingress/call_sender.py
+++ b/medlarquay/ingress/call_sender.py
@@ -1,6 +1,6 @@
 """Sending of calls to the owners on this and on other nodes."""
 
-from medlarquay import admission, events, ids, messages, replica
+from medlarquay import events, ids, messages, replica
 from medlarquay.tasks import task
 
 __all__ = ('CallSender',)
@@ -52,16 +52,16 @@
     def note_relayed(
         self,
         instance: ids.InstanceId,
-        answer_bytes: int,
+        answer: messages.CallAnswered,
     ) -> None:
         """Tell the local owner of a large answer that came from a node.
 
         The owner counts its own answers; what comes from other nodes leaves
         by the same link of the machine.
         """
-        large = answer_bytes >= admission.LARGE_ANSWER_BYTES
-        if large and instance != self._instance:
-            self._owner.post(events.AnswerRelayed(answer_bytes=answer_bytes))
+        if answer.large and instance != self._instance:
+            relayed = events.AnswerRelayed(answer_bytes=len(answer.body))
+            self._owner.post(relayed)
 
     def cancel(
         self,
--- a/medlarquay/ingress/wanted_owner.py
+++ b/medlarquay/ingress/wanted_owner.py
@@ -45,6 +45,7 @@
         candidates=table.candidates(call.service),
         excluded=call.tried,
         due=call.parameters.due,
+        route=call.route.name,
     )
 
 
--- a/medlarquay/lab/ingress_model.py
+++ b/medlarquay/lab/ingress_model.py
@@ -183,7 +183,12 @@
         other = self._choose(call)
         expected: float = 0
         if other is not None:
-            expected = routing.expected_time(other, self._chooser, now)
+            expected = routing.expected_time(
+                other,
+                self._chooser,
+                now,
+                route=ids.RouteName(call.kind.name),
+            )
         decision = routing.decide_retry(
             answer,
             routing.Attempt(
--- a/medlarquay/messages/__init__.py
+++ b/medlarquay/messages/__init__.py
@@ -1,6 +1,6 @@
 """Typed messages between tasks and between nodes."""
 
-from medlarquay.messages.call_answered import CallAnswered
+from medlarquay.messages.call_answered import LARGE_ANSWER_BYTES, CallAnswered
 from medlarquay.messages.call_cancel import CallCancel
 from medlarquay.messages.call_refused import CallRefused
 from medlarquay.messages.call_request import CallRequest
@@ -17,6 +17,7 @@
 from medlarquay.messages.suspicion_cleared import SuspicionCleared
 
 __all__ = (
+    'LARGE_ANSWER_BYTES',
     'CallAnswered',
     'CallCancel',
     'CallRefused',
--- a/medlarquay/messages/call_answered.py
+++ b/medlarquay/messages/call_answered.py
@@ -5,7 +5,11 @@
 from medlarquay import ids
 from medlarquay.messages import load_state
 
-__all__ = ('CallAnswered',)
+__all__ = ('LARGE_ANSWER_BYTES', 'CallAnswered')
+
+#: An answer from this size on leaves in parts, between which smaller ones
+#: are sent.
+LARGE_ANSWER_BYTES = 16384
 
 _FIRST_FAILURE_STATUS = 500
 _TIMED_OUT_STATUS = 504
@@ -49,3 +53,8 @@
         """
         failure = self.status >= _FIRST_FAILURE_STATUS
         return failure and self.status != _TIMED_OUT_STATUS
+
+    @property
+    def large(self) -> bool:
+        """Whether the answer leaves in parts."""
+        return len(self.body) >= LARGE_ANSWER_BYTES
--- a/medlarquay/messages/load_state.py
+++ b/medlarquay/messages/load_state.py
@@ -19,9 +19,12 @@
         Requests waiting for a slot.
     service_time : float
         Smoothed time of one request at the backend server, in seconds.
+    link_wait : float
+        Seconds until another large answer could begin to leave the machine.
     """
 
     slots: int
     running: int
     queued: int
     service_time: float
+    link_wait: float = 0
--- a/medlarquay/routing/answer_observed.py
+++ b/medlarquay/routing/answer_observed.py
@@ -21,9 +21,15 @@
         Load carried on the answer.
     failed : bool
         Whether the backend server answered with a failure of its own.
+    route : RouteName
+        Route of the call.
+    large : bool
+        Whether the answer was large.
     """
 
     instance: ids.InstanceId
     latency: float
     load: messages.LoadState | None
     failed: bool = False
+    route: ids.RouteName = ids.RouteName('')
+    large: bool = False
--- a/medlarquay/routing/any_owner_wanted.py
+++ b/medlarquay/routing/any_owner_wanted.py
@@ -22,8 +22,11 @@
     due : float
         Time by which an answer is worth most, seconds on the monotonic
         clock.
+    route : RouteName
+        Route of the call.
     """
 
     candidates: candidates.Candidates
     excluded: tuple[ids.InstanceId, ...] = ()
     due: float = math.inf
+    route: ids.RouteName = ids.RouteName('')
--- a/medlarquay/routing/expected_time.py
+++ b/medlarquay/routing/expected_time.py
@@ -1,6 +1,6 @@
 """Expected time of a call at a backend server."""
 
-from medlarquay import replica
+from medlarquay import ids, replica
 from medlarquay.routing import chooser, expected_wait
 
 __all__ = ('expected_time',)
@@ -13,10 +13,17 @@
     backend: replica.InstanceRecord,
     state: chooser.Chooser,
     now: float,
+    *,
+    route: ids.RouteName,
 ) -> float:
     """Return the expected seconds until an answer, waiting included."""
     found = state.observations.by_instance.get(backend.instance)
-    waiting = expected_wait.estimate(backend, found, now=now)
+    waiting = expected_wait.estimate(
+        backend,
+        found,
+        now=now,
+        large=route in state.observations.large_routes,
+    )
     if found is None or found.latency is None:
         return waiting.wait + _DEFAULT_S
     return waiting.wait + found.latency
--- a/medlarquay/routing/expected_wait.py
+++ b/medlarquay/routing/expected_wait.py
@@ -49,6 +49,7 @@
     found: observation.Observation | None,
     *,
     now: float,
+    large: bool = False,
 ) -> Estimate:
     """Estimate the wait of a new call.
 
@@ -60,6 +61,9 @@
         What this ingress observed of it.
     now : float
         Seconds on the monotonic clock.
+    large : bool
+        Whether a large answer is expected, which waits for the link of the
+        machine.
 
     Notes
     -----
@@ -81,15 +85,25 @@
     failing = found.failing_share(now)
     if failing < _DOUBTFUL:
         failing = 0
-    roomy = own <= 0 and reported <= 0 and found.full_until <= now
+    link_wait = _link_wait(found, now) if large else 0
+    roomy = own <= 0 and max(reported, link_wait) <= 0
+    roomy = roomy and found.full_until <= now
     return Estimate(
-        wait=max(own_wait, reported) + failing * _FAILURE_COST_S,
+        wait=max(own_wait, reported, link_wait) + failing * _FAILURE_COST_S,
         service=_recent_service(found, now),
         free=roomy and not failing,
         share=found.in_flight / slots,
     )
 
 
+def _link_wait(found: observation.Observation, now: float) -> float:
+    """Return what is left of a reported wait for the link."""
+    elapsed = now - found.load_at
+    if found.load is None or elapsed > _LOAD_LIFE_S:
+        return 0
+    return max(0, found.load.link_wait - elapsed)
+
+
 def _recent_service(found: observation.Observation, now: float) -> float:
     if found.load is None or now - found.load_at > _SPEED_LIFE_S:
         return 0
--- a/medlarquay/routing/observation.py
+++ b/medlarquay/routing/observation.py
@@ -23,7 +23,8 @@
         Calls sent by this ingress and not finished.
     latency : float or None
         Smoothed time of an answer in seconds, waiting and link included;
-        None before the first answer.
+        None before the first answer. Large answers wait for the link of the
+        machine, which others pass, and don't count.
     load : LoadState or None
         Load that the owner last reported.
     load_at : float
--- a/medlarquay/routing/observations.py
+++ b/medlarquay/routing/observations.py
@@ -19,12 +19,15 @@
     ejected_until : float
         End of the latest ejection, seconds on the monotonic clock; spares
         the count of ejected servers while there are none.
+    large_routes : set of RouteName
+        Routes whose last answer was large.
     """
 
     by_instance: dict[ids.InstanceId, observation.Observation] = (
         dataclasses.field(default_factory=dict)
     )
     ejected_until: float = 0
+    large_routes: set[ids.RouteName] = dataclasses.field(default_factory=set)
 
     def of(self, instance: ids.InstanceId) -> observation.Observation:
         """Return the observation of an instance; make an empty one if new."""
--- a/medlarquay/routing/observe.py
+++ b/medlarquay/routing/observe.py
@@ -88,16 +88,32 @@
         # A failure may come much sooner than an answer would.
         _take_load(found, event.load, now)
         return
-    if found.latency is None:
-        found.latency = event.latency
-    else:
-        found.latency += _SMOOTHING * (event.latency - found.latency)
+    _note_size(event, state)
+    if not event.large:
+        _note_latency(found, event.latency)
     found.failures = 0
     found.ejections = 0
     found.ejected_until = 0
     _take_load(found, event.load, now)
 
 
+def _note_size(
+    event: answer_observed.AnswerObserved,
+    state: observations.Observations,
+) -> None:
+    if event.large:
+        state.large_routes.add(event.route)
+    else:
+        state.large_routes.discard(event.route)
+
+
+def _note_latency(found: observation.Observation, latency: float) -> None:
+    if found.latency is None:
+        found.latency = latency
+    else:
+        found.latency += _SMOOTHING * (latency - found.latency)
+
+
 @observe.register
 def _refused(
     event: refusal_observed.RefusalObserved,
--- a/medlarquay/routing/pick.py
+++ b/medlarquay/routing/pick.py
@@ -53,10 +53,11 @@
     now: float,
 ) -> Iterator[owner_offer.OwnerOffer]:
     use_ejected = _too_many_ejected(wanted, state, now)
+    large = wanted.route in state.observations.large_routes
     for zone, members in wanted.candidates.zones:
         usable = _usable(wanted, state, members, now, use_ejected=use_ejected)
         if usable:
-            picked, waiting = _pick_in_zone(usable, state, now)
+            picked, waiting = _pick_in_zone(usable, state, now, large=large)
             yield owner_offer.OwnerOffer(
                 backend=picked,
                 cost=(
@@ -118,16 +119,18 @@
     usable: _Backends,
     state: chooser.Chooser,
     now: float,
+    *,
+    large: bool,
 ) -> tuple[replica.InstanceRecord, expected_wait.Estimate]:
-    own = _own_if_free(usable, state, now)
+    own = _own_if_free(usable, state, now, large=large)
     if own is not None:
         return own
-    first, first_wait = _draw(usable, state, now)
+    first, first_wait = _draw(usable, state, now, large=large)
     if len(usable) == 1:
         return first, first_wait
     # The second draw leaves the first one out, so they always differ.
     rest = [backend for backend in usable if backend is not first]
-    second, second_wait = _draw(rest, state, now)
+    second, second_wait = _draw(rest, state, now, large=large)
     if _order(second_wait) < _order(first_wait):
         return second, second_wait
     return first, first_wait
@@ -137,10 +140,12 @@
     usable: _Backends,
     state: chooser.Chooser,
     now: float,
+    *,
+    large: bool,
 ) -> tuple[replica.InstanceRecord, expected_wait.Estimate] | None:
     for backend in usable:
         if backend.node_name == state.instance:
-            own = _estimate(backend, state, now)
+            own = _estimate(backend, state, now, large=large)
             return (backend, own) if own.free else None
     return None
 
@@ -149,18 +154,22 @@
     usable: _Backends,
     state: chooser.Chooser,
     now: float,
+    *,
+    large: bool,
 ) -> tuple[replica.InstanceRecord, expected_wait.Estimate]:
     drawn = usable[int(state.random.random() * len(usable))]
-    return drawn, _estimate(drawn, state, now)
+    return drawn, _estimate(drawn, state, now, large=large)
 
 
 def _estimate(
     backend: replica.InstanceRecord,
     state: chooser.Chooser,
     now: float,
+    *,
+    large: bool,
 ) -> expected_wait.Estimate:
     found = state.observations.by_instance.get(backend.instance)
-    return expected_wait.estimate(backend, found, now=now)
+    return expected_wait.estimate(backend, found, now=now, large=large)
 
 
 def _order(waiting: expected_wait.Estimate) -> tuple[bool, float, float]:
--- a/medlarquay/routing/tests/fleet.py
+++ b/medlarquay/routing/tests/fleet.py
@@ -51,12 +51,14 @@
     now: float = 0,
     excluded: tuple[ids.InstanceId, ...] = (),
     due: float = math.inf,
+    route: str = '',
 ) -> str | None:
     """Return the name of the chosen owner."""
     wanted = routing.AnyOwnerWanted(
         candidates=routing.group_candidates(backends, place=PLACE),
         excluded=excluded,
         due=due,
+        route=ids.RouteName(route),
     )
     found = routing.choose(wanted, state, now)
     if isinstance(found, routing.OwnerChosen):
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -12,6 +12,8 @@
 _LOCAL = (fleet.backend('a2'), fleet.backend('a3'), fleet.backend('a4'))
 _NEAR = fleet.backend('b1')
 _FAR = fleet.backend('c1', region='south')
+_CHECK = ids.RouteName('source-verify')
+_BUNDLE = ids.RouteName('archive-bundle')
 _LIE = messages.LoadState(slots=0, running=9999, queued=9999, service_time=99)
 
 
@@ -349,3 +351,52 @@
     assert now == {'a3', 'a4'}
     later = {fleet.pick(state, *_LOCAL, now=10) for _ in range(50)}
     assert later == {'a2', 'a3', 'a4'}
+
+
+def _observe_large(
+    state: routing.Chooser,
+    name: str,
+    *,
+    link_wait: float,
+) -> None:
+    routing.observe(
+        routing.AnswerObserved(
+            instance=ids.InstanceId(name),
+            latency=2,
+            load=messages.LoadState(
+                slots=2,
+                running=0,
+                queued=0,
+                service_time=0.1,
+                link_wait=link_wait,
+            ),
+            route=_BUNDLE,
+            large=True,
+        ),
+        state.observations,
+        0,
+    )
+
+
+def test_large_answers_go_where_the_link_has_room() -> None:
+    """Guards against bundles that pile up on one machine's link."""
+    state = fleet.chooser()
+    near, far = fleet.backend('a2'), fleet.backend('b1', region='south')
+    _observe_large(state, 'a2', link_wait=1.5)
+    _observe_large(state, 'b1', link_wait=0)
+    assert fleet.pick(state, near, far, route=_BUNDLE) == 'b1'
+    assert fleet.pick(state, near, far) == 'a2'
+    # The wait that was reported has passed.
+    assert fleet.pick(state, near, far, now=2, route=_BUNDLE) == 'a2'
+
+
+def test_the_time_of_large_answers_is_not_that_of_short_calls() -> None:
+    """Guards against short calls that are given up since bundles are slow."""
+    state = fleet.chooser()
+    backend = fleet.backend('a2')
+    _answer(state, 'a2', None)
+    _observe_large(state, 'a2', link_wait=1.5)
+    short = routing.expected_time(backend, state, 0, route=_CHECK)
+    bundle = routing.expected_time(backend, state, 0, route=_BUNDLE)
+    assert short == pytest.approx(0.005)
+    assert bundle == pytest.approx(1.505)
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -198,6 +198,7 @@
                 candidates=self.table.candidates(call.service),
                 excluded=call.tried,
                 due=call.parameters.due,
+                route=call.route.name,
             ),
             self.chooser,
             now,
@@ -224,7 +225,7 @@
         message: messages.CallAnswered,
     ) -> None:
         """Give the caller of a call the answer of a backend server."""
-        self.sender.note_relayed(call.node, len(message.body))
+        self.sender.note_relayed(call.node, message)
         answer = ingress.answer(caller=call.caller, message=message)
         self.reporter.told(call, answer, states.Outcome.RUN, None)
         self.answer(answer)
@@ -296,7 +297,12 @@
             retries=len(call.tried) - 1,
             deadline=call.parameters.deadline,
             expected_time=(
-                routing.expected_time(other.backend, self.chooser, now)
+                routing.expected_time(
+                    other.backend,
+                    self.chooser,
+                    now,
+                    route=call.route.name,
+                )
                 if isinstance(other, routing.OwnerChosen)
                 else 0
             ),
@@ -410,6 +416,8 @@
             latency=router.clock() - call.sent_at,
             load=message.load,
             failed=message.failed,
+            route=call.route.name,
+            large=message.large,
         ),
     )
     if message.failed and call.parameters.idempotent:
--- a/medlarquay/testing/replay/replay_link.py
+++ b/medlarquay/testing/replay/replay_link.py
@@ -2,7 +2,7 @@
 
 import math
 
-from medlarquay import admission
+from medlarquay import messages
 
 __all__ = ('ReplayLink',)
 
@@ -24,6 +24,6 @@
         """Return when an answer has left, in seconds from the start."""
         own = answer_bytes / self._bytes_per_s
         self._free_at = max(self._free_at, now) + own
-        if answer_bytes < admission.LARGE_ANSWER_BYTES:
+        if answer_bytes < messages.LARGE_ANSWER_BYTES:
             return now + own
         return self._free_at
