--- a/medlarquay/daemon/tests/test_operations_page.py
+++ b/medlarquay/daemon/tests/test_operations_page.py
@@ -7,9 +7,15 @@
 import logbook
 import pytest
 
-from medlarquay import ingress, states, transport
+from medlarquay import ingress, states, telemetry, transport
 from medlarquay.daemon import setting, setting_list
-from medlarquay.tasks.tests import ingress_bench, owner_bench
+from medlarquay.tasks.tests import (
+    ingress_bench,
+    owner_bench,
+    test_answer_delivery,
+    test_configuration_log,
+    test_loop_watch,
+)
 
 _PAGE = pathlib.Path(__file__).parents[3] / 'docs' / 'OPERATIONS.md'
 
@@ -37,6 +43,7 @@
         ('Retry denials', states.RetryDenial),
         ('Records not applied', states.ReplicaEvent),
         ('Dropped answers', states.DroppedMessage),
+        ('Requests without an answer', states.Unanswered),
     ],
 )
 def test_every_reason_is_described(
@@ -55,6 +62,25 @@
 _NAMES = transport.HeaderNames(request_id=b'idempotency-key')
 
 
+def test_every_histogram_is_described() -> None:
+    """Guards against a measurement that operators cannot learn of."""
+    rows = [
+        line.split('`')[1]
+        for line in _section('Histograms').splitlines()
+        if line.startswith('| `')
+    ]
+    assert rows == [known.name for known in telemetry.Histograms()]
+
+
+def _log_node_lines() -> None:
+    """Let the parts log that have a test bench of their own."""
+    measured = test_loop_watch.LoopBench()
+    measured.elapse(1)
+    measured.turn()
+    test_answer_delivery.DeliveryBench().deliver(frame_bytes=90_000, seconds=1)
+    test_configuration_log.ConfigurationBench().read(3, asked_ago=0)
+
+
 def _written_fields() -> set[str]:
     with logbook.TestHandler() as handler:
         router = ingress_bench.IngressBench(
@@ -70,6 +96,7 @@
         )
         owner.call(1)
         owner.answer(1)
+        _log_node_lines()
         lines = [record.message for record in handler.records]
     return {name for line in lines for name in _FIELD.findall(line)}
 
--- a/medlarquay/tasks/tests/test_answer_delivery.py
+++ b/medlarquay/tasks/tests/test_answer_delivery.py
@@ -20,7 +20,7 @@
         yield handler
 
 
-class _Bench:
+class DeliveryBench:
     """The delivery of one result on a fake clock."""
 
     def __init__(self) -> None:
@@ -58,7 +58,7 @@
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against a run logged as answered while its answer waits."""
-    bench = _Bench()
+    bench = DeliveryBench()
     bench.deliver(frame_bytes=_LARGE, seconds=4.3)
     assert [record.message for record in logged.records] == [
         'request=a1 delivery=left ingress=10.0.0.9 bytes=90000'
@@ -70,7 +70,7 @@
 
 def test_a_late_refusal_is_logged(logged: logbook.TestHandler) -> None:
     """Guards against a small result that waits for seconds unseen."""
-    _Bench().deliver(frame_bytes=60, seconds=1.3)
+    DeliveryBench().deliver(frame_bytes=60, seconds=1.3)
     assert 'delivery=left' in logged.records[0].message
 
 
@@ -78,7 +78,7 @@
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against an answer that never left without a line."""
-    bench = _Bench()
+    bench = DeliveryBench()
     bench.deliver(frame_bytes=60, seconds=0, whole=False)
     assert 'delivery=lost' in logged.records[0].message
     assert not bench.histograms.answer_left.count
@@ -88,7 +88,7 @@
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against a second line for each request under load."""
-    bench = _Bench()
+    bench = DeliveryBench()
     bench.deliver(frame_bytes=60, seconds=0.01)
     bench.deliver(frame_bytes=_LARGE, seconds=0, request_id='')
     assert not logged.records
--- a/medlarquay/tasks/tests/test_configuration_log.py
+++ b/medlarquay/tasks/tests/test_configuration_log.py
@@ -25,7 +25,7 @@
         self._clock.rightNow += 0.025
 
 
-class _Bench:
+class ConfigurationBench:
     """A configuration without peers."""
 
     def __init__(self, *, startup_deadline: float = 0) -> None:
@@ -117,7 +117,7 @@
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against a change of which no line tells how late it came."""
-    bench = _Bench()
+    bench = ConfigurationBench()
     bench.read(3, asked_ago=0.5)
     bench.clock.advance(5)
     logged.records.clear()
@@ -135,7 +135,7 @@
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against a slow change that cannot be told from a late one."""
-    bench = _Bench()
+    bench = ConfigurationBench()
     bench.read(3, asked_ago=0)
     bench.clock.advance(1)
     logged.records.clear()
@@ -151,7 +151,7 @@
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against a start that shows the cost of its last part only."""
-    bench = _Bench(startup_deadline=103)
+    bench = ConfigurationBench(startup_deadline=103)
     bench.receive(5, wire_bytes=1000)
     bench.receive(6, wire_bytes=500)
     assert not _lines(logged)
--- a/medlarquay/tasks/tests/test_loop_watch.py
+++ b/medlarquay/tasks/tests/test_loop_watch.py
@@ -13,7 +13,7 @@
 class _Worker(task.Task):
     """Takes a time for each message, and may post to another task."""
 
-    def __init__(self, *, name: str, bench: '_Bench') -> None:
+    def __init__(self, *, name: str, bench: 'LoopBench') -> None:
         super().__init__(name=name)
         self.next: task.Task | None = None
         self._bench = bench
@@ -26,7 +26,7 @@
             self._bench.elapse(0.01)
 
 
-class _Bench:
+class LoopBench:
     """A watch on clocks that the test moves."""
 
     def __init__(self) -> None:
@@ -53,9 +53,9 @@
 
 
 @pytest.fixture
-def bench() -> _Bench:
+def bench() -> LoopBench:
     """Return a watch that was just started."""
-    return _Bench()
+    return LoopBench()
 
 
 @pytest.fixture
@@ -66,7 +66,7 @@
 
 
 def test_a_long_turn_is_logged_with_its_longest_handler(
-    bench: _Bench,
+    bench: LoopBench,
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against a busy loop that shows as late answers only."""
@@ -87,7 +87,7 @@
 
 
 def test_a_prompt_loop_is_measured_without_a_line(
-    bench: _Bench,
+    bench: LoopBench,
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against a line for each period."""
@@ -98,7 +98,7 @@
 
 
 def test_a_handler_of_an_earlier_period_is_not_named(
-    bench: _Bench,
+    bench: LoopBench,
     logged: logbook.TestHandler,
 ) -> None:
     """Guards against a line that blames what was long before."""
@@ -113,7 +113,7 @@
 
 def test_the_time_of_a_handler_excludes_those_within(
     monkeypatch: pytest.MonkeyPatch,
-    bench: _Bench,
+    bench: LoopBench,
 ) -> None:
     """Guards against a task blamed for another that it posted to."""
     monkeypatch.setattr(task, 'HANDLER_TIMES', bench.times)
@@ -125,7 +125,7 @@
     assert found.seconds == pytest.approx(0.16)
 
 
-def test_a_handler_that_fails_is_measured(bench: _Bench) -> None:
+def test_a_handler_that_fails_is_measured(bench: LoopBench) -> None:
     """Guards against times that are wrong after a fault in a handler."""
 
     def fail(message: object) -> None:
