Let callers return when the link will have room

Cause: a caller whose large answer found no room on the link was told to come back after 0.15 to 0.45 s, when the answers that wait there had not left. Change: Retry-After of link_full is spread over the wait that the owner reported with its refusal, and is never shorter than before. Evidence: test_callers_return_while_what_waits_for_the_link_leaves failed first (0.39 s at a wait of 5 s).

--- a/medlarquay/ingress/retry_after.py
+++ b/medlarquay/ingress/retry_after.py
@@ -20,7 +20,6 @@
 _FOR_LOAD = frozenset((
     states.RefusalReason.QUEUE_FULL,
     states.RefusalReason.DEADLINE_UNREACHABLE,
-    states.RefusalReason.LINK_FULL,
     states.RefusalReason.SHED,
     states.RefusalReason.COLD_START,
     states.RefusalReason.NO_BACKEND,
@@ -38,6 +37,8 @@
     reason: states.RefusalReason,
     own: front.Front,
     random: random_module.Random,
+    *,
+    link_wait: float = 0,
 ) -> events.AnswerReady:
     """Add to a refusal when the caller should come back.
 
@@ -51,8 +52,12 @@
         Whether callers are told at all.
     random : Random
         Spreads the callers.
+    link_wait : float
+        Seconds until the large answers that wait at the owner have left.
     """
-    seconds = _return_s(reason, random) if own.tells_return else None
+    if not own.tells_return:
+        return answer
+    seconds = _return_s(reason, random, link_wait)
     if seconds is None:
         return answer
     field = (b'retry-after', b'%.2f' % seconds)
@@ -62,7 +67,12 @@
 def _return_s(
     reason: states.RefusalReason,
     random: random_module.Random,
+    link_wait: float,
 ) -> float | None:
+    if reason is states.RefusalReason.LINK_FULL:
+        # Room is made one answer after the other, so callers return over
+        # the whole time in which those that wait leave.
+        return _LOAD_S + max(_LOAD_SPREAD_S, link_wait) * random.random()
     if reason in _FOR_LOAD:
         return _LOAD_S + _LOAD_SPREAD_S * random.random()
     if reason in _FOR_START:
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -236,6 +236,7 @@
         reason: states.RefusalReason,
         *,
         final: bool,
+        link_wait: float = 0,
     ) -> None:
         """Tell the caller of a call that it was not run."""
         unreachable = reason is states.RefusalReason.OWNER_UNREACHABLE
@@ -252,6 +253,7 @@
             reason,
             self.front,
             self.chooser.random,
+            link_wait=link_wait,
         )
         outcome = ingress.refusal_outcome(reason)
         self.reporter.told(call, answer, outcome, reason)
@@ -338,7 +340,13 @@
     call: ingress.IngressCall,
     router: Router,
 ) -> None:
-    router.tell_refusal(call, failure.reason, final=True)
+    link_wait = 0 if failure.load is None else failure.load.link_wait
+    router.tell_refusal(
+        call,
+        failure.reason,
+        final=True,
+        link_wait=link_wait,
+    )
 
 
 @_give_up.register
--- a/medlarquay/tasks/tests/owner_bench.py
+++ b/medlarquay/tasks/tests/owner_bench.py
@@ -139,6 +139,7 @@
         *,
         status: int = 200,
         headers: tuple[tuple[bytes, bytes], ...] = (),
+        body: bytes = b'done',
     ) -> None:
         """Let the backend server answer."""
         self.owner.post(
@@ -146,7 +147,7 @@
                 exchange=ids.ExchangeId(exchange),
                 status=status,
                 headers=headers,
-                body=b'done',
+                body=body,
             ),
         )
 
--- a/medlarquay/tasks/tests/test_owner.py
+++ b/medlarquay/tasks/tests/test_owner.py
@@ -181,3 +181,19 @@
     assert (b'wanted', owner_bench.OWN.encode()) in sent.headers
     bench.answer(1, status=421)
     assert bench.told() == {1: 'not-run backend_down'}
+
+
+def test_a_large_answer_waits_for_the_link() -> None:
+    """Guards against large answers that all wait on the link at once."""
+    bench = owner_bench.OwnerBench()
+    bench.owner.local.link_bytes_per_s = 100_000
+    bench.configure(states.InstanceState.LIVE)
+    bench.call(1)
+    bench.answer(1, body=b'x' * 90_000)
+    bench.call(2)
+    assert len(bench.started()) == 1
+    # The link is free by then; the owner wakes without any other event.
+    bench.wait(1)
+    assert len(bench.started()) == 2
+    bench.call(3, timeout=1.5)
+    assert bench.told()[3] == 'not-run link_full'
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -488,3 +488,42 @@
     assert len(set(seconds)) > 4
     # Long enough for a queue to move on, within a third of the usual limits.
     assert all(text in _RETURNS for text in seconds)
+
+
+def test_callers_return_while_what_waits_for_the_link_leaves(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against callers that are back before the link has room."""
+    bench.router.front = ingress.Front(tells_return=True)
+    load = messages.LoadState(
+        slots=2,
+        running=0,
+        queued=4,
+        service_time=0.1,
+        link_wait=5,
+    )
+    seconds = []
+    for caller in range(1, 9):
+        sent = [bench.send(caller)]
+        while sent:
+            bench.router.post(
+                messages.CallRefused(
+                    call_id=sent[0].request.call_id,
+                    reason=states.RefusalReason.LINK_FULL,
+                    load=load,
+                ),
+            )
+            sent = bench.sent()
+        seconds.append(float(bench.fields()['retry-after']))
+    assert max(seconds) > 2
+    assert max(seconds) < 6
+
+
+def test_a_large_answer_of_another_node_fills_the_link(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against an owner that does not count what its ingress sends."""
+    sent = bench.send(1)
+    bench.answer(sent.request.call_id, body=b'x' * 90_000)
+    relayed = events.AnswerRelayed(answer_bytes=90_000)
+    assert relayed in bench.owner.take()
