Keep large answers in the region while they are in time there

Cause: a wait for the link made an owner count as not free, so the choice went on to other regions although the answer would have been in time. Bytes between regions are paid by volume.

Change: the wait for the link orders the owners of a zone and counts in the expected time; the nearest zone that answers when due ends the search again.

--- a/medlarquay/routing/expected_wait.py
+++ b/medlarquay/routing/expected_wait.py
@@ -85,9 +85,10 @@
     failing = found.failing_share(now)
     if failing < _DOUBTFUL:
         failing = 0
+    # It does not make a slot less free: a wait that ends in time is no reason
+    # to send a large answer between regions, which is paid by volume.
     link_wait = _link_wait(found, now) if large else 0
-    roomy = own <= 0 and max(reported, link_wait) <= 0
-    roomy = roomy and found.full_until <= now
+    roomy = own <= 0 and reported <= 0 and found.full_until <= now
     return Estimate(
         wait=max(own_wait, reported, link_wait) + failing * _FAILURE_COST_S,
         service=_recent_service(found, now),
