Keep reading beside a stale parent until a fresh one has answered

The second and third node of a region now read at once beside a stale parent, and go on until a fresh parent has answered. A follower asks for all records when a difference could not be used; test_follower.py failed with the request left out where nothing takes the records.

The trace two_saturated failed before.

--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -293,10 +293,10 @@
                 delta=message.delta,
             ),
         )
-        # The parent may have told a difference from another document.
-        reached = follower.vector.covers(message.delta.reached)
-        if message.delta.differences and not reached:
-            follower.write(link, messages.FetchAll())
+    # The parent may have told a difference from another document.
+    reached = follower.vector.covers(message.delta.reached)
+    if message.delta.differences and not reached:
+        follower.write(link, messages.FetchAll())
 
 
 @_take.register
@@ -314,9 +314,6 @@
     link.state.confirm(confirmed_at)
     if link.state.take_heartbeat(message, follower.vector, now=now):
         link.machine.useful()
-    elif _is_in_vain(follower, link):
-        link.machine.ended()
-        return
     follower.tell_age(now)
     _resynchronize(message, follower, link)
     if follower.configuration is not None:
@@ -347,16 +344,6 @@
         follower.write(link, messages.FetchAll())
 
 
-def _is_in_vain(follower: Follower, link: following.Following) -> bool:
-    # The present parent is kept while others are tried, so a stale one among
-    # those is left for the next at once.
-    return (
-        link is follower.next
-        and follower.current is not None
-        and link.state.fault is states.ParentFault.NOT_FRESH
-    )
-
-
 def _confirmed_at(heartbeat: messages.Heartbeat, sent_at: float) -> float:
     if heartbeat.age_ms is None:
         return -math.inf
--- a/medlarquay/tasks/membership.py
+++ b/medlarquay/tasks/membership.py
@@ -7,7 +7,7 @@
 
 from twisted.internet import interfaces
 
-from medlarquay import events, topology
+from medlarquay import events, states, topology
 from medlarquay.tasks import alarm, task
 
 __all__ = ('Membership',)
@@ -90,6 +90,11 @@
             suspects=self._suspects.current(now=now),
         )
         choice = topology.choose(self.situation)
+        self.situation = dataclasses.replace(
+            self.situation,
+            reading=choice.mode is states.ReadingMode.READER
+            and bool(self.situation.members.before(self.situation.own)),
+        )
         if choice != self._chosen:
             self._chosen = choice
             self._announce(choice)
--- a/medlarquay/tasks/tests/test_distribution_traces.py
+++ b/medlarquay/tasks/tests/test_distribution_traces.py
@@ -93,13 +93,18 @@
 
 
 def _mark_reader(replay: Replay, step: dict[str, Any]) -> None:
-    """Name the reader of a region ``reader``, its other nodes ``others``."""
+    """Name the reader of a region ``reader``, its other nodes ``others``.
+
+    ``first_two`` are the reader and the node after it, ``rest`` all others.
+    """
     nodes = sorted(
         (peer for peer in replay.peers.values() if peer.region == step['of']),
         key=lambda peer: topology.rank_value(peer.instance),
     )
     replay.marked['reader'] = [nodes[0].address]
     replay.marked['others'] = [node.address for node in nodes[1:]]
+    replay.marked['first_two'] = [node.address for node in nodes[:2]]
+    replay.marked['rest'] = [node.address for node in nodes[2:]]
 
 
 def _mark_parent(replay: Replay, step: dict[str, Any]) -> None:
--- a/medlarquay/topology/choose.py
+++ b/medlarquay/topology/choose.py
@@ -30,11 +30,17 @@
     """
     chosen = _choose(known)
     parent = known.parent
-    if known.stale and parent is not None and chosen.parent == parent:
-        return _choose_fresher(known, parent)
-    if parent is None or chosen.parent in {None, parent}:
+    if parent is not None and chosen.parent == parent:
+        if known.stale and chosen.mode is not states.ReadingMode.READER:
+            return _choose_fresher(known, parent)
+    if chosen.parent in {None, parent}:
         return chosen
-    # A parent that is fresh is left for none that is not.
+    if known.reading:
+        # It is fresh by itself until the new parent has answered.
+        chosen = dataclasses.replace(chosen, mode=states.ReadingMode.READER)
+    elif parent is None:
+        return chosen
+    # What is fresh is left for nothing that is not.
     return dataclasses.replace(chosen, must_be_fresh=True)
 
 
@@ -52,12 +58,15 @@
         suspects=known.suspects | {parent.address},
     )
     chosen = _choose(others)
-    if chosen.mode is states.ReadingMode.NONE:
-        return dataclasses.replace(chosen, must_be_fresh=True)
     before = known.members.before(known.own)
-    if len(before) <= _MAX_BEFORE_SECOND_READER and parent in before:
-        return choice.Choice(parent=parent, mode=states.ReadingMode.READER)
-    return _choose(known)
+    reads = len(before) <= _MAX_BEFORE_SECOND_READER and parent in before
+    if reads or known.reading:
+        mode = states.ReadingMode.READER
+    else:
+        mode = states.ReadingMode.NONE
+    if chosen.mode is states.ReadingMode.NONE:
+        return dataclasses.replace(chosen, mode=mode, must_be_fresh=True)
+    return choice.Choice(parent=parent, mode=mode)
 
 
 def _choose(known: situation.Situation) -> choice.Choice:
--- a/medlarquay/topology/situation.py
+++ b/medlarquay/topology/situation.py
@@ -30,6 +30,8 @@
     stale : bool
         Whether the parent answers, but the source confirmed what it holds
         too long ago.
+    reading : bool
+        Whether this node reads the source although others precede it.
     """
 
     own: peer.Peer
@@ -40,3 +42,4 @@
     source_reachable: bool = True
     children: int = 0
     stale: bool = False
+    reading: bool = False
