--- a/medlarquay/admission/limits.py
+++ b/medlarquay/admission/limits.py
@@ -6,10 +6,7 @@
 
 from medlarquay import states
 
-__all__ = ('LARGE_ANSWER_BYTES', 'Limits')
-
-#: Larger answers leave in parts, between which smaller ones are sent.
-LARGE_ANSWER_BYTES = 16384
+__all__ = ('Limits',)
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -30,7 +27,8 @@
     cold_start : float
         Seconds over which slots are ramped up after a start.
     link_bytes_per_s : float
-        What the link of the machine carries; infinite when unknown.
+        What answers may use of the link of the machine; infinite when
+        unknown.
     """
 
     slots: int
--- a/medlarquay/platform/store_fetcher.py
+++ b/medlarquay/platform/store_fetcher.py
@@ -30,6 +30,9 @@
 _ANSWER_S = 1.0
 _MS_PER_SECOND = 1000
 _HISTORY_GONE = 410
+# A page holds 1 MB of values; more than this would not fit into the memory
+# of a node.
+_MAX_PAGES = 64
 # The product rejects it, since it is no document.
 _UNREADABLE = 'unreadable'
 
@@ -59,6 +62,7 @@
         # A watch returns every version since the last read. A reader that
         # is behind lists instead, which brings the newest one alone.
         self._behind = False
+        self._routes = operators_document.new_translations()
 
     async def fetch(
         self,
@@ -83,6 +87,7 @@
     async def _documents(self, after: ids.Revision, wait_ms: int) -> _Answer:
         tree = replica.SourceTree.TEAMS
         listed = self._behind
+        self._behind = False
         try:
             answer = (
                 await self._list(tree)
@@ -93,10 +98,9 @@
             # A refusal says nothing about the size of the answer.
             self._behind = listed or not failure.status
             raise
-        newer = sum(entry['revision'] > after for entry in answer['entries'])
-        # A list holds one version however many there were.
-        known = 0 if listed else 1
-        self._behind = newer > known
+        if listed:
+            revisions = [entry['revision'] for entry in answer['entries']]
+            self._behind = any(revision > after for revision in revisions)
         return answer
 
     async def _changes(
@@ -131,16 +135,21 @@
                 _LOG.info('history after revision {} is gone', after)
                 return None
             raise
+        newest = _newest(found['events'])
+        if tree is replica.SourceTree.TEAMS:
+            self._behind = len(newest) < len(found['events'])
         return {
             'revision': found['at'],
-            'entries': list(self._entries(tree, found['events'])),
+            'entries': list(self._entries(tree, newest)),
         }
 
     async def _list(self, tree: replica.SourceTree) -> _Answer:
         entries: list[_Answer] = []
         after = ''
         revision = None
-        while True:
+        pages = 0
+        while pages < _MAX_PAGES:
+            pages += 1
             found = await self._client.get(
                 '/kv-range',
                 {'path_prefix': _PREFIXES[tree], 'after': after},
@@ -156,7 +165,12 @@
                     'entries': entries,
                     'whole': True,
                 }
-            after = found['items'][-1]['key']
+            after = _key_after(found['items'], after)
+        raise errors.SourceError(
+            f'list has more than {_MAX_PAGES} pages',
+            step=_STEP,
+            peer=tree.value,
+        )
 
     def _entries(
         self,
@@ -208,5 +222,25 @@
                 peer=name,
             ) from cause
         if tree is replica.SourceTree.TEAMS:
-            return operators_document.translate_configuration(content)
+            return operators_document.translate_configuration(
+                content,
+                known=self._routes,
+            )
         return backend_entry.translate_entry(name, content, own=self._own)
+
+
+def _newest(found: Iterable[_Item]) -> list[_Item]:
+    """Return the newest event of each key: a storm replaces one key often."""
+    return list({item['key']: item for item in found}.values())
+
+
+def _key_after(items: list[_Item], after: str) -> str:
+    """Return where the next page begins."""
+    last = str(items[-1]['key']) if items else ''
+    if last > after:
+        return last
+    raise errors.SourceError(
+        f'the page after {after!r} does not go on',
+        step=_STEP,
+        peer=after,
+    )
