End a stop when the last large frame has been acknowledged

A stopping node whose last link finished with everything acknowledged reported nothing until the ingress closed the link, at worst until the drain deadline.

--- a/medlarquay/tasks/link_closing.py
+++ b/medlarquay/tasks/link_closing.py
@@ -46,6 +46,7 @@
             if link is not None and link.finish():
                 # The ingress has its answers; it may be slow to close.
                 self._open.discard(number)
+                self._report_if_closed()
 
     def forget(self, number: ids.LinkId) -> None:
         """Take note that a link is closed."""
