Leave a parent for silence only, and ask for all records once

A large message on a slow control link took longer than the 1.5 s after which a parent counts as silent: the child left the parent and asked another one for the same records. Bytes that arrive count now, as they do on call links. Several differences with another base each asked for all records; one request is now under way at a time.

--- a/medlarquay/tasks/followed.py
+++ b/medlarquay/tasks/followed.py
@@ -46,6 +46,8 @@
     refetched : bytes
         Digest for which all records were requested; they are requested once
         for each digest, because a conflict would not be resolved by more.
+    fetching_all : bool
+        Whether all records were requested and have not come.
     heard_at, heard_bytes : float, int
         Arrival of the latest frame, seconds on the monotonic clock, and its
         length.
@@ -60,6 +62,7 @@
     probes: dict[int, float] = dataclasses.field(default_factory=dict)
     fault: states.ParentFault = states.ParentFault.CLOSED
     refetched: bytes = b''
+    fetching_all: bool = False
     heard_at: float = 0
     heard_bytes: int = 0
 
@@ -88,6 +91,10 @@
         while len(self.probes) > _MAX_PROBES:
             self.probes.pop(next(iter(self.probes)))
 
+    def note_bytes(self, *, now: float) -> None:
+        """Note that the parent sends, however long a message takes."""
+        self.silent_at = now + SILENT_S
+
     def expire(self, *, now: float) -> None:
         """Forget what was observed before a pause of this process."""
         self.probes.clear()
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -190,6 +190,7 @@
                 opened=functools.partial(self._opened, link),
                 received=functools.partial(self._received, link),
                 closed=link.machine.ended,
+                heard=lambda: link.state.note_bytes(now=self._clock()),
             ),
         )
 
@@ -299,7 +300,10 @@
         )
     # The parent may have told a difference from another document.
     reached = follower.vector.covers(message.delta.reached)
-    if message.delta.differences and not reached:
+    if not message.delta.differences:
+        link.state.fetching_all = False
+    elif not reached and not link.state.fetching_all:
+        link.state.fetching_all = True
         follower.write(link, messages.FetchAll())
 
 
--- a/medlarquay/tasks/link_watcher.py
+++ b/medlarquay/tasks/link_watcher.py
@@ -8,6 +8,10 @@
 __all__ = ('LinkWatcher',)
 
 
+def _ignore() -> None:
+    """Leave the arrival of bytes unnoted."""
+
+
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LinkWatcher:
     """Callbacks of a control link that a task opens.
@@ -20,8 +24,11 @@
         Receives each frame.
     closed : callable
         Called once when the link is lost or could not be opened.
+    heard : callable
+        Called when bytes arrive, also a part of a frame.
     """
 
     opened: Callable[[control_link.ControlLink], None]
     received: Callable[[bytes], None]
     closed: Callable[[], None]
+    heard: Callable[[], None] = _ignore
--- a/medlarquay/tasks/tests/test_follower.py
+++ b/medlarquay/tasks/tests/test_follower.py
@@ -1,9 +1,21 @@
 """Tests of the task that follows a parent."""
 
+import dataclasses
+
+import pytest
 from twisted.internet import task
 
-from medlarquay import codec, events, ids, messages, replica, topology
+from medlarquay import (
+    codec,
+    events,
+    ids,
+    messages,
+    replica,
+    states,
+    topology,
+)
 from medlarquay.tasks import follower, link_watcher
+from medlarquay.tasks.tests import ingress_bench
 from medlarquay.testing import large_document, memory_link
 
 _PARENT = topology.Peer(
@@ -66,22 +78,69 @@
     return delta
 
 
+class _Bench:
+    """A follower with one parent."""
+
+    def __init__(self) -> None:
+        self.clock = task.Clock()
+        self.links = _OneLink()
+        self.membership = ingress_bench.Recorder()
+        self.follower = follower.Follower(
+            reactor=self.clock,
+            links=self.links,
+            hello=messages.Hello(
+                instance=ids.InstanceId('child'),
+                incarnation=ids.Incarnation('one'),
+                region=_PARENT.region,
+                data_centre=_PARENT.data_centre,
+            ),
+            clock=self.clock.seconds,
+        )
+        self.follower.membership = self.membership
+        self.follower.post(
+            events.ParentChosen(parent=_PARENT, must_be_fresh=False),
+        )
+
+    def requests(self) -> int:
+        """Return how often all records were requested."""
+        return sum(
+            isinstance(sent, messages.FetchAll) for sent in self.links.sent
+        )
+
+
 def test_a_difference_that_cannot_be_used_is_followed_by_all_records() -> None:
     """Guards against a child that asks for the same difference for ever."""
-    clock = task.Clock()
-    links = _OneLink()
-    following = follower.Follower(
-        reactor=clock,
-        links=links,
-        hello=messages.Hello(
-            instance=ids.InstanceId('child'),
-            incarnation=ids.Incarnation('one'),
-            region=_PARENT.region,
-            data_centre=_PARENT.data_centre,
-        ),
-        clock=clock.seconds,
-    )
-    following.post(events.ParentChosen(parent=_PARENT, must_be_fresh=False))
+    bench = _Bench()
     # Nothing takes the records, so the vector of the child stays.
-    links.deliver(messages.Records(delta=_difference()))
-    assert isinstance(links.sent[-1], messages.FetchAll)
+    bench.links.deliver(messages.Records(delta=_difference()))
+    assert isinstance(bench.links.sent[-1], messages.FetchAll)
+
+
+def test_all_records_are_requested_once_for_queued_differences() -> None:
+    """Guards against one whole document for each difference of a storm."""
+    bench = _Bench()
+    for _ in range(3):
+        bench.links.deliver(messages.Records(delta=_difference()))
+    assert bench.requests() == 1
+    whole = dataclasses.replace(_difference(), differences=())
+    bench.links.deliver(messages.Records(delta=whole))
+    bench.links.deliver(messages.Records(delta=_difference()))
+    assert bench.requests() == 2
+
+
+@pytest.mark.parametrize('arriving', [True, False])
+def test_a_parent_whose_records_arrive_is_not_silent(*, arriving: bool) -> None:
+    """Guards against a parent left while its records fill a slow link."""
+    bench = _Bench()
+    for _ in range(3):
+        bench.clock.advance(0.5)
+        if arriving and bench.links.watcher is not None:
+            bench.links.watcher.heard()
+    bench.clock.advance(0.5)
+    faults = [
+        message.reason
+        for message in bench.membership.take()
+        if isinstance(message, events.ParentLost)
+    ]
+    expected = [] if arriving else [states.ParentFault.SILENT]
+    assert faults == expected
