--- a/medlarquay/admission/limits.py
+++ b/medlarquay/admission/limits.py
@@ -1,6 +1,7 @@
 """What the operators set for one backend server."""
 
 import dataclasses
+import math
 from collections.abc import Mapping
 
 from medlarquay import states
@@ -25,6 +26,9 @@
         so a shed answer is a fault of the backend server and no lack of room.
     cold_start : float
         Seconds over which slots are ramped up after a start.
+    link_bytes_per_s : float
+        What answers may use of the link of the machine; infinite when
+        unknown.
     """
 
     slots: int
@@ -32,3 +36,4 @@
     queue_limit: int
     exclusive: bool = False
     cold_start: float = 0
+    link_bytes_per_s: float = math.inf
--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -8,7 +8,13 @@
 from medlarquay import admin
 from medlarquay.daemon import build_owner, build_router, node_settings
 from medlarquay.daemon import deployment as deployments
-from medlarquay.tasks import caller_listener, owner, peer_links, router
+from medlarquay.tasks import (
+    caller_listener,
+    owner,
+    peer_links,
+    router,
+    uplink,
+)
 
 __all__ = ('CallPath', 'build_call_path')
 
@@ -19,6 +25,8 @@
 
     Attributes
     ----------
+    uplink : Uplink
+        Shares the link of the machine.
     links : PeerLinks
         Call links to and from other nodes.
     owner : Owner
@@ -29,6 +37,7 @@
         Connections of callers.
     """
 
+    uplink: uplink.Uplink
     links: peer_links.PeerLinks
     owner: owner.Owner
     router: router.Router
@@ -48,7 +57,15 @@
         hello=observed.hello,
         clock=time.monotonic,
         counters=observed.counters,
+        link_bytes_per_s=settings.link_bytes_per_s,
     )
+    sharing = uplink.Uplink(
+        reactor=reactor,
+        clock=time.monotonic,
+        bytes_per_s=settings.link_bytes_per_s,
+    )
+    sharing.links = links
+    links.writer.uplink = sharing
     own = build_owner.build_owner(
         reactor=reactor,
         settings=settings,
@@ -66,4 +83,10 @@
     own.router = routing
     links.router = routing
     links.owner = own
-    return CallPath(links=links, owner=own, router=routing, callers=callers)
+    return CallPath(
+        uplink=sharing,
+        links=links,
+        owner=own,
+        router=routing,
+        callers=callers,
+    )
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -19,6 +19,7 @@
 from medlarquay.daemon import deployment as deployments
 from medlarquay.tasks import (
     connector,
+    loop_watch,
     peer_links,
     peer_listener,
     readiness,
@@ -69,12 +70,16 @@
         reactor=reactor,
         clock=clock,
         parts=(path.owner, path.router, path.callers, path.links),
-        subscribers=(operators, ready),
+        # The router reports the calls that a stop leaves open; callers and
+        # links let go of what has left.
+        subscribers=(operators, ready, path.router, path.callers, path.links),
         drain_timeout_s=settings.drain_timeout_s,
         pace=deployment.pace,
     )
     path.owner.lifecycle = life
     path.router.lifecycle = life
+    path.callers.lifecycle = life
+    path.links.closing.lifecycle = life
     distributing = distribution.build_distribution(
         own=known_peers.own_peer(settings),
         hello=observed.hello,
@@ -92,6 +97,7 @@
             counters=observed.counters,
         ),
     )
+    distributing.relay.uplink = path.uplink
     peers = peer_listener.PeerListener(
         acceptors={
             peer_links.CALL_PATH: path.links,
@@ -116,5 +122,11 @@
         reactor=reactor,
         target=life,
     )
+    watch = loop_watch.LoopWatch(
+        reactor=reactor,
+        clock=clock,
+        histograms=observed.counters.histograms,
+    )
+    watch.start()
     distributing.start()
     return distributing
--- a/medlarquay/ingress/ingress_calls.py
+++ b/medlarquay/ingress/ingress_calls.py
@@ -1,5 +1,7 @@
 """The calls under way at the ingress."""
 
+from collections.abc import Iterator
+
 from medlarquay import ids
 from medlarquay.ingress import ingress_call
 
@@ -24,6 +26,10 @@
         """Return how many calls are under way."""
         return len(self._by_id)
 
+    def __iter__(self) -> Iterator[ingress_call.IngressCall]:
+        """Iterate over the calls, in the order of their latest attempts."""
+        return iter(tuple(self._by_id.values()))
+
     def add(self, call: ingress_call.IngressCall) -> None:
         """Number a new attempt and keep it."""
         self._last += 1
@@ -46,6 +52,11 @@
         call_id = self._by_caller.get(caller)
         return None if call_id is None else self.finish(call_id)
 
+    def end_by(self, deadline: float) -> None:
+        """Let all calls end at a time or before, see ``IngressCall``."""
+        for call in self._by_id.values():
+            call.end_by(deadline)
+
     def expired(self, now: float) -> tuple[ingress_call.IngressCall, ...]:
         """Return the calls past their deadline at the ingress."""
         return tuple(
--- a/medlarquay/platform/store_fetcher.py
+++ b/medlarquay/platform/store_fetcher.py
@@ -30,11 +30,14 @@
 _ANSWER_S = 1.0
 _MS_PER_SECOND = 1000
 _HISTORY_GONE = 410
+# A page holds 1 MB of values; more than this would not fit into the memory
+# of a node.
+_MAX_PAGES = 64
 # The product rejects it, since it is no document.
 _UNREADABLE = 'unreadable'
 
 _Item = dict[str, Any]
-_Answer = dict[str, object]
+_Answer = dict[str, Any]
 
 
 class StoreFetcher:
@@ -56,6 +59,9 @@
     ) -> None:
         self._client = client
         self._own = own
+        # A watch returns every version since the last read. A reader that
+        # is behind lists instead, which brings the newest one alone.
+        self._behind = False
         self._routes = operators_document.new_translations()
 
     async def fetch(
@@ -72,13 +78,40 @@
         SourceError
             If the store refuses, is silent or sends something malformed.
         """
-        answer = None
-        if after:
-            answer = await self._watch(tree, after, wait_ms)
-        if answer is None:
-            answer = await self._list(tree)
+        if tree is replica.SourceTree.TEAMS:
+            answer = await self._documents(after, wait_ms)
+        else:
+            answer = await self._changes(tree, after, wait_ms)
         return json.dumps(answer).encode()
 
+    async def _documents(self, after: ids.Revision, wait_ms: int) -> _Answer:
+        tree = replica.SourceTree.TEAMS
+        listed = self._behind
+        self._behind = False
+        try:
+            answer = (
+                await self._list(tree)
+                if listed
+                else await self._changes(tree, after, wait_ms)
+            )
+        except errors.SourceError as failure:
+            # A refusal says nothing about the size of the answer.
+            self._behind = listed or not failure.status
+            raise
+        if listed:
+            revisions = [entry['revision'] for entry in answer['entries']]
+            self._behind = any(revision > after for revision in revisions)
+        return answer
+
+    async def _changes(
+        self,
+        tree: replica.SourceTree,
+        after: ids.Revision,
+        wait_ms: int,
+    ) -> _Answer:
+        found = await self._watch(tree, after, wait_ms) if after else None
+        return await self._list(tree) if found is None else found
+
     async def _watch(
         self,
         tree: replica.SourceTree,
@@ -102,16 +135,21 @@
                 _LOG.info('history after revision {} is gone', after)
                 return None
             raise
+        newest = _newest(found['events'])
+        if tree is replica.SourceTree.TEAMS:
+            self._behind = len(newest) < len(found['events'])
         return {
             'revision': found['at'],
-            'entries': list(self._entries(tree, _newest(found['events']))),
+            'entries': list(self._entries(tree, newest)),
         }
 
     async def _list(self, tree: replica.SourceTree) -> _Answer:
         entries: list[_Answer] = []
         after = ''
         revision = None
-        while True:
+        pages = 0
+        while pages < _MAX_PAGES:
+            pages += 1
             found = await self._client.get(
                 '/kv-range',
                 {'path_prefix': _PREFIXES[tree], 'after': after},
@@ -127,7 +165,12 @@
                     'entries': entries,
                     'whole': True,
                 }
-            after = found['items'][-1]['key']
+            after = _key_after(found['items'], after)
+        raise errors.SourceError(
+            f'list has more than {_MAX_PAGES} pages',
+            step=_STEP,
+            peer=tree.value,
+        )
 
     def _entries(
         self,
@@ -186,6 +229,18 @@
         return backend_entry.translate_entry(name, content, own=self._own)
 
 
-def _newest(found: Iterable[_Item]) -> Iterable[_Item]:
+def _newest(found: Iterable[_Item]) -> list[_Item]:
     """Return the newest event of each key: a storm replaces one key often."""
-    return {item['key']: item for item in found}.values()
+    return list({item['key']: item for item in found}.values())
+
+
+def _key_after(items: list[_Item], after: str) -> str:
+    """Return where the next page begins."""
+    last = str(items[-1]['key']) if items else ''
+    if last > after:
+        return last
+    raise errors.SourceError(
+        f'the page after {after!r} does not go on',
+        step=_STEP,
+        peer=after,
+    )
--- a/medlarquay/platform/tests/test_store_fetcher.py
+++ b/medlarquay/platform/tests/test_store_fetcher.py
@@ -154,6 +154,36 @@
     assert found['entries'][0]['value'] == 'unreadable'
 
 
+def test_a_reader_that_is_behind_reads_the_newest_version_only() -> None:
+    """Guards against a watch that brings more versions than can arrive."""
+    configuration = _item('op/config', {'version': 'r9'}, revision=30)
+    listed = {'items': [configuration], 'has_more': False, 'at': 30}
+    store = ScriptedStore(
+        errors.SourceError('no answer in time', step='call'),
+        listed,
+        listed,
+        {'events': [], 'at': 30},
+    )
+    fetcher = store_fetcher.StoreFetcher(
+        client=store,  # type: ignore[arg-type]
+        own=_OWN,
+    )
+    for after in (7, 7, 30, 30):
+        reading = fetcher.fetch(
+            replica.SourceTree.TEAMS,
+            after=ids.Revision(after),
+            wait_ms=1000,
+        )
+        defer.ensureDeferred(reading).addErrback(lambda failure: None)
+    assert [path for path, _ in store.calls] == [
+        '/kv-watch',
+        '/kv-range',
+        # Nothing changed since, so the reader is no longer behind.
+        '/kv-range',
+        '/kv-watch',
+    ]
+
+
 def _configuration(*timeouts: str, revision: int) -> dict[str, object]:
     return _item(
         'op/config',
@@ -224,3 +254,14 @@
     found = _read(_fetcher(store), replica.SourceTree.TEAMS, 7)
     assert [entry['revision'] for entry in found['entries']] == [11]
     assert len(parsed) == 2
+
+
+def test_a_watch_that_brings_several_versions_is_followed_by_a_list() -> None:
+    """Guards against a storm of changes that a slow link cannot carry."""
+    versions = [_configuration('1s', revision=number) for number in (8, 9)]
+    listed = {'items': versions[-1:], 'has_more': False, 'at': 9}
+    store = ScriptedStore({'events': versions, 'at': 9}, listed)
+    fetcher = _fetcher(store)
+    for after in (7, 9):
+        _read(fetcher, replica.SourceTree.TEAMS, after)
+    assert [path for path, _ in store.calls] == ['/kv-watch', '/kv-range']
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -1,7 +1,9 @@
 """Enumerated states and reasons."""
 
 from medlarquay.states.backend_state import BackendState
+from medlarquay.states.change_origin import ChangeOrigin
 from medlarquay.states.dropped_message import DroppedMessage
+from medlarquay.states.fragment_kind import FragmentKind
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
@@ -14,9 +16,12 @@
 from medlarquay.states.replica_event import ReplicaEvent
 from medlarquay.states.retry_denial import RetryDenial
 from medlarquay.states.retry_reason import RetryReason
+from medlarquay.states.unanswered import Unanswered
 
 __all__ = (
+    'ChangeOrigin',
     'DroppedMessage',
+    'FragmentKind',
     'ParentFault',
     'ReadingMode',
     'ReplicaEvent',
@@ -30,4 +35,5 @@
     'RefusalReason',
     'RetryDenial',
     'RetryReason',
+    'Unanswered',
 )
--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -1,11 +1,16 @@
 """State of a call link to the owner on another node."""
 
 import dataclasses
+import math
 
 from medlarquay import events, ids, transport
 
 __all__ = ('OutgoingLink',)
 
+# A link on which nothing was heard for this long, while a call waits, is
+# probed; a probe that is not answered for this long shows that it is cut off.
+_SILENCE_S = 1
+
 
 @dataclasses.dataclass(slots=True, kw_only=True)
 class OutgoingLink:
@@ -15,6 +20,8 @@
     ----------
     instance : InstanceId
         Owner at the other end.
+    number : LinkId
+        Number of the link at this node.
     link : Link or None
         The open link; None while connecting.
     waiting : list of SendCall
@@ -22,15 +29,55 @@
     notices : list of object
         Messages without an answer to send once the link is open.
     sent : dict of CallId to float
-        Calls sent and not yet answered, with the time of sending in seconds
-        on the monotonic clock.
+        Calls whose last byte was written and that were not answered yet,
+        with that time in seconds on the monotonic clock.
     heard_at : float
-        Time of the last frame received, seconds on the monotonic clock.
+        Time at which bytes were last received, also a part of a frame,
+        seconds on the monotonic clock.
+    probed_at : float
+        Time of the last probe, on the same clock.
     """
 
     instance: ids.InstanceId
+    number: ids.LinkId = ids.LinkId(0)
     link: transport.Link | None = None
     waiting: list[events.SendCall] = dataclasses.field(default_factory=list)
     notices: list[object] = dataclasses.field(default_factory=list)
     sent: dict[ids.CallId, float] = dataclasses.field(default_factory=dict)
     heard_at: float = 0
+    probed_at: float = -math.inf
+
+    def take_waiting(self, call_id: ids.CallId) -> events.SendCall | None:
+        """Remove and return a call that waits for the link."""
+        for call in self.waiting:
+            if call.request.call_id == call_id:
+                self.waiting.remove(call)
+                return call
+        return None
+
+    def note_heard(self, now: float) -> None:
+        """Note that bytes arrived."""
+        self.heard_at = now
+
+    def probe_if_silent(self, now: float) -> None:
+        """Ask for a sign of life if a call waits and nothing was heard.
+
+        Notes
+        -----
+        Silence alone proves nothing: large answers wait at their owner until
+        its machine has sent those before them.
+        """
+        silent_since = now - _SILENCE_S
+        oldest = min(self.sent.values(), default=math.inf)
+        heard = max(oldest, self.heard_at) > silent_since
+        if self.link is not None and not heard and not self._is_probed:
+            self.probed_at = now
+            self.link.ping()
+
+    def is_cut_off(self, now: float) -> bool:
+        """Tell whether a probe was not answered for too long."""
+        return self._is_probed and self.probed_at <= now - _SILENCE_S
+
+    @property
+    def _is_probed(self) -> bool:
+        return self.probed_at > self.heard_at
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -41,10 +41,11 @@
         link=message.link,
         call_id=request.call_id,
         deadline=request.deadline,
+        request_id=owner.local.names.request_id_of(request.headers),
     )
     reason = _refusal_on_arrival(request, owner)
     if reason is not None:
-        owner_results.refuse_call(caller, reason, owner)
+        owner_results.refuse_arrival(caller, reason, owner)
         return
     job = owner_job.OwnerJob(
         exchange=owner.jobs.next_exchange(),
@@ -97,7 +98,10 @@
             fingerprint=job.fingerprint,
         )
         _tell_quarantine(completed, owner)
-        finished = admission.Finished(exchange=job.exchange)
+        finished = admission.Finished(
+            exchange=job.exchange,
+            answer_bytes=len(message.body),
+        )
         decisions = admission.decide(finished, owner.admission, owner.now())
         owner_results.answer_job(job, message, owner)
     owner_starts.carry_out(decisions, owner)
@@ -121,6 +125,15 @@
     owner_starts.readmit_held(owner)
 
 
+@handle.register
+def _relayed(
+    message: events.AnswerRelayed,
+    owner: owner_base.OwnerBase,
+) -> None:
+    relayed = admission.AnswerRelayed(answer_bytes=message.answer_bytes)
+    owner_starts.tell_admission(relayed, owner)
+
+
 @handle.register
 def _failed(
     message: events.BackendFailed,
@@ -246,7 +259,7 @@
     message: events.DrainRequested,
     owner: owner_base.OwnerBase,
 ) -> None:
-    owner.stop()
+    owner.stop(message.answer_by)
 
 
 @handle.register
@@ -259,6 +272,8 @@
         # The end of one job can end others.
         if owner.jobs.find(job.exchange) is job:
             owner_deadlines.check_deadlines(job, owner, now)
+    if now >= owner.answer_by:
+        owner_deadlines.end_all(owner)
     owner_deadlines.wake_again(owner, now)
 
 
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -95,7 +95,7 @@
         )
         self.front = ingress.Front()
         self.draining = False
-        self.refuse_at: float = 0
+        self.drain = events.DrainRequested()
         self.clock = clock
         self.reporter = reporter
 
@@ -191,13 +191,14 @@
     def fail(self, call: ingress.IngressCall, failure: _Failure) -> None:
         """Attempt a failed call again, or tell its caller."""
         now = self.clock()
-        if not _is_unsent(failure):
+        if not routing.is_unsent(failure):
             call.sends += 1
         other = routing.choose(
             routing.AnyOwnerWanted(
                 candidates=self.table.candidates(call.service),
                 excluded=call.tried,
                 due=call.parameters.due,
+                route=call.route.name,
             ),
             self.chooser,
             now,
@@ -224,6 +225,7 @@
         message: messages.CallAnswered,
     ) -> None:
         """Give the caller of a call the answer of a backend server."""
+        self.sender.note_relayed(call.node, message)
         answer = ingress.answer(caller=call.caller, message=message)
         self.reporter.told(call, answer, states.Outcome.RUN, None)
         self.answer(answer)
@@ -278,8 +280,8 @@
             return
         now = self.clock()
         wanted = min(self.calls.next_deadline(), now + _HOUSEKEEPING_S)
-        if now < self.refuse_at:
-            wanted = min(wanted, self.refuse_at)
+        if now < self.drain.refuse_at:
+            wanted = min(wanted, self.drain.refuse_at)
         self.alarm.wake_at(wanted)
 
     def _tried(
@@ -295,7 +297,12 @@
             retries=len(call.tried) - 1,
             deadline=call.parameters.deadline,
             expected_time=(
-                routing.expected_time(other.backend, self.chooser, now)
+                routing.expected_time(
+                    other.backend,
+                    self.chooser,
+                    now,
+                    route=call.route.name,
+                )
                 if isinstance(other, routing.OwnerChosen)
                 else 0
             ),
@@ -308,7 +315,7 @@
     def _report_if_finished(self) -> None:
         if len(self.calls) or len(self.incarnations) or self.lifecycle is None:
             return
-        if self.clock() < self.refuse_at:
+        if self.clock() < self.drain.refuse_at:
             return
         lifecycle = self.lifecycle
         # Reported once; refusing a request after that is not work.
@@ -316,13 +323,6 @@
         lifecycle.post(events.WorkFinished(part=states.NodePart.ROUTER))
 
 
-def _is_unsent(failure: _Failure) -> bool:
-    """Return whether a failure proves that no backend server was asked."""
-    if isinstance(failure, messages.CallRefused):
-        return failure.reason is not states.RefusalReason.SHED
-    return False
-
-
 @functools.singledispatch
 def _give_up(
     failure: object,
@@ -381,7 +381,7 @@
 @_handle.register
 def _received(message: events.RequestReceived, router: Router) -> None:
     now = router.clock()
-    if router.draining and now >= router.refuse_at:
+    if router.draining and now >= router.drain.refuse_at:
         router.refuse_request(message, states.RefusalReason.DRAINING)
         return
     opened = ingress.open_call(message, router.table, router.chooser.turns, now)
@@ -391,6 +391,8 @@
         router.key_issuer.request(opened, router.chooser, now)
     else:
         opened.request_id = router.request_id(message)
+        if router.draining:
+            opened.end_by(router.drain.answer_by)
         router.chooser.budgets.of(opened.service).count_first_attempt()
         router.attempt(opened)
 
@@ -400,6 +402,7 @@
     router.incarnations.withdraw(message.caller)
     call = router.calls.finish_caller(message.caller)
     if call is not None:
+        router.reporter.unanswered(call, states.Unanswered.CALLER_GONE)
         router.observe(routing.CallWithdrawn(instance=call.instance))
         router.sender.cancel(call.node, call.call_id)
 
@@ -415,6 +418,8 @@
             latency=router.clock() - call.sent_at,
             load=message.load,
             failed=message.failed,
+            route=call.route.name,
+            large=message.large,
         ),
     )
     if message.failed and call.parameters.idempotent:
@@ -455,7 +460,10 @@
     call = router.calls.finish(message.call_id)
     if call is not None:
         router.observe(routing.LossObserved(instance=call.instance))
-        router.tell_unknown(call, states.RefusalReason.DEADLINE_PASSED)
+        reason = states.RefusalReason.DEADLINE_PASSED
+        if router.clock() >= router.drain.answer_by:
+            reason = states.RefusalReason.DRAINING
+        router.tell_unknown(call, reason)
 
 
 @_handle.register
@@ -486,8 +494,19 @@
     router.observe_node(message)
 
 
+@_handle.register
+def _state_changed(message: events.LifecycleChanged, router: Router) -> None:
+    if message.state is not states.NodeState.STOPPED:
+        return
+    # The process ends with these calls open, so nothing else tells of them.
+    for call in router.calls:
+        router.calls.finish(call.call_id)
+        router.reporter.unanswered(call, states.Unanswered.NODE_STOPPED)
+
+
 @_handle.register
 def _drain(message: events.DrainRequested, router: Router) -> None:
     router.draining = True
-    router.refuse_at = message.refuse_at
+    router.drain = message
+    router.calls.end_by(message.answer_by)
     router.wake()
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -13,13 +13,36 @@
     telemetry,
     transport,
 )
-from medlarquay.tasks import peer_links
+from medlarquay.tasks import peer_links, uplink
 from medlarquay.tasks.tests import ingress_bench
 from medlarquay.testing import memory_transport
+from medlarquay.transport import fragment
 
+_BYTES_PER_S = 437_500
+_STEP_S = 0.005
+_LARGE = bytes(90_000)
 _LOST = failure.Failure(error.ConnectionLost())
 
 
+def _request(
+    number: int,
+    now: float,
+    body: bytes = b'',
+) -> messages.CallRequest:
+    return messages.CallRequest(
+        call_id=ids.CallId(number),
+        team=ids.TeamName('team'),
+        service=ids.ServiceName('desk'),
+        method=b'POST',
+        target=b'/',
+        headers=(),
+        body=body,
+        rank=states.Rank.NORMAL,
+        idempotent=False,
+        deadline=now + 5,
+    )
+
+
 class _Far:
     """The accepting side of a link, in memory."""
 
@@ -68,25 +91,22 @@
             ),
             clock=lambda: self.now,
             counters=self.counters,
+            link_bytes_per_s=_BYTES_PER_S,
         )
         self.links.router = self.router
+        self.uplink = uplink.Uplink(
+            reactor=self.reactor,
+            clock=lambda: self.now,
+            bytes_per_s=_BYTES_PER_S,
+        )
+        self.uplink.links = self.links
+        self.links.writer.uplink = self.uplink
         self.near: list[transport.Link] = []
         self.wires: list[memory_transport.MemoryTransport] = []
 
-    def call(self, instance: str, number: int) -> None:
+    def call(self, instance: str, number: int, body: bytes = b'') -> None:
         """Send a call to an instance."""
-        request = messages.CallRequest(
-            call_id=ids.CallId(number),
-            team=ids.TeamName('team'),
-            service=ids.ServiceName('desk'),
-            method=b'POST',
-            target=b'/',
-            headers=(),
-            body=b'',
-            rank=states.Rank.NORMAL,
-            idempotent=False,
-            deadline=self.now + 5,
-        )
+        request = _request(number, self.now, body)
         self.links.post(
             events.SendCall(
                 instance=ids.InstanceId(instance),
@@ -114,7 +134,14 @@
             far.link.dataReceived(sent)
             answered = far.wire.value()
             far.wire.clear()
-            near.dataReceived(answered)
+            if answered:
+                near.dataReceived(answered)
+
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / _STEP_S)):
+            self.now += _STEP_S
+            self.reactor.advance(_STEP_S)
 
     def results(self) -> list[object]:
         """Return the results that reached the router."""
@@ -242,6 +269,17 @@
     assert refused.reason is states.RefusalReason.OWNER_UNREACHABLE
 
 
+def _expire(bench: _Bench) -> None:
+    """Let the deadline of the first call pass."""
+    bench.links.post(
+        events.SendCancel(
+            instance=ids.InstanceId('a1'),
+            call_id=ids.CallId(1),
+            expired=True,
+        ),
+    )
+
+
 @pytest.mark.parametrize(('silent', 'closed'), [(5, True), (0.5, False)])
 def test_a_silent_link_is_closed(
     bench: _Bench,
@@ -252,12 +290,191 @@
     bench.call('a1', 1)
     bench.connect()
     bench.pump(_Far(bench, 'a1'))
-    bench.now += silent
+    bench.pass_time(silent)
+    _expire(bench)
+    assert bench.wires[0].disconnecting is closed
+
+
+def test_a_link_whose_answers_wait_their_turn_is_not_closed(
+    bench: _Bench,
+) -> None:
+    """Guards against calls lost because their owner is busy with others."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    for _ in range(20):
+        bench.pump(far)
+        bench.pass_time(0.2)
+    _expire(bench)
+    assert not bench.wires[0].disconnecting
+
+
+def test_a_link_that_carries_part_of_an_answer_is_not_silent(
+    bench: _Bench,
+) -> None:
+    """Guards against calls lost because a slow link is taken for cut off."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    bench.pass_time(5)
+    part = fragment.Fragment(
+        stream=ids.StreamId(1),
+        kind=states.FragmentKind.PART,
+        content=b'part',
+    )
+    far.link.send(part.encode())
+    # What the near side sent is still on its way.
+    bench.near[0].dataReceived(far.wire.value())
+    bench.pass_time(0.5)
+    _expire(bench)
+    assert not bench.wires[0].disconnecting
+
+
+def test_a_large_call_leaves_whole(bench: _Bench) -> None:
+    """Guards against a request that is cut short, or sent twice."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    bench.call('a1', 2, _LARGE)
+    bench.pass_time(1)
+    bench.pump(far)
+    sent = far.received[1:]
+    assert [call.call_id for call in sent] == [1, 2]
+    assert sent[-1].body == _LARGE
+    far.send(_answered(2))
+    bench.pump(far)
+    assert bench.results() == [_answered(2)]
+
+
+def test_a_large_call_that_is_on_its_way_is_proved_not_run(
+    bench: _Bench,
+) -> None:
+    """Guards against unknown told for a request that never arrived whole."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    for number in (2, 3, 4):
+        bench.call('a1', number, _LARGE)
+    bench.pass_time(0.1)
+    for number, expired in ((2, True), (3, False)):
+        bench.links.post(
+            events.SendCancel(
+                instance=ids.InstanceId('a1'),
+                call_id=ids.CallId(number),
+                expired=expired,
+            ),
+        )
+    bench.pass_time(0.1)
+    bench.near[0].connectionLost(_LOST)
+    bench.pass_time(1)
+    bench.pump(far)
+    refused, lost, unknown = bench.results()
+    assert (refused.call_id, refused.reason) == (
+        2,
+        states.RefusalReason.DEADLINE_PASSED,
+    )
+    assert isinstance(lost, messages.CallRefused)
+    assert lost.call_id == 4
+    # The first call was sent whole before.
+    assert isinstance(unknown, messages.CallUnknown)
+    assert [call.call_id for call in far.received[1:]] == [1]
+
+
+def test_a_large_call_that_cannot_arrive_in_time_is_refused(
+    bench: _Bench,
+) -> None:
+    """Guards against a request that is sent to be dropped by its owner."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    for number in range(2, 40):
+        bench.call('a1', number, _LARGE)
+    bench.pass_time(6)
+    bench.pump(far)
+    arrived = {call.call_id for call in far.received[1:]}
+    refused = {result.call_id for result in bench.results()}
+    assert len(arrived) >= 20
+    assert refused == set(range(2, 40)) - arrived
+
+
+def test_a_fragment_for_a_link_that_was_given_up_is_not_sent(
+    bench: _Bench,
+) -> None:
+    """Guards against a call that waits for an answer on another link."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.pump(_Far(bench, 'a1'))
+    outgoing = bench.links.outgoing[ids.InstanceId('a1')]
+    bench.pass_time(5)
+    bench.call('a1', 2, _LARGE)
+    bench.links.abort_if_silent(outgoing)
     bench.links.post(
-        events.SendCancel(
-            instance=ids.InstanceId('a1'),
-            call_id=ids.CallId(1),
-            expired=True,
+        events.WriteFragment(
+            link=outgoing.number,
+            call_id=ids.CallId(2),
+            stream=ids.StreamId(1),
+            kind=states.FragmentKind.LAST,
+            content=b'',
         ),
     )
-    assert bench.wires[0].disconnecting is closed
+    bench.near[0].connectionLost(_LOST)
+    refused, unknown = bench.results()
+    assert refused.call_id == 2
+    assert refused.reason is states.RefusalReason.OWNER_UNREACHABLE
+    assert isinstance(unknown, messages.CallUnknown)
+
+
+def test_an_owner_that_closed_in_order_proves_the_rest_not_run(
+    bench: _Bench,
+) -> None:
+    """Guards against unknown told for calls that crossed a planned stop."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    far.link.finish()
+    bench.pump(far)
+    bench.near[0].connectionLost(_LOST)
+    refused = ingress_bench.only(bench.results())
+    assert refused.reason is states.RefusalReason.DRAINING
+
+
+def test_no_call_is_taken_after_the_links_began_to_close(
+    bench: _Bench,
+) -> None:
+    """Guards against a run whose ingress was told that it is not run."""
+    owner = ingress_bench.Recorder()
+    bench.links.owner = owner
+    near = transport.Link.accepting(
+        opened=bench.links.accept,
+        received=bench.links.receive_frame,
+        closed=bench.links.close_incoming,
+    )
+    far = transport.Link.connecting(
+        path=peer_links.CALL_PATH,
+        opened=lambda link: None,
+        received=lambda link, frame: None,
+        closed=lambda link: None,
+    )
+    for link in (near, far):
+        link.makeConnection(memory_transport.MemoryTransport())
+    for _ in range(2):
+        _carry(far, near)
+        _carry(near, far)
+    far.send(codec.encode(_request(1, bench.now), now=bench.now))
+    _carry(far, near)
+    assert [type(message) for message in owner.take()] == [events.RunCall]
+    bench.links.post(events.LifecycleChanged(state=states.NodeState.FLUSHING))
+    far.send(codec.encode(_request(2, bench.now), now=bench.now))
+    _carry(far, near)
+    assert not owner.take()
+
+
+def _carry(source: transport.Link, target: transport.Link) -> None:
+    sent = source.transport.value()
+    source.transport.clear()
+    target.dataReceived(sent)
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -11,21 +11,28 @@
 
 from medlarquay import codec, errors
 from medlarquay.transport import (
-    fragment,
-    fragment_assembler,
-    fragment_queue,
+    frame_left,
+    frame_reader,
+    frame_watch,
     prompt_write,
+    send_buffer,
 )
 
 __all__ = ('Link',)
 
+_GOING_AWAY = frames.CloseCode.GOING_AWAY
+
+
+def _ignore(link: 'Link') -> None:
+    """Take no notice of bytes that arrive."""
+
 
 @implementer(interfaces.IPullProducer)
 class Link(protocol.Protocol):
     """Carries binary frames over the sans-IO ``websockets`` library.
 
-    Large frames are sent in fragments, each when the socket has taken the
-    one before, so that small frames are never queued behind a large one.
+    Fragments of large frames may be sent between other frames; the receiver
+    delivers whole frames only.
 
     Parameters
     ----------
@@ -35,6 +42,8 @@
     opened, received, closed : callable
         Receive this link (and the frame) when the handshake completes, for
         each frame, and once when the link is lost.
+    heard : callable
+        Receives this link whenever bytes arrive, also within a frame.
     """
 
     def __init__(
@@ -44,17 +53,18 @@
         opened: Callable[['Link'], None],
         received: Callable[['Link', bytes], None],
         closed: Callable[['Link'], None],
+        heard: Callable[['Link'], None] = _ignore,
     ) -> None:
         self._engine = engine
         self._opened = opened
         self._received = received
         self._closed = closed
+        self._heard = heard
         self._path = ''
-        self._continued: list[bytes] = []
-        self._large_frames = fragment_queue.FragmentQueue()
-        self._assembler = fragment_assembler.FragmentAssembler(
-            max_frame_bytes=codec.MAX_FRAME_BYTES,
-        )
+        self._reader = frame_reader.FrameReader()
+        self._watch = frame_watch.FrameWatch()
+        self._producing = False
+        self._lost = False
 
     @classmethod
     def accepting(
@@ -80,6 +90,7 @@
         opened: Callable[['Link'], None],
         received: Callable[['Link', bytes], None],
         closed: Callable[['Link'], None],
+        heard: Callable[['Link'], None] = _ignore,
     ) -> 'Link':
         """Return the connecting side of a link."""
         target = uri.parse_uri(f'ws://node{path}')
@@ -91,6 +102,7 @@
             opened=opened,
             received=received,
             closed=closed,
+            heard=heard,
         )
         link._path = path  # noqa: SLF001
         return link
@@ -100,6 +112,12 @@
         """Path of the handshake, which tells call links from control links."""
         return self._path
 
+    @property
+    def finished_by_peer(self) -> bool:
+        """Whether the other side closed the link by ``finish``."""
+        received = self._engine.close_rcvd
+        return received is not None and received.code == _GOING_AWAY
+
     def connectionMade(self) -> None:  # noqa: N802
         """Start the handshake on the connecting side."""
         self.transport.setTcpNoDelay(True)
@@ -109,18 +127,27 @@
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed received bytes and deliver the frames they complete."""
+        self._heard(self)
         self._engine.receive_data(data)
         for event in self._engine.events_received():
             self._handle(event)
         self._flush()
-        if self._engine.close_expected():
+        if self._engine.close_expected() and not _awaits_close(self._engine):
             self.transport.loseConnection()
 
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report the loss of the link."""
+        self._lost = True
+        self._watch.lose()
         self._closed(self)
 
-    def send(self, frame: bytes, *, ordered: bool = False) -> None:
+    def send(
+        self,
+        frame: bytes,
+        *,
+        ordered: bool = False,
+        left: Callable[[frame_left.FrameLeft], None] | None = None,
+    ) -> None:
         """Send one binary frame; dropped when the link is closing.
 
         Parameters
@@ -130,81 +157,95 @@
         ordered : bool
             Whether no later frame may overtake this one, as on control
             links, where a heartbeat confirms the records sent before it.
+            Frames are always sent in order.
+        left : callable, optional
+            Receives ``FrameLeft`` once the kernel has taken the last byte,
+            possibly within this call, or the link was lost before.
         """
-        if self._engine.state is not ws_protocol.OPEN:
-            return
-        if len(frame) > fragment.FRAGMENT_BYTES and not ordered:
-            self._send_large(frame)
-            return
-        self._engine.send_binary(frame)
-        self._flush()
+        leaving = self._watch.begin(frame, left, self.transport)
+        if self._lost or self._engine.state is not ws_protocol.OPEN:
+            if leaving is not None:
+                leaving.lose()
+        else:
+            self._engine.send_binary(frame)
+            self._flush()
+            self._watch.written(leaving, self.transport)
+            if self._watch and not self._producing:
+                # The transport tells only its producer that its buffer is
+                # empty.
+                self._producing = True
+                self.transport.registerProducer(self, False)  # noqa: FBT003
+
+    def ping(self) -> None:
+        """Ask the other side for a sign of life, which it sends at once."""
+        if not self._lost and self._engine.state is ws_protocol.OPEN:
+            self._engine.send_ping(b'')
+            self._flush()
 
     def close(self) -> None:
         """Close the connection after what was sent."""
         self.transport.loseConnection()
 
-    def resumeProducing(self) -> None:  # noqa: N802
-        """Send the next fragment; called when the socket took the last."""
-        if self._large_frames and self._engine.state is ws_protocol.OPEN:
-            self._engine.send_binary(self._large_frames.take().encode())
+    def finish(self) -> bool:
+        """Close the link once the other side has all that was sent.
+
+        Returns
+        -------
+        bool
+            Whether it had acknowledged all of that before.
+
+        Notes
+        -----
+        The closing handshake (RFC 6455, section 7.1.1) follows the frames
+        sent; the answer of the other side proves that they arrived.
+        """
+        waiting = send_buffer.waiting_bytes(self.transport)
+        acknowledged = send_buffer.kernel_bytes(self.transport) == 0
+        if self._engine.state is ws_protocol.OPEN:
+            self._engine.send_close(_GOING_AWAY)
             self._flush()
-        if not self._large_frames:
+        else:
+            self.transport.loseConnection()
+        return acknowledged and not waiting
+
+    def resumeProducing(self) -> None:  # noqa: N802
+        """Report what has left; called when the buffer is empty."""
+        self._watch.settle(self.transport)
+        if self._producing and not self._watch:
+            self._producing = False
             self.transport.unregisterProducer()
 
     def stopProducing(self) -> None:  # noqa: N802
-        """Drop the fragments that wait; the connection is lost."""
-        self._large_frames = fragment_queue.FragmentQueue()
+        """Report what did not leave; the connection is lost."""
+        self._watch.lose()
 
     def abort(self) -> None:
         """Close the connection without a closing handshake."""
         self.transport.abortConnection()
 
     def _handle(self, event: object) -> None:
-        if isinstance(event, http11.Request):
-            self._accept(event)
-        elif isinstance(event, http11.Response):
-            if self._engine.state is ws_protocol.OPEN:
-                self._opened(self)
-        elif isinstance(event, frames.Frame):
+        if isinstance(event, frames.Frame):
             self._handle_frame(event)
-
-    def _accept(self, request: http11.Request) -> None:
-        if not isinstance(self._engine, ws_server.ServerProtocol):
             return
-        self._path = request.path
-        self._engine.send_response(self._engine.accept(request))
+        engine = self._engine
+        if isinstance(engine, ws_server.ServerProtocol) and isinstance(
+            event,
+            http11.Request,
+        ):
+            self._path = event.path
+            engine.send_response(engine.accept(event))
         if self._engine.state is ws_protocol.OPEN:
             self._opened(self)
 
     def _handle_frame(self, frame: frames.Frame) -> None:
-        if frame.opcode is frames.Opcode.BINARY and frame.fin:
-            self._deliver(bytes(frame.data))
-            return
-        if frame.opcode in {frames.Opcode.BINARY, frames.Opcode.CONT}:
-            self._continued.append(bytes(frame.data))
-            if frame.fin:
-                whole = b''.join(self._continued)
-                self._continued = []
-                self._deliver(whole)
-
-    def _deliver(self, frame: bytes) -> None:
-        if not fragment.is_fragment(frame):
-            self._received(self, frame)
-            return
         try:
-            whole = self._assembler.add(fragment.Fragment.decode(frame))
+            whole = self._reader.add(frame)
         except errors.DecodeError:
             self.transport.abortConnection()
             return
         if whole is not None:
             self._received(self, whole)
 
-    def _send_large(self, frame: bytes) -> None:
-        idle = not self._large_frames
-        self._large_frames.append(frame)
-        if idle:
-            self.transport.registerProducer(self, False)  # noqa: FBT003
-
     def _flush(self) -> None:
         try:
             chunks = self._engine.data_to_send()
@@ -213,6 +254,14 @@
             return
         for chunk in chunks:
             if chunk:
+                self._watch.count(len(chunk))
                 prompt_write.write_promptly(self.transport, chunk)
             else:
                 self.transport.loseWriteConnection()
+
+
+def _awaits_close(engine: ws_protocol.Protocol) -> bool:
+    """Tell whether the other side has to answer the closing handshake."""
+    if engine.close_sent is None or engine.parser_exc is not None:
+        return False
+    return engine.close_rcvd is None
