Remove the order of frames from the links' interface

A link cut large frames into fragments that later frames overtook, so control links had to ask for order. Fragments are cut and ordered by the uplink now; a link sends all frames in order, and the argument changed nothing.

--- a/medlarquay/tasks/control_link.py
+++ b/medlarquay/tasks/control_link.py
@@ -11,8 +11,8 @@
     ``transport.Link`` provides it; tests connect tasks without sockets.
     """
 
-    def send(self, frame: bytes, *, ordered: bool = False) -> None:
-        """Send one frame, after those before it if ordered."""
+    def send(self, frame: bytes) -> None:
+        """Send one frame, after those before it."""
 
     def close(self) -> None:
         """Close the link after what was sent."""
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -121,7 +121,7 @@
         if link.state.link is not None:
             frame = codec.encode(message, now=self._clock())
             self.link_bytes.count_sent(link.state.parent.region, len(frame))
-            link.state.link.send(frame, ordered=True)
+            link.state.link.send(frame)
 
     def introduce(self, link: following.Following) -> None:
         """Introduce the node and ask for newer records."""
--- a/medlarquay/tasks/relay.py
+++ b/medlarquay/tasks/relay.py
@@ -188,7 +188,7 @@
     def write_frame(self, found: child.Child, frame: bytes) -> None:
         """Send one frame to a child."""
         self.link_bytes.count_sent(found.region, len(frame))
-        found.link.send(frame, ordered=True)
+        found.link.send(frame)
         if self.uplink is not None:
             self.uplink.post(events.BytesSent(length=len(frame)))
 
--- a/medlarquay/tasks/survey.py
+++ b/medlarquay/tasks/survey.py
@@ -148,7 +148,7 @@
     def _send(self, asked: surveyed.Surveyed, message: object) -> None:
         if asked.link is not None:
             frame = codec.encode(message, now=self._clock())
-            asked.link.send(frame, ordered=True)
+            asked.link.send(frame)
 
     def _received(self, address: str, frame: bytes) -> None:
         if address not in self._open:
--- a/medlarquay/testing/memory_link.py
+++ b/medlarquay/testing/memory_link.py
@@ -25,7 +25,7 @@
         self._sent = sent
         self._ended = ended
 
-    def send(self, frame: bytes, *, ordered: bool = False) -> None:
+    def send(self, frame: bytes) -> None:
         """Send one frame."""
         self._sent(frame)
 
--- a/medlarquay/transport/link.py
+++ b/medlarquay/transport/link.py
@@ -145,19 +145,14 @@
         self,
         frame: bytes,
         *,
-        ordered: bool = False,
         left: Callable[[frame_left.FrameLeft], None] | None = None,
     ) -> None:
-        """Send one binary frame; dropped when the link is closing.
+        """Send one binary frame in order; dropped when the link is closing.
 
         Parameters
         ----------
         frame : bytes
             Frame.
-        ordered : bool
-            Whether no later frame may overtake this one, as on control
-            links, where a heartbeat confirms the records sent before it.
-            Frames are always sent in order.
         left : callable, optional
             Receives ``FrameLeft`` once the kernel has taken the last byte,
             possibly within this call, or the link was lost before.
