Send owners in other regions the time without the way

A request counted as in time at an owner in another region while its answer reached the caller late: a link carries the time that is left, so the owner's deadline and due time were late by the 30 ms of the way there, and the answer took 30 ms more. The ingress now takes the round trip of the zone off both.

--- a/medlarquay/ingress/call_request.py
+++ b/medlarquay/ingress/call_request.py
@@ -11,8 +11,23 @@
     own: front.Front,
     *,
     last: bool,
+    round_trip_s: float,
 ) -> messages.CallRequest:
-    """Return the message that carries the current attempt to its owner."""
+    """Return the message that carries the current attempt to its owner.
+
+    Parameters
+    ----------
+    call : IngressCall
+        Call.
+    own : Front
+        Header fields of the ingress.
+    last : bool
+        Whether no other owner will be asked.
+    round_trip_s : float
+        Time to the owner and back, in seconds. A link carries the time that
+        is left, so the owner's times are late by the way there, and its
+        answer takes the way back.
+    """
     key = call.parameters.key
     replaced = own.names.set_by_system
     headers = [
@@ -32,9 +47,9 @@
         body=call.message.body,
         rank=call.parameters.rank,
         idempotent=call.parameters.idempotent,
-        deadline=call.parameters.deadline,
+        deadline=call.parameters.deadline - round_trip_s,
         route=call.route.name,
-        due=call.parameters.due,
+        due=call.parameters.due - round_trip_s,
         last=last,
         request_key=None if key is None else key.text,
     )
--- a/medlarquay/ingress/routing_table.py
+++ b/medlarquay/ingress/routing_table.py
@@ -62,6 +62,10 @@
             self._groups[key] = found
         return found
 
+    def zone_of(self, backend: replica.InstanceRecord) -> routing.Zone:
+        """Return how far a backend server is from this ingress."""
+        return self._place.zone_of(backend)
+
     def instances_at(
         self,
         node: ids.InstanceId,
--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -14,6 +14,7 @@
 from medlarquay.routing.decide_retry import decide_retry
 from medlarquay.routing.expected_time import expected_time
 from medlarquay.routing.home_wanted import HomeWanted
+from medlarquay.routing.link_cost import ROUND_TRIP_S
 from medlarquay.routing.location import Location
 from medlarquay.routing.loss_observed import LossObserved
 from medlarquay.routing.observations import Observations
@@ -31,6 +32,7 @@
 
 __all__ = (
     'KEY_PATH',
+    'ROUND_TRIP_S',
     'service_for_key',
     'read_parameters',
     'CallParameters',
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -178,7 +178,12 @@
             self.alarm.wake_at(call.deadline)
         live = len(self.table.candidates(call.service).live)
         last = len(call.tried) >= min(live, _OWNERS_ASKED)
-        request = ingress.call_request(call, self.front, last=last)
+        request = ingress.call_request(
+            call,
+            self.front,
+            last=last,
+            round_trip_s=routing.ROUND_TRIP_S[self.table.zone_of(backend)],
+        )
         self.sender.send(backend, request)
 
     def finish(self, call_id: ids.CallId) -> ingress.IngressCall | None:
