--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -15,6 +15,7 @@
 from medlarquay.routing.expected_time import expected_time
 from medlarquay.routing.home_wanted import HomeWanted
 from medlarquay.routing.is_unsent import is_unsent
+from medlarquay.routing.link_cost import ROUND_TRIP_S
 from medlarquay.routing.location import Location
 from medlarquay.routing.loss_observed import LossObserved
 from medlarquay.routing.observations import Observations
@@ -32,6 +33,7 @@
 
 __all__ = (
     'KEY_PATH',
+    'ROUND_TRIP_S',
     'service_for_key',
     'is_unsent',
     'read_parameters',
