--- a/medlarquay/transport/tests/test_endless_answers.py
+++ b/medlarquay/transport/tests/test_endless_answers.py
@@ -12,8 +12,8 @@
 
 _OK = b'HTTP/1.1 200 OK\r\n'
 _CHUNKED = _OK + b'Transfer-Encoding: chunked\r\n\r\n'
-_ANSWER = _OK + b'Attempt-Id: %b\r\nContent-Length: 2\r\n\r\nok'
-_NAMES = transport.HeaderNames(request_id=b'attempt-id')
+_ANSWER = _OK + b'Request-Id: %b\r\nContent-Length: 2\r\n\r\nok'
+_NAMES = transport.HeaderNames(request_id=b'request-id')
 _READ_BYTES = 16_384
 # A head may take its limit, and a read more shows that it has passed it.
 _HEAD_BYTES = 4 * http_limits.MAX_HEADER_BYTES + 2 * _READ_BYTES
@@ -40,7 +40,7 @@
                 exchange=ids.ExchangeId(1),
                 method=method,
                 target=b'/',
-                headers=((b'attempt-id', b'a1'),),
+                headers=((b'request-id', b'a1'),),
                 body=b'',
                 deadline=9,
             ),
@@ -210,7 +210,7 @@
     exchange.connection.dataReceived(
         b'HTTP/1.1 100 Continue\r\n\r\n' * 20
         + _OK
-        + b'Attempt-Id: a0\r\nContent-Length: %d\r\n\r\n%b' % (len(late), late)
+        + b'Request-Id: a0\r\nContent-Length: %d\r\n\r\n%b' % (len(late), late)
         + _ANSWER % b'a1',
     )
     found = exchange.delivered[0]
