Ask once per decision when the link of the machine will be free

Cause: for each queued request admission summed the expected answers of all running ones, several times a decision.

Change: the time is computed once a decision, and not at all for a request with a small answer. The decisions are the same.

--- a/medlarquay/admission/choose_rank.py
+++ b/medlarquay/admission/choose_rank.py
@@ -59,10 +59,12 @@
     now: float,
 ) -> Iterator[queued_work.QueuedWork]:
     """Return the queued requests of a rank that the link has room for."""
+    queue = state.queues[rank].values()
+    link_free_at = state.link_free_at(now) if queue else now
     return (
         work
-        for work in state.queues[rank].values()
-        if link_room.has_room(state, work, now)
+        for work in queue
+        if link_room.room_at(work, link_free_at, now) <= now
     )
 
 
--- a/medlarquay/admission/expected_end.py
+++ b/medlarquay/admission/expected_end.py
@@ -59,7 +59,9 @@
             waits=False,
             link_bound=False,
         )
-    link_free_at = _link_free_at(state, work, rank, now)
+    link_free_at = now
+    if work.large:
+        link_free_at = _link_free_at(state, work, rank, now)
     return ExpectedEnd(
         answered_at=work.answered_at(now + wait, link_free_at),
         waits=True,
--- a/medlarquay/admission/link_room.py
+++ b/medlarquay/admission/link_room.py
@@ -10,12 +10,22 @@
 
 
 def room_at(
-    state: admission.Admission,
     work: queued_work.QueuedWork,
+    link_free_at: float,
     now: float,
 ) -> float:
     """Return from when on a request may start, on the monotonic clock.
 
+    Parameters
+    ----------
+    work : QueuedWork
+        Request.
+    link_free_at : float
+        When the large answers under way will have left the link, seconds on
+        the monotonic clock.
+    now : float
+        Seconds on the monotonic clock.
+
     Notes
     -----
     Large answers wait for the link in the queue of admission, where the
@@ -24,7 +34,7 @@
     """
     if not work.large:
         return now
-    return max(now, state.link_free_at(now) - work.service - _AHEAD_S)
+    return max(now, link_free_at - work.service - _AHEAD_S)
 
 
 def has_room(
@@ -33,4 +43,4 @@
     now: float,
 ) -> bool:
     """Return whether the link has room for the answer of a request."""
-    return room_at(state, work, now) <= now
+    return not work.large or room_at(work, state.link_free_at(now), now) <= now
--- a/medlarquay/admission/next_check.py
+++ b/medlarquay/admission/next_check.py
@@ -22,7 +22,8 @@
     if not waiting:
         return None
     deadlines = [work.latest_start for work in waiting]
-    rooms = (link_room.room_at(state, work, now) for work in waiting)
+    link_free_at = state.link_free_at(now)
+    rooms = (link_room.room_at(work, link_free_at, now) for work in waiting)
     # Work that the link has room for waits for a slot, which is an event.
     deadlines.extend(room for room in rooms if room > now)
     if state.limit.restricted(now):
