Check the routes of a first document in one pass

A node that starts answers nobody meanwhile, and 54 nodes start at once after a power cut.

Cause: each route was written as JSON, parsed again and checked, to keep it in a cache by its text. Enumerations were searched member by member, and the path of each value was built with json.dumps.

Change: routes are checked as parsed; the cache is gone. Names and members of enumerations are looked up, and the nesting is checked level by level.

--- a/medlarquay/settings/check_routes.py
+++ b/medlarquay/settings/check_routes.py
@@ -1,10 +1,8 @@
 """Rules that hold between the routes and services of one document."""
 
-import functools
-import json
 from collections.abc import Container, Iterable
 
-from medlarquay import errors, ids
+from medlarquay import ids
 from medlarquay.settings import (
     document_value,
     limits,
@@ -63,7 +61,7 @@
     DocumentError
         If a rule is broken or the route names an unknown service.
     """
-    route = _parse(entry)
+    route = parse_route.parse_route(entry)
     _check_services(entry, route, known)
     return route
 
@@ -75,29 +73,6 @@
     return tuple(sorted(routes, key=_order))
 
 
-def _parse(
-    entry: document_value.DocumentValue,
-) -> route_settings.RouteSettings:
-    try:
-        return _parse_text(entry.team, json.dumps(entry.content))
-    except errors.DocumentError:
-        # The text alone does not tell where in the document it stands.
-        return parse_route.parse_route(entry)
-
-
-# A change of the configuration leaves most routes as they are, and checking
-# 300 of them anew stopped the node for 20 ms.
-@functools.lru_cache(maxsize=limits.MAX_ROUTES)
-def _parse_text(team: ids.TeamName, text: str) -> route_settings.RouteSettings:
-    return parse_route.parse_route(
-        document_value.DocumentValue(
-            team=team,
-            path='route',
-            content=json.loads(text),
-        ),
-    )
-
-
 def _check_services(
     entry: document_value.DocumentValue,
     route: route_settings.RouteSettings,
--- a/medlarquay/settings/document_value.py
+++ b/medlarquay/settings/document_value.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import functools
 import json
 import re
 from collections.abc import Iterator
@@ -18,9 +19,12 @@
 _SHOWN_CHARACTERS = 60
 # No type has that many fields; more are not worth listing.
 _MAX_FIELDS = 64
+# Names of fields repeat in each route; names of services are as many as a
+# document may have.
+_KNOWN_NAMES = 2048
 
 
-@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+@dataclasses.dataclass(slots=True, kw_only=True)
 class DocumentValue:
     """One value of a parsed document with its path.
 
@@ -78,12 +82,10 @@
 
     def name_among(self, known: type[_Choice], name: str) -> _Choice:
         """Return the field that a name stands for."""
-        try:
-            return known(name)
-        except ValueError as cause:
-            raise self.error(
-                f'unknown field; known are {_list_names(known)}',
-            ) from cause
+        found = _by_value(known).get(name)
+        if found is None:
+            raise self.error(f'unknown field; known are {_list_names(known)}')
+        return found
 
     def elements(self, *, limit: int) -> 'Iterator[DocumentValue]':
         """Iterate over the elements of an array."""
@@ -130,9 +132,9 @@
     def choice(self, choices: type[_Choice]) -> _Choice:
         """Return a member of an enumeration of strings."""
         if isinstance(self.content, str):
-            for candidate in choices:
-                if candidate.value == self.content:
-                    return candidate
+            found = _by_value(choices).get(self.content)
+            if found is not None:
+                return found
         raise self.error(f'must be one of {_list_names(choices)}')
 
 
@@ -140,6 +142,12 @@
     return ', '.join(choice.value for choice in choices)
 
 
+@functools.lru_cache(maxsize=64)
+def _by_value(choices: type[_Choice]) -> dict[str, _Choice]:
+    return {choice.value: choice for choice in choices}
+
+
+@functools.lru_cache(maxsize=_KNOWN_NAMES)
 def _shown_name(name: str) -> str:
     shown = json.dumps(name)[1:-1]
     if len(shown) > _SHOWN_CHARACTERS:
--- a/medlarquay/settings/load_document.py
+++ b/medlarquay/settings/load_document.py
@@ -1,7 +1,7 @@
 """Loading of a document's JSON within bounds."""
 
 import json
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 from medlarquay import ids
 from medlarquay.settings import document_value, limits
@@ -77,12 +77,13 @@
 
 
 def _nests_deeper(tree: object, levels: int) -> bool:
+    level = [tree]
+    for _ in range(levels):
+        level = [member for parent in level for member in _members(parent)]
+    return any(isinstance(member, dict | list) for member in level)
+
+
+def _members(tree: object) -> Iterable[object]:
     if isinstance(tree, dict):
-        members: Sequence[object] = tuple(tree.values())
-    elif isinstance(tree, list):
-        members = tree
-    else:
-        return False
-    return levels == 0 or any(
-        _nests_deeper(member, levels - 1) for member in members
-    )
+        return tree.values()
+    return tree if isinstance(tree, list) else ()
--- a/medlarquay/settings/parse_route.py
+++ b/medlarquay/settings/parse_route.py
@@ -21,6 +21,9 @@
 # Characters of a path in RFC 3986, without query and fragment.
 _PREFIX_PATTERN = re.compile("/[A-Za-z0-9/._~!$&'()*+,;=:@%-]*")
 
+# The list of most routes whose requests may be repeated.
+_ALL_METHODS = tuple(method.value for method in http_method.HttpMethod)
+
 _Fields = dict[route_field.RouteField, document_value.DocumentValue]
 
 
@@ -166,12 +169,13 @@
 def _parse_methods(found: _Fields) -> tuple[str, ...]:
     entry = found.get(route_field.RouteField.IDEMPOTENT_METHODS)
     if entry is None:
-        methods = list(limits.DEFAULT_METHODS)
-    else:
-        methods = [
-            element.choice(http_method.HttpMethod)
-            for element in entry.elements(limit=len(http_method.HttpMethod))
-        ]
-        if len(set(methods)) < len(methods):
-            raise entry.error('must not name a method twice')
-    return tuple(method.value for method in methods)
+        return tuple(method.value for method in limits.DEFAULT_METHODS)
+    if entry.content == list(_ALL_METHODS):
+        return _ALL_METHODS
+    methods = tuple(
+        element.choice(http_method.HttpMethod).value
+        for element in entry.elements(limit=len(http_method.HttpMethod))
+    )
+    if len(set(methods)) < len(methods):
+        raise entry.error('must not name a method twice')
+    return methods
--- a/medlarquay/settings/tests/test_parse_cost.py
+++ b/medlarquay/settings/tests/test_parse_cost.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from medlarquay import ids, replica
+from medlarquay import ids, replica, settings
 from medlarquay.testing import large_document
 
 _ROUTES = 1399
@@ -32,6 +32,21 @@
     assert sum(spent) <= _MAX_CHARACTERS
 
 
+def test_first_document_is_not_written_and_parsed_again(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a second pass over all routes when a node starts."""
+    content = large_document.large_document(_ROUTES)
+    spent: list[int] = []
+    _count(monkeypatch, spent)
+    document = settings.parse_document(
+        team=ids.TeamName(large_document.TEAM),
+        content=content,
+    )
+    assert len(document.routes) == _ROUTES
+    assert sum(spent) <= _MAX_CHARACTERS
+
+
 def _count(monkeypatch: pytest.MonkeyPatch, spent: list[int]) -> None:
     parse, write = json.loads, json.dumps
 
