Record when an answer has left towards its caller, or was lost

Fault as operators see it: the ingress logs told= when it hands an answer to the caller's connection. Nothing says when the last byte left, that the connection ended with bytes unsent, or that an answer had no connection any more. A result for a call link that had closed before leaves no line either.

Cause: only call links observe their frames, and a result for a link that is forgotten was dropped before its observer was called.

Change: the connection of a caller observes its answers as a link does. The writer of links reports a result without a link as lost.

The double of a connection on a shared link gets startReading, which the caller's connection uses. The check that the fields on the operators' page exist covers the new line.

--- a/medlarquay/daemon/build_router.py
+++ b/medlarquay/daemon/build_router.py
@@ -36,6 +36,11 @@
     routing.front = front
     routing.chooser.budgets.fleet_burst = front.fleet_burst
     routing.start(reactor=reactor)
-    callers = caller_listener.CallerListener(router=routing, reactor=reactor)
+    callers = caller_listener.CallerListener(
+        router=routing,
+        reactor=reactor,
+        clock=time.monotonic,
+        histograms=observed.counters.histograms,
+    )
     routing.listener = callers
     return routing, callers
--- a/medlarquay/daemon/tests/test_operations_page.py
+++ b/medlarquay/daemon/tests/test_operations_page.py
@@ -13,6 +13,7 @@
     ingress_bench,
     owner_bench,
     test_answer_delivery,
+    test_caller_delivery,
     test_configuration_log,
     test_loop_watch,
 )
@@ -78,6 +79,7 @@
     measured.elapse(1)
     measured.turn()
     test_answer_delivery.DeliveryBench().deliver(frame_bytes=90_000, seconds=1)
+    test_caller_delivery.DeliveryBench().deliver(seconds=1)
     test_configuration_log.ConfigurationBench().read(3, asked_ago=0)
 
 
--- a/medlarquay/daemon/tests/test_stop.py
+++ b/medlarquay/daemon/tests/test_stop.py
@@ -60,6 +60,8 @@
         self.callers = caller_listener.CallerListener(
             router=self.bench.router,
             reactor=self.clock,
+            clock=self.clock.seconds,
+            histograms=self.bench.counters.histograms,
         )
         self.callers.connections.listen(
             self.reactor,
--- a/medlarquay/events/answer_ready.py
+++ b/medlarquay/events/answer_ready.py
@@ -23,6 +23,8 @@
         Whole body.
     close : bool
         Whether to close the connection afterwards.
+    request_id : str
+        Id of the request, for logs; empty if it has none.
     """
 
     caller: ids.CallerId
@@ -30,3 +32,4 @@
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
     close: bool = False
+    request_id: str = ''
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -1,11 +1,12 @@
 """The task that owns the connections of callers."""
 
 import functools
+from collections.abc import Callable
 
 from twisted.internet import interfaces
 
-from medlarquay import events, states, transport
-from medlarquay.tasks import task
+from medlarquay import events, states, telemetry, transport
+from medlarquay.tasks import caller_delivery, task
 
 __all__ = ('CallerListener',)
 
@@ -19,6 +20,10 @@
         Receives ``RequestReceived``, ``RequestRejected``, ``CallerGone``.
     reactor : IReactorTime
         Clock and timer for the deadlines of slow senders.
+    clock : callable
+        Returns seconds on the monotonic clock.
+    histograms : Histograms
+        Takes the time until answers have left.
     """
 
     def __init__(
@@ -26,8 +31,12 @@
         *,
         router: task.Task,
         reactor: interfaces.IReactorTime,
+        clock: Callable[[], float],
+        histograms: telemetry.Histograms,
     ) -> None:
         super().__init__(name='callers')
+        self._clock = clock
+        self._histograms = histograms
         self.lifecycle: task.Task | None = None
         self.connections = transport.CallerConnections(
             deliver=router.post,
@@ -38,6 +47,16 @@
         """Handle one message."""
         _handle(message, self)
 
+    def answer(self, message: events.AnswerReady) -> None:
+        """Write an answer and record when it has left."""
+        delivery = caller_delivery.CallerDelivery(
+            request_id=message.request_id,
+            sent_at=self._clock(),
+            clock=self._clock,
+            histograms=self._histograms,
+        )
+        self.connections.answer(message, left=delivery.finish)
+
     def report_finished(self) -> None:
         """Tell the lifecycle that all answers have left."""
         if self.lifecycle is not None:
@@ -53,7 +72,7 @@
 
 @_handle.register
 def _answer(message: events.AnswerReady, owner: CallerListener) -> None:
-    owner.connections.answer(message)
+    owner.answer(message)
 
 
 @_handle.register
--- a/medlarquay/tasks/link_writer.py
+++ b/medlarquay/tasks/link_writer.py
@@ -99,9 +99,12 @@
             Whether it waits for the link of the machine.
         """
         link = self._links.get(number)
+        frame = codec.encode(message, now=self._clock())
         if link is None:
+            # The link closed while the call was under way.
+            if left is not None:
+                left(transport.lost_frame(len(frame)))
             return False
-        frame = codec.encode(message, now=self._clock())
         if self.uplink is None or len(frame) <= self._fragment_bytes:
             self._send_now(link, frame, left)
             return False
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -143,7 +143,7 @@
         if isinstance(message, events.RequestReceived):
             request_id = self.request_id(message)
         self.reporter.record_refusal(message, answer, reason, request_id)
-        self.answer(answer)
+        self.answer(answer, request_id)
 
     def attempt(self, call: ingress.IngressCall) -> None:
         """Choose an owner and send it the call."""
@@ -233,7 +233,7 @@
         self.sender.note_relayed(call.node, message)
         answer = ingress.answer(caller=call.caller, message=message)
         self.reporter.told(call, answer, states.Outcome.RUN, None)
-        self.answer(answer)
+        self.answer(answer, call.request_id)
 
     def tell_refusal(
         self,
@@ -262,7 +262,7 @@
         )
         outcome = ingress.refusal_outcome(reason)
         self.reporter.told(call, answer, outcome, reason)
-        self.answer(answer)
+        self.answer(answer, call.request_id)
 
     def tell_unknown(
         self,
@@ -272,14 +272,22 @@
         """Tell the caller of a call that its outcome is not known."""
         answer = ingress.unknown(caller=call.caller, reason=reason)
         self.reporter.told(call, answer, states.Outcome.UNKNOWN, reason)
-        self.answer(answer)
+        self.answer(answer, call.request_id)
 
-    def answer(self, message: events.AnswerReady) -> None:
+    def answer(
+        self,
+        message: events.AnswerReady,
+        request_id: str = '',
+    ) -> None:
         """Give the listener an answer."""
-        if self.draining:
-            message = dataclasses.replace(message, close=True)
         if self.listener is not None:
-            self.listener.post(message)
+            self.listener.post(
+                dataclasses.replace(
+                    message,
+                    close=message.close or self.draining,
+                    request_id=request_id,
+                ),
+            )
 
     def wake(self) -> None:
         """Ask for the next tick."""
--- a/medlarquay/tasks/tests/uplink_bench.py
+++ b/medlarquay/tasks/tests/uplink_bench.py
@@ -103,6 +103,7 @@
         place: int,
         number: int,
         length: int,
+        request_id: str = '',
         **urgency: object,
     ) -> None:
         """Let the owner answer a call of one ingress."""
@@ -116,6 +117,7 @@
             events.SendReply(
                 link=self.ingresses[place].number,
                 message=answer,
+                request_id=request_id,
                 urgency=pacing.Urgency(**urgency),
             ),
         )
--- a/medlarquay/telemetry/histograms.py
+++ b/medlarquay/telemetry/histograms.py
@@ -54,6 +54,9 @@
     answer_left : Histogram
         Time from the end of a request at its owner until the last byte of
         the result was handed to the kernel.
+    caller_answer_left : Histogram
+        Time from the end of a request at its ingress until the last byte of
+        the answer was handed to the kernel.
     link_ahead : Histogram
         Bytes that wait on a call link before a result.
     loop_lag : Histogram
@@ -77,6 +80,10 @@
         'answer_left_seconds',
         'Time from the end of a request at its owner until its result left.',
     )
+    caller_answer_left: histogram.Histogram = _field(
+        'caller_answer_left_seconds',
+        'Time from the end of a request at its ingress until it left.',
+    )
     link_ahead: histogram.Histogram = _field(
         'link_ahead_bytes',
         'Bytes that wait on a call link before a result.',
--- a/medlarquay/testing/machine_link.py
+++ b/medlarquay/testing/machine_link.py
@@ -109,6 +109,9 @@
         """Wait no more."""
         self._writing = False
 
+    def startReading(self) -> None:  # noqa: N802
+        """Read on."""
+
     def stopReading(self) -> None:  # noqa: N802
         """Read no more."""
 
--- a/medlarquay/transport/__init__.py
+++ b/medlarquay/transport/__init__.py
@@ -5,7 +5,7 @@
 from medlarquay.transport.caller_connections import CallerConnections
 from medlarquay.transport.factories import BuildingFactory
 from medlarquay.transport.fragment import Fragment
-from medlarquay.transport.frame_left import FrameLeft
+from medlarquay.transport.frame_left import FrameLeft, lost_frame
 from medlarquay.transport.header_names import HeaderNames
 from medlarquay.transport.http_text import HOP_BY_HOP, format_answer
 from medlarquay.transport.link import Link
@@ -21,4 +21,5 @@
     'HeaderNames',
     'Link',
     'format_answer',
+    'lost_frame',
 )
--- a/medlarquay/transport/caller_connection.py
+++ b/medlarquay/transport/caller_connection.py
@@ -7,10 +7,11 @@
 
 from medlarquay import events, ids, states
 from medlarquay.transport import (
+    frame_left,
     http_text,
-    prompt_write,
     receive_stage,
     request_assembler,
+    watched_writer,
 )
 
 __all__ = ('CallerConnection',)
@@ -73,6 +74,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm: answers are written whole."""
         self.transport.setTcpNoDelay(True)
+        self._writer = watched_writer.WatchedWriter(transport=self.transport)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed received bytes to the parser, or keep them for later."""
@@ -88,20 +90,36 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report the loss of the connection."""
         self._closing = True
+        self._writer.lose()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._deliver(events.CallerGone(caller=self._caller))
 
-    def answer(self, message: events.AnswerReady) -> None:
-        """Write an answer and go on with the next request."""
+    def answer(
+        self,
+        message: events.AnswerReady,
+        *,
+        left: Callable[[frame_left.FrameLeft], None] | None = None,
+    ) -> None:
+        """Write an answer and go on with the next request.
+
+        Parameters
+        ----------
+        message : AnswerReady
+            Answer.
+        left : callable, optional
+            Receives ``FrameLeft`` once the kernel has taken the last byte,
+            possibly within this call, or the connection was lost before.
+        """
         if not self._waiting or self._closing:
             # Nothing was asked: writing would cross into a later answer.
+            if left is not None:
+                left(frame_left.lost_frame(len(message.body)))
             return
         self._waiting = False
         close = message.close or not self._keep_alive
-        prompt_write.write_promptly(
-            self.transport,
+        self._writer.write(
             http_text.format_answer(
                 status=message.status,
                 headers=message.headers,
@@ -109,6 +127,7 @@
                 close=close,
                 head=self._head,
             ),
+            left,
         )
         if close:
             self._close()
--- a/medlarquay/transport/caller_connections.py
+++ b/medlarquay/transport/caller_connections.py
@@ -5,7 +5,7 @@
 from twisted.internet import interfaces
 
 from medlarquay import events, ids
-from medlarquay.transport import caller_connection, factories
+from medlarquay.transport import caller_connection, factories, frame_left
 
 __all__ = ('CallerConnections',)
 
@@ -53,11 +53,27 @@
             backlog=_BACKLOG,
         )
 
-    def answer(self, message: events.AnswerReady) -> None:
-        """Write an answer if the connection is still open."""
+    def answer(
+        self,
+        message: events.AnswerReady,
+        *,
+        left: Callable[[frame_left.FrameLeft], None] | None = None,
+    ) -> None:
+        """Write an answer if the connection is still open.
+
+        Parameters
+        ----------
+        message : AnswerReady
+            Answer.
+        left : callable, optional
+            Receives ``FrameLeft`` once the kernel has taken the last byte,
+            possibly within this call, or the connection was lost before.
+        """
         connection = self._open.get(message.caller)
         if connection is not None:
-            connection.answer(message)
+            connection.answer(message, left=left)
+        elif left is not None:
+            left(frame_left.lost_frame(len(message.body)))
 
     def finish(self, report: Callable[[], None]) -> None:
         """Close each connection once its answers have left the buffers.
--- a/medlarquay/transport/frame_left.py
+++ b/medlarquay/transport/frame_left.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-__all__ = ('FrameLeft',)
+__all__ = ('FrameLeft', 'lost_frame')
 
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
@@ -28,3 +28,19 @@
     ahead_bytes: int
     kernel_bytes: int | None
     whole: bool
+
+
+def lost_frame(frame_bytes: int) -> FrameLeft:
+    """Return the report of a frame whose link was closed before.
+
+    Parameters
+    ----------
+    frame_bytes : int
+        Length of the frame.
+    """
+    return FrameLeft(
+        frame_bytes=frame_bytes,
+        ahead_bytes=0,
+        kernel_bytes=None,
+        whole=False,
+    )
