Leave the pauses of the process out of measured silence

Fault as callers see it: after a pause of a node with a probe under way the node closes a healthy link, and each call on it is told unknown. In the same way a child leaves a healthy parent after a pause of 0.6 s to 1.5 s, a parent drops children, a read of the store fails though its answer waits in the socket, and a request that waits in the socket is refused as too slow.

Cause: timers that came due in the pause run before the sockets are read, and each place compares the monotonic clock with the last byte it has read.

Change: one clock stands still while the process is paused; a step of over 0.25 s between two readings is a pause, since the watch of the event loop reads it every 0.1 s. Call links, control links on both sides, reads of the store and the limits of slow callers measure with it. Deadlines of calls and the age of the configuration stay on the monotonic clock.

The test of a parent whose records arrive now lets time pass in small steps, as a running process sees it; what it expects is unchanged.

Not changed: the timeouts of connection attempts (Twisted's own timer), the simulated nodes, which have no such clock.

--- a/medlarquay/daemon/build_router.py
+++ b/medlarquay/daemon/build_router.py
@@ -6,7 +6,7 @@
 from twisted.internet import interfaces
 
 from medlarquay import admin, ingress
-from medlarquay.tasks import caller_listener, router, task
+from medlarquay.tasks import caller_listener, router, running_clock, task
 
 __all__ = ('build_router',)
 
@@ -41,6 +41,7 @@
         reactor=reactor,
         clock=time.monotonic,
         histograms=observed.counters.histograms,
+        running=running_clock.RUNNING_CLOCK.seconds,
     )
     routing.listener = callers
     return routing, callers
--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -13,6 +13,7 @@
     owner,
     peer_links,
     router,
+    running_clock,
     uplink,
 )
 
@@ -57,6 +58,7 @@
         hello=observed.hello,
         clock=time.monotonic,
         counters=observed.counters,
+        running=running_clock.RUNNING_CLOCK.seconds,
         link_bytes_per_s=settings.link_bytes_per_s,
     )
     sharing = uplink.Uplink(
--- a/medlarquay/daemon/distribution.py
+++ b/medlarquay/daemon/distribution.py
@@ -83,7 +83,11 @@
     """
     others = [seed for seed in seeds if seed.address != own.address]
     peers = tuple(around.randomness.sample(others, min(_SURVEYED, len(others))))
-    passing = relay.Relay(reactor=around.reactor, clock=around.clock)
+    passing = relay.Relay(
+        reactor=around.reactor,
+        clock=around.clock,
+        running=around.running,
+    )
     current = configuration.Configuration(
         subscribers=subscribers,
         freshness_subscribers=(passing, *freshness_subscribers),
@@ -102,6 +106,7 @@
             links=around.links,
             hello=hello,
             clock=around.clock,
+            running=around.running,
         ),
         relay=passing,
         reader=source_reader.SourceReader(
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -23,6 +23,7 @@
     peer_links,
     peer_listener,
     readiness,
+    running_clock,
     source_fetcher,
 )
 
@@ -95,6 +96,7 @@
             fetcher=deployment.fetcher,
             randomness=random.SystemRandom(),
             counters=observed.counters,
+            running=running_clock.RUNNING_CLOCK.seconds,
         ),
     )
     distributing.relay.uplink = path.uplink
--- a/medlarquay/daemon/surroundings.py
+++ b/medlarquay/daemon/surroundings.py
@@ -30,6 +30,9 @@
         Phases and jitter.
     counters : Counters
         Counters of the node.
+    running : callable or None
+        Returns seconds without the pauses of the process, which measure
+        silence; None for the clock.
     """
 
     reactor: interfaces.IReactorTime
@@ -38,3 +41,4 @@
     fetcher: source_fetcher.SourceFetcher
     randomness: random.Random
     counters: telemetry.Counters
+    running: Callable[[], float] | None = None
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -12,7 +12,7 @@
     store_client,
     store_fetcher,
 )
-from medlarquay.tasks import local_backend
+from medlarquay.tasks import local_backend, running_clock
 
 __all__ = ('deployment_of', 'node_settings_of')
 
@@ -64,6 +64,7 @@
         reactor=reactor,
         address=own.store,
         clock=clock,
+        running=running_clock.RUNNING_CLOCK.seconds,
     )
     return deployment.Deployment(
         fetcher=store_fetcher.StoreFetcher(client=client, own=own),
--- a/medlarquay/platform/store_call.py
+++ b/medlarquay/platform/store_call.py
@@ -19,9 +19,12 @@
         Connection on which the answer arrives.
     ended : Deferred
         Fires with the answer, or fails.
+    silent_at : float
+        Time at which the call fails unless bytes have arrived, seconds on a
+        clock that leaves out the pauses of this process.
     fails_at : float
-        Time at which the call fails although its answer still arrives,
-        seconds on the monotonic clock.
+        Time at which the call fails although its answer still arrives, on
+        the same clock.
     seen_bytes : int
         Bytes that the connection had received at the last check.
     timer : IDelayedCall or None
@@ -30,6 +33,7 @@
 
     connection: transport.BackendConnection
     ended: defer.Deferred[events.BackendAnswered | events.BackendFailed]
+    silent_at: float
     fails_at: float
     seen_bytes: int = 0
     timer: interfaces.IDelayedCall | None = None
--- a/medlarquay/platform/store_client.py
+++ b/medlarquay/platform/store_client.py
@@ -38,6 +38,9 @@
         Store.
     clock : callable
         Returns seconds on the monotonic clock.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure
+        silence; the clock if left out.
 
     Notes
     -----
@@ -51,10 +54,12 @@
         reactor: interfaces.IReactorTCP,
         address: addresses.NodeAddress,
         clock: Callable[[], float],
+        running: Callable[[], float] | None = None,
     ) -> None:
         self._reactor = reactor
         self._address = address
         self._clock = clock
+        self._running = running or clock
         self._endpoint = endpoints.TCP4ClientEndpoint(
             reactor,
             address.host,
@@ -107,13 +112,15 @@
 
     async def _exchange(self, target: str, timeout_s: float) -> _Result:
         deadline = self._clock() + timeout_s
+        silent_at = self._running() + timeout_s
         connection = await self._connect()
         self._last += 1
         exchange = ids.ExchangeId(self._last)
         call = store_call.StoreCall(
             connection=connection,
             ended=defer.Deferred(),
-            fails_at=deadline + _LONGEST_ANSWER_S,
+            silent_at=silent_at,
+            fails_at=silent_at + _LONGEST_ANSWER_S,
             seen_bytes=connection.received_bytes,
         )
         self._calls[exchange] = call
@@ -127,7 +134,7 @@
                 deadline=deadline,
             ),
         )
-        self._check_at(deadline, exchange, call)
+        self._check_later(exchange, call)
         try:
             return await call.ended
         finally:
@@ -157,13 +164,12 @@
         if call is not None:
             call.ended.callback(message)
 
-    def _check_at(
+    def _check_later(
         self,
-        deadline: float,
         exchange: ids.ExchangeId,
         call: store_call.StoreCall,
     ) -> None:
-        left = max(0, deadline - self._clock())
+        left = max(0, call.silent_at - self._running())
         call.timer = self._reactor.callLater(left, self._check, exchange)
 
     def _check(self, exchange: ids.ExchangeId) -> None:
@@ -171,9 +177,11 @@
         call = self._calls.get(exchange)
         if call is None:
             return
-        now = self._clock()
+        now = self._running()
         if call.progressed() and now < call.fails_at:
-            self._check_at(now + _SILENCE_S, exchange, call)
+            call.silent_at = now + _SILENCE_S
+        if now < call.silent_at:
+            self._check_later(exchange, call)
             return
         self._calls.pop(exchange)
         call.ended.errback(self._error('no answer in time'))
--- a/medlarquay/platform/tests/test_store_client.py
+++ b/medlarquay/platform/tests/test_store_client.py
@@ -4,11 +4,12 @@
 from typing import Any
 
 import pytest
-from twisted.internet import defer, task, testing
+from twisted.internet import defer, testing
 from twisted.python import failure
 
 from medlarquay import addresses, errors
 from medlarquay.platform import store_client
+from medlarquay.tasks import running_clock
 from medlarquay.testing import memory_transport
 
 _TIMEOUT_S = 1.0
@@ -22,12 +23,14 @@
 
     def __init__(self) -> None:
         self.clock = testing.MemoryReactorClock()
+        self.running = running_clock.RunningClock(clock=self.clock.seconds)
         self.found: list[Any] = []
         self.failed: list[failure.Failure] = []
         client = store_client.StoreClient(
             reactor=self.clock,
             address=addresses.NodeAddress(host='10.0.0.1', port=80),
             clock=self.clock.seconds,
+            running=self.running.seconds,
         )
         reading = client.get('/kv-range', {}, timeout_s=_TIMEOUT_S)
         defer.ensureDeferred(reading).addCallbacks(
@@ -41,7 +44,9 @@
 
     def pass_time(self, seconds: float) -> None:
         """Let time pass in small steps, as a clock does."""
-        task.Clock.pump(self.clock, [0.1] * round(seconds / 0.1))
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            self.running.seconds()
 
 
 def test_an_answer_that_is_still_arriving_is_waited_for() -> None:
@@ -63,6 +68,21 @@
         call.failed[0].raiseException()
 
 
+@pytest.mark.parametrize('begun', [True, False])
+def test_a_pause_is_not_the_silence_of_the_store(*, begun: bool) -> None:
+    """Guards against a read that fails for what was not read in a pause."""
+    call = _Call()
+    call.pass_time(0.5)
+    if begun:
+        call.receive(_PART)
+        call.pass_time(0.9)
+    call.clock.advance(20)
+    # The answer came during the pause and is read after the timers.
+    call.receive(_ANSWER[len(_PART) * begun :])
+    assert not call.failed
+    assert call.found == [{'at': 10**900}]
+
+
 def test_an_answer_that_arrives_without_end_fails_the_read() -> None:
     """Guards against a read that a trickle of bytes holds for ever."""
     call = _Call()
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -24,6 +24,9 @@
         Returns seconds on the monotonic clock.
     histograms : Histograms
         Takes the time until answers have left.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure how
+        long a sender takes; the clock of the reactor if left out.
     """
 
     def __init__(
@@ -33,6 +36,7 @@
         reactor: interfaces.IReactorTime,
         clock: Callable[[], float],
         histograms: telemetry.Histograms,
+        running: Callable[[], float] | None = None,
     ) -> None:
         super().__init__(name='callers')
         self._clock = clock
@@ -41,6 +45,7 @@
         self.connections = transport.CallerConnections(
             deliver=router.post,
             reactor=reactor,
+            running=running,
         )
 
     def receive(self, message: object) -> None:
--- a/medlarquay/tasks/child.py
+++ b/medlarquay/tasks/child.py
@@ -17,7 +17,8 @@
     link : control_link.ControlLink
         Link of the child.
     silent_at : float
-        When the child counts as gone, seconds on the monotonic clock.
+        When the child counts as gone, seconds on a clock that leaves out the
+        pauses of this process.
     region : ids.RegionName
         Region of the child; empty until it introduced itself.
     instance : ids.InstanceId
--- a/medlarquay/tasks/followed.py
+++ b/medlarquay/tasks/followed.py
@@ -31,12 +31,13 @@
     must_be_fresh : bool
         Whether a parent without a recent confirmation is of no use.
     silent_at : float
-        When the parent counts as silent, seconds on the monotonic clock.
+        When the parent counts as silent, seconds on a clock that leaves out
+        the pauses of this process.
     useless_at : float
-        When the parent counts as behind or stale.
+        When the parent counts as behind or stale, on the same clock.
     confirmed_at : float
-        When the source confirmed what the parent holds; at first the time at
-        which the link was begun.
+        When the source confirmed what the parent holds, seconds on the
+        monotonic clock; at first the time at which the link was begun.
     link : control_link.ControlLink or None
         Open link.
     probes : dict of int to float
@@ -67,13 +68,19 @@
     heard_bytes: int = 0
 
     @classmethod
-    def start(cls, parent: topology.Peer, *, now: float) -> 'Followed':
+    def start(
+        cls,
+        parent: topology.Peer,
+        *,
+        now: float,
+        running: float,
+    ) -> 'Followed':
         """Return the state of a link that is being opened."""
         return cls(
             parent=parent,
             must_be_fresh=False,
-            silent_at=now + SILENT_S,
-            useless_at=now + SILENT_S + _USELESS_S,
+            silent_at=running + SILENT_S,
+            useless_at=running + SILENT_S + _USELESS_S,
             confirmed_at=now,
         )
 
@@ -91,26 +98,26 @@
         while len(self.probes) > _MAX_PROBES:
             self.probes.pop(next(iter(self.probes)))
 
-    def note_bytes(self, *, now: float) -> None:
+    def note_bytes(self, *, running: float) -> None:
         """Note that the parent sends, however long a message takes."""
-        self.silent_at = now + SILENT_S
+        self.silent_at = running + SILENT_S
 
-    def expire(self, *, now: float) -> None:
+    def expire(self, *, now: float, running: float) -> None:
         """Forget what was observed before a pause of this process."""
         self.probes.clear()
         self.confirmed_at = now
-        self.silent_at = now + SILENT_S
-        self.useless_at = now + SILENT_S + _USELESS_S
+        self.silent_at = running + SILENT_S
+        self.useless_at = running + SILENT_S + _USELESS_S
 
     def take_heartbeat(
         self,
         heartbeat: messages.Heartbeat,
         held: replica.VersionVector,
         *,
-        now: float,
+        running: float,
     ) -> bool:
         """Judge a heartbeat; return whether the parent is of use."""
-        self.silent_at = now + SILENT_S
+        self.silent_at = running + SILENT_S
         age_ms = heartbeat.age_ms
         fresh = age_ms is not None and age_ms <= STALE_S * _MS_PER_SECOND
         if heartbeat.vector == replica.VersionVector():
@@ -125,5 +132,5 @@
             self.fault = states.ParentFault.NOT_FRESH
             return False
         self.fault = states.ParentFault.CLOSED
-        self.useless_at = now + _USELESS_S
+        self.useless_at = running + _USELESS_S
         return True
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -48,6 +48,9 @@
         First message on each link.
     clock : callable
         Returns seconds on the monotonic clock.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure
+        silence; the clock if left out.
     """
 
     def __init__(
@@ -57,6 +60,7 @@
         links: connector.Connector,
         hello: messages.Hello,
         clock: Callable[[], float],
+        running: Callable[[], float] | None = None,
     ) -> None:
         super().__init__(name='follower')
         self.configuration: task.Task | None = None
@@ -69,6 +73,7 @@
         self._links = links
         self._hello = hello
         self._clock = clock
+        self.running = running or clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
         self._nonces = itertools.count(1)
         self._stale = False
@@ -99,7 +104,7 @@
         """Probe the parents and give up those that are of no use."""
         for held in (self.current, self.next):
             if held is not None:
-                _check_link(held, tick)
+                _check_link(held, tick, self.running())
         self.tell_age(tick.now)
         if self.current is not None or self.next is not None:
             self._alarm.wake_at(tick.now + PROBE_S)
@@ -179,7 +184,11 @@
         if message.parent is None:
             return
         now = self._clock()
-        state = followed.Followed.start(message.parent, now=now)
+        state = followed.Followed.start(
+            message.parent,
+            now=now,
+            running=self.running(),
+        )
         state.must_be_fresh = message.must_be_fresh
         link = following.Following(state=state, owner=self)
         self.next = link
@@ -190,7 +199,7 @@
                 opened=functools.partial(self._opened, link),
                 received=functools.partial(self._received, link),
                 closed=link.machine.ended,
-                heard=lambda: link.state.note_bytes(now=self._clock()),
+                heard=lambda: link.state.note_bytes(running=self.running()),
             ),
         )
 
@@ -240,13 +249,17 @@
     )
 
 
-def _check_link(link: following.Following, tick: events.Tick) -> None:
+def _check_link(
+    link: following.Following,
+    tick: events.Tick,
+    running: float,
+) -> None:
     if tick.late > configuration.PAUSED_S:
-        link.state.expire(now=tick.now)
-    if tick.now >= link.state.silent_at:
+        link.state.expire(now=tick.now, running=running)
+    if running >= link.state.silent_at:
         link.state.fault = states.ParentFault.SILENT
         link.machine.ended()
-    elif tick.now >= link.state.useless_at:
+    elif running >= link.state.useless_at:
         link.machine.ended()
     else:
         link.machine.probe_due(tick.now)
@@ -320,7 +333,11 @@
     now = follower.now()
     confirmed_at = _confirmed_at(message, sent_at)
     link.state.confirm(confirmed_at)
-    if link.state.take_heartbeat(message, follower.vector, now=now):
+    if link.state.take_heartbeat(
+        message,
+        follower.vector,
+        running=follower.running(),
+    ):
         link.machine.useful()
     follower.tell_age(now)
     _resynchronize(message, follower, link)
--- a/medlarquay/tasks/loop_watch.py
+++ b/medlarquay/tasks/loop_watch.py
@@ -6,7 +6,7 @@
 from twisted.internet import interfaces
 
 from medlarquay import events, telemetry
-from medlarquay.tasks import alarm, handler_times, task
+from medlarquay.tasks import alarm, handler_times, running_clock, task
 
 __all__ = ('LoopWatch',)
 
@@ -32,6 +32,8 @@
         out.
     processor_clock : callable, optional
         Returns the seconds of processor time that the process has used.
+    running : RunningClock, optional
+        Clock that is read regularly; that of the process if left out.
 
     Notes
     -----
@@ -48,6 +50,7 @@
         histograms: telemetry.Histograms,
         handlers: handler_times.HandlerTimes | None = None,
         processor_clock: Callable[[], float] = time.process_time,
+        running: running_clock.RunningClock = running_clock.RUNNING_CLOCK,
     ) -> None:
         super().__init__(name='loop')
         self._clock = clock
@@ -55,6 +58,7 @@
         self._handlers = handlers or task.HANDLER_TIMES
         self._processor_clock = processor_clock
         self._processor_s: float = 0
+        self._running = running
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
 
     def start(self) -> None:
@@ -64,6 +68,7 @@
     def receive(self, message: object) -> None:
         """Handle one message."""
         if isinstance(message, events.Tick):
+            self._running.seconds()
             self._measure(message)
             self._begin_period()
 
--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -23,19 +23,23 @@
     number : LinkId
         Number of the link at this node.
     link : Link or None
-        The open link; None while connecting.
+        The open link; None until the other side has greeted.
     waiting : list of SendCall
         Calls to send once the link is open.
     notices : list of object
         Messages without an answer to send once the link is open.
     sent : dict of CallId to float
         Calls whose last byte was written and that were not answered yet,
-        with that time in seconds on the monotonic clock.
+        with that time.
     heard_at : float
-        Time at which bytes were last received, also a part of a frame,
-        seconds on the monotonic clock.
+        Time at which bytes were last received, also a part of a frame.
     probed_at : float
-        Time of the last probe, on the same clock.
+        Time of the last probe.
+
+    Notes
+    -----
+    All times are seconds on a clock that leaves out the pauses of this
+    process: what was not read in one is not the silence of the other side.
     """
 
     instance: ids.InstanceId
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -51,6 +51,9 @@
         Returns seconds on the monotonic clock.
     counters : Counters
         Counts dropped messages; its histograms measure the way of results.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure
+        silence; the clock if left out.
     link_bytes_per_s : float
         What the link of the machine carries; infinite if unknown. Decides
         which frames are large.
@@ -63,6 +66,7 @@
         hello: messages.Hello,
         clock: Callable[[], float],
         counters: telemetry.Counters,
+        running: Callable[[], float] | None = None,
         link_bytes_per_s: float = math.inf,
     ) -> None:
         super().__init__(name='links')
@@ -76,6 +80,7 @@
         self._reactor = reactor
         self._hello = hello
         self._clock = clock
+        self._running = running or clock
         self._counters = counters
         self.writer = link_writer.LinkWriter(
             clock=clock,
@@ -185,9 +190,8 @@
         # the call.
         if outgoing is not None and outgoing.number == number:
             self.leaving.pop(number, call_id)
-            now = self._clock()
-            outgoing.sent[call_id] = now
-            self._alarm.wake_at(now + _CHECK_S)
+            outgoing.sent[call_id] = self._running()
+            self._alarm.wake_at(self._clock() + _CHECK_S)
 
     def refuse(
         self,
@@ -209,7 +213,7 @@
         Later calls then fail before they are sent, which proves that they
         were not run.
         """
-        if outgoing.link is None or not outgoing.is_cut_off(self._clock()):
+        if outgoing.link is None or not outgoing.is_cut_off(self._running()):
             return
         self._log.warning(
             'closed the silent link to instance {}',
@@ -222,12 +226,11 @@
 
     def probe_links(self) -> None:
         """Probe the silent links on which calls wait."""
-        now = self._clock()
         waiting = [found for found in self.outgoing.values() if found.sent]
         for outgoing in waiting:
-            outgoing.probe_if_silent(now)
+            outgoing.probe_if_silent(self._running())
         if waiting:
-            self._alarm.wake_at(now + _CHECK_S)
+            self._alarm.wake_at(self._clock() + _CHECK_S)
 
     def _connect(
         self,
@@ -245,7 +248,7 @@
             ),
             received=functools.partial(self._answered, outgoing),
             closed=functools.partial(self._lost, outgoing),
-            heard=lambda heard: outgoing.note_heard(self._clock()),
+            heard=lambda heard: outgoing.note_heard(self._running()),
         )
         outgoing.number = self.writer.add(link)
         endpoint = endpoints.TCP4ClientEndpoint(
--- a/medlarquay/tasks/relay.py
+++ b/medlarquay/tasks/relay.py
@@ -40,6 +40,9 @@
         Schedules the bundles.
     clock : callable
         Returns seconds on the monotonic clock.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure
+        silence; the clock if left out.
     """
 
     def __init__(
@@ -47,6 +50,7 @@
         *,
         reactor: interfaces.IReactorTime,
         clock: Callable[[], float],
+        running: Callable[[], float] | None = None,
     ) -> None:
         super().__init__(name='relay')
         self.configuration: task.Task | None = None
@@ -63,6 +67,7 @@
         self._numbers: dict[control_link.ControlLink, ids.LinkId] = {}
         self.instances: tuple[replica.InstanceRecord, ...] = ()
         self._clock = clock
+        self._running = running or clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
         self._last = 0
         self._sent_at = -math.inf
@@ -78,10 +83,10 @@
             return
         self._last += 1
         number = ids.LinkId(self._last)
-        silent_at = self._clock() + _SILENT_S
+        silent_at = self._running() + _SILENT_S
         self.children[number] = child.Child(link=link, silent_at=silent_at)
         self._numbers[link] = number
-        self._alarm.wake_at(silent_at)
+        self._alarm.wake_at(self._clock() + _SILENT_S)
 
     def receive_frame(
         self,
@@ -93,7 +98,7 @@
         if number is None:
             return
         found = self.children[number]
-        found.silent_at = self._clock() + _SILENT_S
+        found.silent_at = self._running() + _SILENT_S
         self.link_bytes.count_received(found.region, len(frame))
         try:
             message = codec.decode(frame, now=self._clock(), peer='child')
@@ -168,14 +173,16 @@
     def check_time(self, tick: events.Tick) -> None:
         """Send what was held back and drop children that are gone."""
         self.send_changes()
+        running = self._running()
         for found in tuple(self.children.values()):
             if tick.late > configuration.PAUSED_S:
-                found.silent_at = tick.now + _SILENT_S
-            if tick.now >= found.silent_at:
+                found.silent_at = running + _SILENT_S
+            if running >= found.silent_at:
                 found.link.abort()
         if self.children:
             earliest = min(entry.silent_at for entry in self.children.values())
-            self._alarm.wake_at(max(earliest, tick.now + BUNDLE_S))
+            left = max(earliest - running, BUNDLE_S)
+            self._alarm.wake_at(tick.now + left)
 
     def now(self) -> float:
         """Return seconds on the monotonic clock."""
--- a/medlarquay/tasks/tests/test_follower.py
+++ b/medlarquay/tasks/tests/test_follower.py
@@ -14,7 +14,7 @@
     states,
     topology,
 )
-from medlarquay.tasks import follower, link_watcher
+from medlarquay.tasks import follower, link_watcher, running_clock
 from medlarquay.tasks.tests import ingress_bench
 from medlarquay.testing import large_document, memory_link
 
@@ -25,6 +25,7 @@
     host='parent',
     port=1,
 )
+_STEP_S = 0.05
 
 
 class _OneLink:
@@ -83,6 +84,7 @@
 
     def __init__(self) -> None:
         self.clock = task.Clock()
+        self.running = running_clock.RunningClock(clock=self.clock.seconds)
         self.links = _OneLink()
         self.membership = ingress_bench.Recorder()
         self.follower = follower.Follower(
@@ -95,12 +97,27 @@
                 data_centre=_PARENT.data_centre,
             ),
             clock=self.clock.seconds,
+            running=self.running.seconds,
         )
         self.follower.membership = self.membership
         self.follower.post(
             events.ParentChosen(parent=_PARENT, must_be_fresh=False),
         )
 
+    def pass_time(self, seconds: float) -> None:
+        """Let time pass in small steps."""
+        for _ in range(round(seconds / _STEP_S)):
+            self.clock.advance(_STEP_S)
+            self.running.seconds()
+
+    def faults(self) -> list[states.ParentFault]:
+        """Return why parents were left since the last call."""
+        return [
+            message.reason
+            for message in self.membership.take()
+            if isinstance(message, events.ParentLost)
+        ]
+
     def requests(self) -> int:
         """Return how often all records were requested."""
         return sum(
@@ -133,14 +150,23 @@
     """Guards against a parent left while its records fill a slow link."""
     bench = _Bench()
     for _ in range(3):
-        bench.clock.advance(0.5)
+        bench.pass_time(0.5)
         if arriving and bench.links.watcher is not None:
             bench.links.watcher.heard()
-    bench.clock.advance(0.5)
-    faults = [
-        message.reason
-        for message in bench.membership.take()
-        if isinstance(message, events.ParentLost)
-    ]
+    bench.pass_time(0.5)
     expected = [] if arriving else [states.ParentFault.SILENT]
-    assert faults == expected
+    assert bench.faults() == expected
+
+
+@pytest.mark.parametrize('seconds', [0.9, 1.2, 1.45, 5])
+def test_a_pause_is_not_the_silence_of_a_parent(seconds: float) -> None:
+    """Guards against a parent left for what was not read in a pause."""
+    bench = _Bench()
+    bench.pass_time(0.9)
+    bench.clock.advance(seconds)
+    assert not bench.faults()
+    bench.links.watcher.heard()
+    bench.pass_time(1.4)
+    assert not bench.faults()
+    bench.pass_time(0.6)
+    assert bench.faults() == [states.ParentFault.SILENT]
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -13,7 +13,7 @@
     telemetry,
     transport,
 )
-from medlarquay.tasks import peer_links, uplink
+from medlarquay.tasks import peer_links, running_clock, uplink
 from medlarquay.tasks.tests import ingress_bench
 from medlarquay.testing import memory_transport
 from medlarquay.transport import fragment
@@ -78,6 +78,7 @@
 
     def __init__(self) -> None:
         self.now = 100.0
+        self.running = running_clock.RunningClock(clock=lambda: self.now)
         self.reactor = testing.MemoryReactorClock()
         self.router = ingress_bench.Recorder()
         self.counters = telemetry.Counters()
@@ -90,6 +91,7 @@
                 data_centre=ids.DataCentreName('a'),
             ),
             clock=lambda: self.now,
+            running=self.running.seconds,
             counters=self.counters,
             link_bytes_per_s=_BYTES_PER_S,
         )
@@ -141,8 +143,14 @@
         """Let time pass in small steps."""
         for _ in range(round(seconds / _STEP_S)):
             self.now += _STEP_S
+            self.running.seconds()
             self.reactor.advance(_STEP_S)
 
+    def pause(self, seconds: float) -> None:
+        """Let time pass in which the process does not run."""
+        self.now += seconds
+        self.reactor.advance(seconds)
+
     def results(self) -> list[object]:
         """Return the results that reached the router."""
         kinds = (
@@ -331,6 +339,36 @@
     assert not bench.wires[0].disconnecting
 
 
+def test_a_pause_is_not_the_silence_of_a_probed_link(bench: _Bench) -> None:
+    """Guards against a healthy link closed, with its calls, after a pause."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    bench.pass_time(1.6)
+    assert bench.wires[0].value()
+    bench.pause(4)
+    _expire(bench)
+    assert not bench.wires[0].disconnecting
+    # The answer to the probe is read in the same turn, after the timers.
+    bench.pump(far)
+    bench.pass_time(0.9)
+    _expire(bench)
+    assert not bench.wires[0].disconnecting
+
+
+def test_a_link_that_is_cut_off_is_closed_after_a_pause(bench: _Bench) -> None:
+    """Guards against a cut-off link that a pause makes look healthy."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.pump(_Far(bench, 'a1'))
+    bench.pass_time(1.6)
+    bench.pause(4)
+    bench.pass_time(1)
+    _expire(bench)
+    assert bench.wires[0].disconnecting
+
+
 def test_a_large_call_leaves_whole(bench: _Bench) -> None:
     """Guards against a request that is cut short, or sent twice."""
     bench.call('a1', 1)
--- a/medlarquay/transport/caller_connection.py
+++ b/medlarquay/transport/caller_connection.py
@@ -43,6 +43,9 @@
         Receives ``RequestReceived``, ``RequestRejected`` and ``CallerGone``.
     reactor : IReactorTime
         Clock and timer for the deadlines of slow senders.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure
+        how long a sender takes; the clock of the reactor if left out.
 
     Notes
     -----
@@ -57,10 +60,12 @@
         caller: ids.CallerId,
         deliver: Callable[[object], None],
         reactor: interfaces.IReactorTime,
+        running: Callable[[], float] | None = None,
     ) -> None:
         self._caller = caller
         self._deliver = deliver
         self._reactor = reactor
+        self._running = running or reactor.seconds
         self._assembler = request_assembler.RequestAssembler(caller=caller)
         self._pending = b''
         self._waiting = False
@@ -166,7 +171,7 @@
         if stage is receive_stage.ReceiveStage.IDLE:
             self._deadline = None
         elif stage is not self._stage or self._deadline is None:
-            self._deadline = self._reactor.seconds() + _LIMITS_S[stage]
+            self._deadline = self._running() + _LIMITS_S[stage]
         self._stage = stage
         if self._deadline is not None:
             self._watch(self._deadline)
@@ -174,7 +179,7 @@
     def _watch(self, deadline: float) -> None:
         if self._timer is None:
             self._timer = self._reactor.callLater(
-                max(0, deadline - self._reactor.seconds()),
+                max(0, deadline - self._running()),
                 self._check,
             )
 
@@ -182,7 +187,7 @@
         self._timer = None
         if self._deadline is None:
             return
-        if self._reactor.seconds() < self._deadline:
+        if self._running() < self._deadline:
             self._watch(self._deadline)
         elif self._closing:
             self.transport.abortConnection()
@@ -195,5 +200,5 @@
         if not self._assembler.failed:
             self.transport.loseConnection()
             return
-        self._deadline = self._reactor.seconds() + _LINGER_S
+        self._deadline = self._running() + _LINGER_S
         self._watch(self._deadline)
--- a/medlarquay/transport/caller_connections.py
+++ b/medlarquay/transport/caller_connections.py
@@ -21,6 +21,9 @@
         Receives ``RequestReceived``, ``RequestRejected`` and ``CallerGone``.
     reactor : IReactorTime
         Clock and timer for the deadlines of slow senders.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure
+        how long a sender takes; the clock of the reactor if left out.
     """
 
     def __init__(
@@ -28,9 +31,11 @@
         *,
         deliver: Callable[[object], None],
         reactor: interfaces.IReactorTime,
+        running: Callable[[], float] | None = None,
     ) -> None:
         self._deliver = deliver
         self._reactor = reactor
+        self._running = running or reactor.seconds
         self._open: dict[ids.CallerId, caller_connection.CallerConnection] = {}
         self._last = 0
         # Connections that have to be gone before the report.
@@ -102,6 +107,7 @@
             caller=caller,
             deliver=self._take,
             reactor=self._reactor,
+            running=self._running,
         )
         self._open[caller] = connection
         return connection
