Give up a call link that is never greeted

Fault as callers see it: calls to an owner whose process is paused, or that is cut off between its connection and its greeting, all wait until their deadline, and so do later ones, as long as the kernel of the other side keeps the connection. They are told not run too late to ask another owner.

Cause: only open links are probed; a link that waits for the greeting has no limit once its connection is established.

Change: a link on which nothing arrives for 2 s before it is greeted is closed like a silent one. Its calls are refused owner_unreachable, which proves them not run, and may go to another owner.

Evidence: test_a_link_that_is_never_greeted_is_given_up failed before.

--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -10,6 +10,9 @@
 # A link on which nothing was heard for this long, while a call waits, is
 # probed; a probe that is not answered for this long shows that it is cut off.
 _SILENCE_S = 1
+# A link that was not greeted for this long leads to a process that is paused
+# or cut off; one of these seconds is for the connection.
+_GREETING_S = 2
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -24,6 +27,8 @@
         Number of the link at this node.
     link : Link or None
         The open link; None until the other side has greeted.
+    opening : Link or None
+        The link from the beginning.
     waiting : list of SendCall
         Calls to send once the link is open.
     notices : list of object
@@ -32,7 +37,8 @@
         Calls whose last byte was written and that were not answered yet,
         with that time.
     heard_at : float
-        Time at which bytes were last received, also a part of a frame.
+        Time at which the link was begun, or bytes were last received, also a
+        part of a frame.
     probed_at : float
         Time of the last probe.
 
@@ -45,6 +51,7 @@
     instance: ids.InstanceId
     number: ids.LinkId = ids.LinkId(0)
     link: transport.Link | None = None
+    opening: transport.Link | None = None
     waiting: list[events.SendCall] = dataclasses.field(default_factory=list)
     notices: list[object] = dataclasses.field(default_factory=list)
     sent: dict[ids.CallId, float] = dataclasses.field(default_factory=dict)
@@ -79,7 +86,9 @@
             self.link.ping()
 
     def is_cut_off(self, now: float) -> bool:
-        """Tell whether a probe was not answered for too long."""
+        """Tell whether a probe or the opening had no answer for too long."""
+        if self.link is None:
+            return self.heard_at <= now - _GREETING_S
         return self._is_probed and self.probed_at <= now - _SILENCE_S
 
     @property
--- a/medlarquay/tasks/peer_links.py
+++ b/medlarquay/tasks/peer_links.py
@@ -213,7 +213,12 @@
         Later calls then fail before they are sent, which proves that they
         were not run.
         """
-        if outgoing.link is None or not outgoing.is_cut_off(self._running()):
+        link = outgoing.opening
+        # An attempt to connect ends by its own timeout.
+        connected = link is not None and link.transport is not None
+        if link is None or not connected:
+            return
+        if not outgoing.is_cut_off(self._running()):
             return
         self._log.warning(
             'closed the silent link to instance {}',
@@ -222,13 +227,20 @@
         # Later calls open a new link instead of waiting for this one.
         self.outgoing.pop(outgoing.instance, None)
         self.writer.forget(outgoing.number)
-        outgoing.link.abort()
+        link.abort()
 
     def probe_links(self) -> None:
-        """Probe the silent links on which calls wait."""
-        waiting = [found for found in self.outgoing.values() if found.sent]
+        """Probe silent links with calls; close those never greeted."""
+        waiting = [
+            found
+            for found in self.outgoing.values()
+            if found.sent or found.link is None
+        ]
         for outgoing in waiting:
-            outgoing.probe_if_silent(self._running())
+            if outgoing.link is None:
+                self.abort_if_silent(outgoing)
+            else:
+                outgoing.probe_if_silent(self._running())
         if waiting:
             self._alarm.wake_at(self._clock() + _CHECK_S)
 
@@ -236,7 +248,10 @@
         self,
         call: _Target,
     ) -> outgoing_link.OutgoingLink:
-        outgoing = outgoing_link.OutgoingLink(instance=call.instance)
+        outgoing = outgoing_link.OutgoingLink(
+            instance=call.instance,
+            heard_at=self._running(),
+        )
         self.outgoing[call.instance] = outgoing
         link = transport.Link.connecting(
             path=CALL_PATH,
@@ -250,6 +265,8 @@
             closed=functools.partial(self._lost, outgoing),
             heard=lambda heard: outgoing.note_heard(self._running()),
         )
+        outgoing.opening = link
+        self._alarm.wake_at(self._clock() + _CHECK_S)
         outgoing.number = self.writer.add(link)
         endpoint = endpoints.TCP4ClientEndpoint(
             self._reactor,
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -369,6 +369,41 @@
     assert bench.wires[0].disconnecting
 
 
+def test_a_link_that_is_never_greeted_is_given_up(bench: _Bench) -> None:
+    """Guards against calls that wait for a process that is paused."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.pass_time(1.4)
+    bench.call('a1', 2)
+    assert not bench.wires[0].disconnecting
+    bench.pass_time(1.2)
+    assert bench.wires[0].disconnecting
+    bench.near[0].connectionLost(_LOST)
+    results = bench.results()
+    assert [refused.call_id for refused in results] == [1, 2]
+    for refused in results:
+        assert refused.reason is states.RefusalReason.OWNER_UNREACHABLE
+    bench.call('a1', 3)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    assert far.received[-1].call_id == 3
+
+
+def test_a_pause_is_not_the_silence_of_a_link_that_opens(
+    bench: _Bench,
+) -> None:
+    """Guards against an owner that is not asked because of a pause."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.pass_time(0.5)
+    bench.pause(4)
+    assert not bench.wires[0].disconnecting
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    assert not bench.wires[0].disconnecting
+
+
 def test_a_large_call_leaves_whole(bench: _Bench) -> None:
     """Guards against a request that is cut short, or sent twice."""
     bench.call('a1', 1)
