--- a/medlarquay/daemon/build_router.py
+++ b/medlarquay/daemon/build_router.py
@@ -6,7 +6,7 @@
 from twisted.internet import interfaces
 
 from medlarquay import admin, ingress
-from medlarquay.tasks import caller_listener, router, task
+from medlarquay.tasks import caller_listener, router, running_clock, task
 
 __all__ = ('build_router',)
 
@@ -36,6 +36,12 @@
     routing.front = front
     routing.chooser.budgets.fleet_burst = front.fleet_burst
     routing.start(reactor=reactor)
-    callers = caller_listener.CallerListener(router=routing, reactor=reactor)
+    callers = caller_listener.CallerListener(
+        router=routing,
+        reactor=reactor,
+        clock=time.monotonic,
+        histograms=observed.counters.histograms,
+        running=running_clock.RUNNING_CLOCK.seconds,
+    )
     routing.listener = callers
     return routing, callers
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -1,11 +1,12 @@
 """The task that owns the connections of callers."""
 
 import functools
+from collections.abc import Callable
 
 from twisted.internet import interfaces
 
-from medlarquay import events, states, transport
-from medlarquay.tasks import task
+from medlarquay import events, states, telemetry, transport
+from medlarquay.tasks import caller_delivery, task
 
 __all__ = ('CallerListener',)
 
@@ -19,6 +20,13 @@
         Receives ``RequestReceived``, ``RequestRejected``, ``CallerGone``.
     reactor : IReactorTime
         Clock and timer for the deadlines of slow senders.
+    clock : callable
+        Returns seconds on the monotonic clock.
+    histograms : Histograms
+        Takes the time until answers have left.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure how
+        long a sender takes; the clock of the reactor if left out.
     """
 
     def __init__(
@@ -26,18 +34,34 @@
         *,
         router: task.Task,
         reactor: interfaces.IReactorTime,
+        clock: Callable[[], float],
+        histograms: telemetry.Histograms,
+        running: Callable[[], float] | None = None,
     ) -> None:
         super().__init__(name='callers')
+        self._clock = clock
+        self._histograms = histograms
         self.lifecycle: task.Task | None = None
         self.connections = transport.CallerConnections(
             deliver=router.post,
             reactor=reactor,
+            running=running,
         )
 
     def receive(self, message: object) -> None:
         """Handle one message."""
         _handle(message, self)
 
+    def answer(self, message: events.AnswerReady) -> None:
+        """Write an answer and record when it has left."""
+        delivery = caller_delivery.CallerDelivery(
+            request_id=message.request_id,
+            sent_at=self._clock(),
+            clock=self._clock,
+            histograms=self._histograms,
+        )
+        self.connections.answer(message, left=delivery.finish)
+
     def report_finished(self) -> None:
         """Tell the lifecycle that all answers have left."""
         if self.lifecycle is not None:
@@ -53,7 +77,7 @@
 
 @_handle.register
 def _answer(message: events.AnswerReady, owner: CallerListener) -> None:
-    owner.connections.answer(message)
+    owner.answer(message)
 
 
 @_handle.register
--- a/medlarquay/transport/caller_connection.py
+++ b/medlarquay/transport/caller_connection.py
@@ -7,10 +7,11 @@
 
 from medlarquay import events, ids, states
 from medlarquay.transport import (
+    frame_left,
     http_text,
-    prompt_write,
     receive_stage,
     request_assembler,
+    watched_writer,
 )
 
 __all__ = ('CallerConnection',)
@@ -42,6 +43,9 @@
         Receives ``RequestReceived``, ``RequestRejected`` and ``CallerGone``.
     reactor : IReactorTime
         Clock and timer for the deadlines of slow senders.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure
+        how long a sender takes; the clock of the reactor if left out.
 
     Notes
     -----
@@ -56,10 +60,12 @@
         caller: ids.CallerId,
         deliver: Callable[[object], None],
         reactor: interfaces.IReactorTime,
+        running: Callable[[], float] | None = None,
     ) -> None:
         self._caller = caller
         self._deliver = deliver
         self._reactor = reactor
+        self._running = running or reactor.seconds
         self._assembler = request_assembler.RequestAssembler(caller=caller)
         self._pending = b''
         self._waiting = False
@@ -73,6 +79,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         """Disable Nagle's algorithm: answers are written whole."""
         self.transport.setTcpNoDelay(True)
+        self._writer = watched_writer.WatchedWriter(transport=self.transport)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Feed received bytes to the parser, or keep them for later."""
@@ -88,20 +95,36 @@
     def connectionLost(self, reason: object = None) -> None:  # noqa: N802
         """Report the loss of the connection."""
         self._closing = True
+        self._writer.lose()
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._deliver(events.CallerGone(caller=self._caller))
 
-    def answer(self, message: events.AnswerReady) -> None:
-        """Write an answer and go on with the next request."""
+    def answer(
+        self,
+        message: events.AnswerReady,
+        *,
+        left: Callable[[frame_left.FrameLeft], None] | None = None,
+    ) -> None:
+        """Write an answer and go on with the next request.
+
+        Parameters
+        ----------
+        message : AnswerReady
+            Answer.
+        left : callable, optional
+            Receives ``FrameLeft`` once the kernel has taken the last byte,
+            possibly within this call, or the connection was lost before.
+        """
         if not self._waiting or self._closing:
             # Nothing was asked: writing would cross into a later answer.
+            if left is not None:
+                left(frame_left.lost_frame(len(message.body)))
             return
         self._waiting = False
         close = message.close or not self._keep_alive
-        prompt_write.write_promptly(
-            self.transport,
+        self._writer.write(
             http_text.format_answer(
                 status=message.status,
                 headers=message.headers,
@@ -109,6 +132,7 @@
                 close=close,
                 head=self._head,
             ),
+            left,
         )
         if close:
             self._close()
@@ -147,7 +171,7 @@
         if stage is receive_stage.ReceiveStage.IDLE:
             self._deadline = None
         elif stage is not self._stage or self._deadline is None:
-            self._deadline = self._reactor.seconds() + _LIMITS_S[stage]
+            self._deadline = self._running() + _LIMITS_S[stage]
         self._stage = stage
         if self._deadline is not None:
             self._watch(self._deadline)
@@ -155,7 +179,7 @@
     def _watch(self, deadline: float) -> None:
         if self._timer is None:
             self._timer = self._reactor.callLater(
-                max(0, deadline - self._reactor.seconds()),
+                max(0, deadline - self._running()),
                 self._check,
             )
 
@@ -163,7 +187,7 @@
         self._timer = None
         if self._deadline is None:
             return
-        if self._reactor.seconds() < self._deadline:
+        if self._running() < self._deadline:
             self._watch(self._deadline)
         elif self._closing:
             self.transport.abortConnection()
@@ -176,5 +200,5 @@
         if not self._assembler.failed:
             self.transport.loseConnection()
             return
-        self._deadline = self._reactor.seconds() + _LINGER_S
+        self._deadline = self._running() + _LINGER_S
         self._watch(self._deadline)
--- a/medlarquay/transport/caller_connections.py
+++ b/medlarquay/transport/caller_connections.py
@@ -5,7 +5,7 @@
 from twisted.internet import interfaces
 
 from medlarquay import events, ids
-from medlarquay.transport import caller_connection, factories
+from medlarquay.transport import caller_connection, factories, frame_left
 
 __all__ = ('CallerConnections',)
 
@@ -21,6 +21,9 @@
         Receives ``RequestReceived``, ``RequestRejected`` and ``CallerGone``.
     reactor : IReactorTime
         Clock and timer for the deadlines of slow senders.
+    running : callable, optional
+        Returns seconds without the pauses of the process, which measure
+        how long a sender takes; the clock of the reactor if left out.
     """
 
     def __init__(
@@ -28,9 +31,11 @@
         *,
         deliver: Callable[[object], None],
         reactor: interfaces.IReactorTime,
+        running: Callable[[], float] | None = None,
     ) -> None:
         self._deliver = deliver
         self._reactor = reactor
+        self._running = running or reactor.seconds
         self._open: dict[ids.CallerId, caller_connection.CallerConnection] = {}
         self._last = 0
         # Connections that have to be gone before the report.
@@ -53,11 +58,27 @@
             backlog=_BACKLOG,
         )
 
-    def answer(self, message: events.AnswerReady) -> None:
-        """Write an answer if the connection is still open."""
+    def answer(
+        self,
+        message: events.AnswerReady,
+        *,
+        left: Callable[[frame_left.FrameLeft], None] | None = None,
+    ) -> None:
+        """Write an answer if the connection is still open.
+
+        Parameters
+        ----------
+        message : AnswerReady
+            Answer.
+        left : callable, optional
+            Receives ``FrameLeft`` once the kernel has taken the last byte,
+            possibly within this call, or the connection was lost before.
+        """
         connection = self._open.get(message.caller)
         if connection is not None:
-            connection.answer(message)
+            connection.answer(message, left=left)
+        elif left is not None:
+            left(frame_left.lost_frame(len(message.body)))
 
     def finish(self, report: Callable[[], None]) -> None:
         """Close each connection once its answers have left the buffers.
@@ -86,6 +107,7 @@
             caller=caller,
             deliver=self._take,
             reactor=self._reactor,
+            running=self._running,
         )
         self._open[caller] = connection
         return connection
