Let the uplink tell admission what waits for the link

Owners refused requests as link_full while their link had room. Admission kept a second book of the bytes on the link, from guesses: every answer was booked, also those for callers on the same node and those that the ingress passes on, which no call link carries; what was cancelled, dropped or lost with its link was never given back; frames of the relay were missing.

The uplink, which owns the bytes, now posts UplinkChanged with the time at which all that waits will have left, whenever that time changes by about a fragment or more for another reason than the passing of time. Admission takes it as LinkChanged and counts on top of it only the answers handed over since. A peer that has not read for a second does not count. Requests of callers on the same node need no room on the link. AnswerRelayed is gone.

The tests of test_link.py are unchanged.

--- a/medlarquay/admission/__init__.py
+++ b/medlarquay/admission/__init__.py
@@ -3,13 +3,13 @@
 from medlarquay.admission.admission import Admission
 from medlarquay.admission.decide import Decision, decide
 from medlarquay.admission.inputs import (
-    AnswerRelayed,
     Arrived,
     BackendStarted,
     Cancelled,
     ClockChecked,
     Finished,
     LimitsChanged,
+    LinkChanged,
     QueuesEmptied,
     WasShed,
 )
@@ -21,7 +21,6 @@
 
 __all__ = (
     'Admission',
-    'AnswerRelayed',
     'Arrived',
     'BackendStarted',
     'Cancelled',
@@ -30,6 +29,7 @@
     'Finished',
     'Limits',
     'LimitsChanged',
+    'LinkChanged',
     'QueuesEmptied',
     'Refuse',
     'Start',
--- a/medlarquay/admission/arrival.py
+++ b/medlarquay/admission/arrival.py
@@ -72,7 +72,8 @@
     state: admission.Admission,
 ) -> queued_work.QueuedWork:
     service = state.times.of_route(event.rank, event.route)
-    size = state.answer_bytes.mean(event.route)
+    # The answer of a local caller does not use the link.
+    size = 0 if event.local else state.answer_bytes.mean(event.route)
     transfer = state.link.time_of(size)
     due = min(event.due, event.deadline)
     # A route without samples takes the time of the others, or its refusal
--- a/medlarquay/admission/decide.py
+++ b/medlarquay/admission/decide.py
@@ -76,18 +76,19 @@
     if work is not None:
         state.times.add(work.rank, work.route, now - work.started_at)
         state.answer_bytes.add(work.route, event.answer_bytes)
-    state.link.book(event.answer_bytes, now)
+    state.link.book(event.link_bytes, now)
     return fill_slots.fill_slots(state, now)
 
 
 @decide.register
-def _relayed(
-    event: inputs.AnswerRelayed,
+def _link_changed(
+    event: inputs.LinkChanged,
     state: admission.Admission,
     now: float,
 ) -> Decision:
-    state.link.book(event.answer_bytes, now)
-    return ()
+    state.shares.advance(now)
+    state.link.follow(event.free_at)
+    return fill_slots.fill_slots(state, now)
 
 
 @decide.register
--- a/medlarquay/admission/expected_end.py
+++ b/medlarquay/admission/expected_end.py
@@ -53,9 +53,8 @@
     if not full and link_room.has_room(state, work, now):
         # A free slot costs nothing, so an even chance is worth a try.
         service = state.times.of_route(rank, work.route)
-        size = state.answer_bytes.mean(work.route)
         return ExpectedEnd(
-            answered_at=now + service + state.link.time_of(size),
+            answered_at=now + service + work.transfer,
             waits=False,
             link_bound=False,
         )
--- a/medlarquay/admission/inputs/arrived.py
+++ b/medlarquay/admission/inputs/arrived.py
@@ -28,6 +28,9 @@
     last : bool
         Whether no other owner will be asked, so that a late answer is better
         than a refusal.
+    local : bool
+        Whether the caller is on this node, so that the answer does not use
+        the link of the machine.
     """
 
     exchange: ids.ExchangeId
@@ -36,3 +39,4 @@
     route: ids.RouteName = ids.RouteName('')
     due: float = math.inf
     last: bool = True
+    local: bool = False
--- a/medlarquay/admission/inputs/finished.py
+++ b/medlarquay/admission/inputs/finished.py
@@ -16,8 +16,12 @@
     exchange : ExchangeId
         Number of the exchange at the owner.
     answer_bytes : int
-        Size of the answer, which leaves by the link of the machine.
+        Size of the answer.
+    link_bytes : int
+        Bytes that leave by the link of the machine: the answer for each
+        caller on another node.
     """
 
     exchange: ids.ExchangeId
     answer_bytes: int = 0
+    link_bytes: int = 0
--- a/medlarquay/admission/link_queue.py
+++ b/medlarquay/admission/link_queue.py
@@ -6,12 +6,13 @@
 
 
 class LinkQueue:
-    """Answers that wait on the link of the machine, as a fluid.
+    """Answers that wait on the link of the machine.
 
     Notes
     -----
-    What is in the buffers of sockets cannot be seen, so each answer is
-    counted when it is handed over and flows out at the rate of the link.
+    The owner of the bytes reports when they will have left. An answer that
+    is handed over counts on top of the last report until the next one, which
+    includes it.
     """
 
     def __init__(self) -> None:
@@ -30,6 +31,10 @@
         """Return when all answers have left, on the monotonic clock."""
         return max(self._free_at, now)
 
-    def book(self, answer_bytes: int, now: float) -> None:
-        """Count an answer that is handed over."""
-        self._free_at = self.free_at(now) + self.time_of(answer_bytes)
+    def book(self, link_bytes: int, now: float) -> None:
+        """Count an answer that no report includes yet."""
+        self._free_at = self.free_at(now) + self.time_of(link_bytes)
+
+    def follow(self, free_at: float) -> None:
+        """Take a report, which replaces what was counted."""
+        self._free_at = free_at
--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -80,6 +80,7 @@
         owner=own,
         front=deployment.front,
     )
+    sharing.owner = own
     own.router = routing
     links.router = routing
     links.owner = own
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -2,7 +2,6 @@
 
 from medlarquay.events.abort_request import AbortRequest
 from medlarquay.events.answer_ready import AnswerReady
-from medlarquay.events.answer_relayed import AnswerRelayed
 from medlarquay.events.backend_answered import BackendAnswered
 from medlarquay.events.backend_changed import BackendChanged
 from medlarquay.events.backend_crashed import BackendCrashed
@@ -49,6 +48,7 @@
 from medlarquay.events.source_changed import SourceChanged
 from medlarquay.events.start_request import StartRequest
 from medlarquay.events.tick import Tick
+from medlarquay.events.uplink_changed import UplinkChanged
 from medlarquay.events.withdraw_frame import WithdrawFrame
 from medlarquay.events.work_finished import WorkFinished
 from medlarquay.events.write_fragment import WriteFragment
@@ -86,7 +86,6 @@
     'SendNotice',
     'AbortRequest',
     'AnswerReady',
-    'AnswerRelayed',
     'BackendAnswered',
     'BackendChanged',
     'BackendCrashed',
@@ -106,4 +105,5 @@
     'SnapshotReplaced',
     'StartRequest',
     'Tick',
+    'UplinkChanged',
 )
--- a/medlarquay/ingress/call_sender.py
+++ b/medlarquay/ingress/call_sender.py
@@ -49,20 +49,6 @@
             ),
         )
 
-    def note_relayed(
-        self,
-        instance: ids.InstanceId,
-        answer: messages.CallAnswered,
-    ) -> None:
-        """Tell the local owner of a large answer that came from a node.
-
-        The owner counts its own answers; what comes from other nodes leaves
-        by the same link of the machine.
-        """
-        if answer.large and instance != self._instance:
-            relayed = events.AnswerRelayed(answer_bytes=len(answer.body))
-            self._owner.post(relayed)
-
     def cancel(
         self,
         instance: ids.InstanceId,
--- a/medlarquay/pacing/full_sockets.py
+++ b/medlarquay/pacing/full_sockets.py
@@ -32,6 +32,10 @@
         """Note that the socket of a link has drained or is closed."""
         self._since.pop(link, None)
 
+    def is_stalled(self, link: ids.LinkId, now: float) -> bool:
+        """Tell whether the peer of a link does not read."""
+        return self._since.get(link, now) + _STALLED_S <= now
+
     def blocked_until(self, now: float) -> float:
         """Return when another link may be used; the past if it may be now."""
         recent = sorted(
--- a/medlarquay/pacing/pace.py
+++ b/medlarquay/pacing/pace.py
@@ -43,18 +43,32 @@
 
     def count(self, length: int, now: float) -> None:
         """Count bytes given to the sockets of the machine."""
-        busy_until = max(self._free_at, now)
-        busy_until += length / (self._bytes_per_s * PACED_SHARE)
+        busy_until = max(self._free_at, now) + self._time_of(length)
         self._free_at = min(busy_until, now + _MAX_DEBT_S)
 
     def ready_at(self) -> float:
         """Return when the next fragment may be written."""
         return self._free_at - _AHEAD_S
 
+    def free_at(self, waiting: int, now: float) -> float:
+        """Return when the bytes counted and those that wait will have left.
+
+        Parameters
+        ----------
+        waiting : int
+            Bytes that were not counted yet.
+        now : float
+            Seconds on the monotonic clock.
+        """
+        return max(self._free_at, now) + self._time_of(waiting)
+
     def arrival(self, length: int, now: float) -> float:
         """Return the earliest time by which the link can carry some bytes."""
         return now + length / self._bytes_per_s
 
+    def _time_of(self, length: int) -> float:
+        return length / (self._bytes_per_s * PACED_SHARE)
+
 
 def fragment_bytes(bytes_per_s: float) -> int:
     """Return the content of one fragment for a link of a rate.
--- a/medlarquay/pacing/schedule.py
+++ b/medlarquay/pacing/schedule.py
@@ -74,6 +74,21 @@
             self.remove(frame.link, frame.call_id)
         return part
 
+    def free_at(self, now: float) -> float:
+        """Return when all frames will have left, unless their peers stall.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
+        waiting = sum(
+            frame.remaining
+            for frame in self._frames.values()
+            if not self.full.is_stalled(frame.link, now)
+        )
+        return self.pace.free_at(waiting, now)
+
     def next_step(self, now: float) -> Step:
         """Decide what to do now.
 
--- /dev/null
+++ b/medlarquay/pacing/tests/test_backlog_report.py
@@ -0,0 +1,38 @@
+"""When a change of the backlog of the link is told."""
+
+import pytest
+
+from medlarquay import pacing
+
+_NOW = 100.0
+
+
+@pytest.mark.parametrize(
+    ('told', 'free_at', 'now', 'due'),
+    [
+        # An empty link is not worth a message.
+        (None, _NOW - 1, _NOW, False),
+        (None, _NOW + 0.5, _NOW, True),
+        # It leaves at the pace that was told.
+        (_NOW + 0.5, _NOW + 0.5, _NOW + 0.3, False),
+        (_NOW + 0.5, _NOW + 0.5, _NOW + 3, False),
+        # A small frame.
+        (_NOW + 0.5, _NOW + 0.51, _NOW + 0.1, False),
+        (_NOW + 0.5, _NOW + 0.7, _NOW + 0.1, True),
+        # Frames were withdrawn, and the time that they were told has passed.
+        (_NOW + 0.5, _NOW + 0.2, _NOW + 0.1, True),
+        (_NOW + 0.5, _NOW + 0.2, _NOW + 0.49, False),
+    ],
+)
+def test_changes_are_told_and_time_is_not(
+    told: float | None,
+    free_at: float,
+    now: float,
+    *,
+    due: bool,
+) -> None:
+    """Guards against a message for each fragment and against lost changes."""
+    report = pacing.BacklogReport()
+    if told is not None:
+        assert report.is_due(told, _NOW)
+    assert report.is_due(free_at, now) is due
--- a/medlarquay/pacing/tests/test_schedule.py
+++ b/medlarquay/pacing/tests/test_schedule.py
@@ -171,6 +171,24 @@
     assert isinstance(bench.step(), pacing.SendPart)
 
 
+def test_a_peer_that_does_not_read_keeps_the_link_free(bench: _Bench) -> None:
+    """Guards against a link that seems full while it carries nothing."""
+    bench.add(1, fragments=99)
+    bench.schedule.full.add(ids.LinkId(1), bench.now)
+    assert bench.schedule.free_at(bench.now) > bench.now + 1
+    bench.now += 1
+    assert bench.schedule.free_at(bench.now) == bench.now
+
+
+def test_frames_leave_when_the_schedule_says(bench: _Bench) -> None:
+    """Guards against admission by another time than that of the pace."""
+    for number in range(1, 9):
+        bench.add(number)
+    expected = bench.schedule.free_at(bench.now)
+    bench.send()
+    assert bench.schedule.free_at(bench.now) == pytest.approx(expected)
+
+
 def test_a_closed_link_takes_its_frames_with_it(bench: _Bench) -> None:
     """Guards against fragments for a link that is gone."""
     bench.add(1, link=7)
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -101,6 +101,7 @@
         finished = admission.Finished(
             exchange=job.exchange,
             answer_bytes=len(message.body),
+            link_bytes=len(message.body) * _remote_callers(job),
         )
         decisions = admission.decide(finished, owner.admission, owner.now())
         owner_results.answer_job(job, message, owner)
@@ -108,6 +109,11 @@
     owner_starts.readmit_held(owner)
 
 
+def _remote_callers(job: owner_job.OwnerJob) -> int:
+    """Return how many answers of a job leave by a call link."""
+    return sum(bool(caller.link) for caller in job.callers)
+
+
 def _is_misdirected(
     message: events.BackendAnswered,
     owner: owner_base.OwnerBase,
@@ -126,12 +132,12 @@
 
 
 @handle.register
-def _relayed(
-    message: events.AnswerRelayed,
+def _uplink_changed(
+    message: events.UplinkChanged,
     owner: owner_base.OwnerBase,
 ) -> None:
-    relayed = admission.AnswerRelayed(answer_bytes=message.answer_bytes)
-    owner_starts.tell_admission(relayed, owner)
+    changed = admission.LinkChanged(free_at=message.free_at)
+    owner_starts.tell_admission(changed, owner)
 
 
 @handle.register
--- a/medlarquay/tasks/owner_starts.py
+++ b/medlarquay/tasks/owner_starts.py
@@ -71,6 +71,7 @@
         route=job.request.route,
         due=job.request.due,
         last=job.request.last,
+        local=not any(caller.link for caller in job.callers),
     )
     tell_admission(arrived, owner)
 
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -230,7 +230,6 @@
         message: messages.CallAnswered,
     ) -> None:
         """Give the caller of a call the answer of a backend server."""
-        self.sender.note_relayed(call.node, message)
         answer = ingress.answer(caller=call.caller, message=message)
         self.reporter.told(call, answer, states.Outcome.RUN, None)
         self.answer(answer)
--- a/medlarquay/tasks/tests/test_owner.py
+++ b/medlarquay/tasks/tests/test_owner.py
@@ -197,3 +197,48 @@
     assert len(bench.started()) == 2
     bench.call(3, timeout=1.5)
     assert bench.told()[3] == 'not-run link_full'
+
+
+def _with_a_link() -> owner_bench.OwnerBench:
+    bench = owner_bench.OwnerBench()
+    bench.owner.local.link_bytes_per_s = 100_000
+    bench.configure(states.InstanceState.LIVE)
+    return bench
+
+
+def test_answers_for_local_callers_leave_the_link_free() -> None:
+    """Guards against refusals for answers that never use the link."""
+    local = ids.LinkId(0)
+    bench = _with_a_link()
+    for number in (1, 2):
+        bench.call(number, link=local)
+        bench.answer(number, body=b'x' * 90_000)
+    bench.call(3)
+    assert len(bench.started()) == 3
+    # A large answer is under way now, which a local caller need not await.
+    bench.call(4, link=local)
+    assert len(bench.started()) == 4
+
+
+def test_the_uplink_says_what_waits_for_the_link() -> None:
+    """Guards against dropped and cancelled answers that stay counted."""
+    bench = _with_a_link()
+    bench.call(1)
+    bench.answer(1, body=b'x' * 90_000)
+    bench.call(2)
+    assert len(bench.started()) == 1
+    freed = events.UplinkChanged(free_at=bench.clock.seconds())
+    bench.owner.post(freed)
+    assert len(bench.started()) == 2
+
+
+def test_frames_of_other_tasks_take_room_on_the_link() -> None:
+    """Guards against an owner that counts its own answers only."""
+    bench = _with_a_link()
+    bench.call(1)
+    bench.answer(1, body=b'x' * 90_000)
+    busy_until = bench.clock.seconds() + 3
+    bench.owner.post(events.UplinkChanged(free_at=busy_until))
+    bench.wait(1.5)
+    bench.call(2)
+    assert len(bench.started()) == 1
--- a/medlarquay/tasks/tests/test_uplink.py
+++ b/medlarquay/tasks/tests/test_uplink.py
@@ -3,7 +3,9 @@
 import math
 import statistics
 
-from medlarquay import messages, states
+import pytest
+
+from medlarquay import events, messages, pacing, states
 from medlarquay.tasks.tests import uplink_bench
 
 _ANSWERS = 8
@@ -112,3 +114,45 @@
     bench.run(2 * _ONE_S)
     assert list(_arrivals(bench)) == [1]
     assert not bench.uplink.schedule
+
+
+def _told(bench: uplink_bench.UplinkBench) -> list[float]:
+    """Return the seconds of backlog that the owner was told of, in order."""
+    now = bench.reactor.seconds()
+    return [
+        message.free_at - now
+        for message in bench.owner.take()
+        if isinstance(message, events.UplinkChanged)
+    ]
+
+
+def _backlog_s(answers: int) -> float:
+    return answers * _ONE_S / pacing.PACED_SHARE
+
+
+def test_the_owner_is_told_what_waits() -> None:
+    """Guards against admission that guesses what waits for the link."""
+    bench = _saturated()
+    told = _told(bench)
+    assert len(told) == _ANSWERS
+    assert told[-1] == pytest.approx(_backlog_s(_ANSWERS), rel=0.01)
+
+
+def test_what_is_not_sent_is_given_back() -> None:
+    """Guards against a link that seems full of answers nobody waits for."""
+    bench = _saturated()
+    bench.owner.take()
+    for place in range(1, _ANSWERS - 1):
+        bench.cancel(place, place)
+    bench.ingresses[_ANSWERS - 1].near.connectionLost()
+    bench.run(0.001)
+    assert _told(bench)[-1] == pytest.approx(_backlog_s(1), rel=0.05)
+
+
+def test_the_owner_is_not_told_of_the_passing_of_time() -> None:
+    """Guards against a message to the owner for each fragment."""
+    bench = _saturated()
+    bench.owner.take()
+    bench.run((_ANSWERS + 2) * _ONE_S)
+    assert not bench.uplink.schedule
+    assert len(_told(bench)) <= _ANSWERS
--- a/medlarquay/tasks/tests/uplink_bench.py
+++ b/medlarquay/tasks/tests/uplink_bench.py
@@ -86,6 +86,7 @@
             bytes_per_s=bytes_per_s,
         )
         self.uplink.links = self.links
+        self.uplink.owner = self.owner
         self.links.writer.uplink = self.uplink
         self.links.owner = self.owner
         self.ingresses = [self._join(place) for place in range(ingresses)]
--- a/medlarquay/tasks/uplink.py
+++ b/medlarquay/tasks/uplink.py
@@ -38,16 +38,19 @@
     ) -> None:
         super().__init__(name='uplink')
         self.links: task.Task | None = None
+        self.owner: task.Task | None = None
         self.schedule = pacing.Schedule(bytes_per_s=bytes_per_s)
         # Whether a fragment was given to the links and not confirmed yet.
         self.writing = False
         self._clock = clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
         self._last = 0
+        self._report = pacing.BacklogReport()
 
     def receive(self, message: object) -> None:
         """Handle one message."""
         _handle(message, self)
+        self._tell_owner()
 
     def now(self) -> float:
         """Return seconds on the monotonic clock."""
@@ -92,6 +95,13 @@
                 ),
             )
 
+    def _tell_owner(self) -> None:
+        """Tell the owner when what waits has changed."""
+        now = self._clock()
+        free_at = self.schedule.free_at(now)
+        if self.owner is not None and self._report.is_due(free_at, now):
+            self.owner.post(events.UplinkChanged(free_at=free_at))
+
 
 @functools.singledispatch
 def _handle(message: object, uplink: Uplink) -> None:
--- a/medlarquay/testing/replay/replay_request.py
+++ b/medlarquay/testing/replay/replay_request.py
@@ -28,6 +28,10 @@
         Route of the request.
     answer_bytes : int
         Size of the answer.
+    local : bool
+        Whether the caller is on the machine of the owner.
+    leaves_at : float
+        When the caller stops waiting, seconds from the start.
     """
 
     arrives_at: float
@@ -38,3 +42,5 @@
     last: bool = True
     route: ids.RouteName = ids.RouteName('')
     answer_bytes: int = 0
+    local: bool = False
+    leaves_at: float = math.inf
--- a/medlarquay/testing/replay/replay_result.py
+++ b/medlarquay/testing/replay/replay_result.py
@@ -17,10 +17,11 @@
     request : ReplayRequest
         Request.
     ended_at : float
-        When its answer had left or it was refused, seconds from the start.
+        When its answer had left or was dropped, it was refused, or its
+        caller left; seconds from the start.
     finished_at : float or None
-        When its answer had left, seconds from the start; None when it was
-        refused.
+        When its answer had left, seconds from the start; None when none
+        left.
     reason : RefusalReason or None
         Why it was refused.
     """
