Log what the answers of the source cost in time and bytes

The log of a reader does not tell whether a change of the instance list was late because the read was sent late or because its answer shared the link with a whole configuration. The bytes that it gives are those of the translated document, not those of the answer.

One line for each answer that brought something gives the time before the read and the time until its answer; one line for each answer of the store of 16 KiB or more gives its bytes.

tasks/tests/test_source_reader.py fails before.

--- a/medlarquay/platform/store_client.py
+++ b/medlarquay/platform/store_client.py
@@ -5,6 +5,7 @@
 from typing import Any
 from urllib import parse as urls
 
+import logbook
 from twisted.internet import defer, endpoints, interfaces
 
 from medlarquay import addresses, errors, events, ids, transport
@@ -12,6 +13,7 @@
 
 __all__ = ('StoreClient',)
 
+_LOG = logbook.Logger('store')
 _STEP = 'call store'
 _CONNECT_TIMEOUT_S = 1
 # Longest pause within an answer. A whole configuration takes about a second
@@ -21,6 +23,10 @@
 _LONGEST_ANSWER_S = 10.0
 # A page of items holds 1 MB of values, a third more in base64.
 _MAX_ANSWER_BYTES = 1 << 24
+# An answer of this length takes a noticeable part of a slow link; shorter
+# ones would need a line for each read.
+_LOGGED_BYTES = 1 << 14
+_MS_PER_SECOND = 1000
 _OK = 200
 _GET = b'GET'
 
@@ -90,6 +96,7 @@
             its ``status`` tells a refusal.
         """
         target = f'{path}?{urls.urlencode(query)}'
+        asked_at = self._clock()
         answer = await self._exchange(target, timeout_s)
         if isinstance(answer, events.BackendFailed):
             raise self._error(f'{path}: the connection was lost')
@@ -100,6 +107,13 @@
                 peer=str(self._address),
                 status=answer.status,
             )
+        if len(answer.body) >= _LOGGED_BYTES:
+            _LOG.info(
+                'target={} bytes={} answer_ms={:.0f}',
+                target,
+                len(answer.body),
+                (self._clock() - asked_at) * _MS_PER_SECOND,
+            )
         try:
             return json.loads(answer.body)
         except ValueError as cause:
--- a/medlarquay/tasks/source_reader.py
+++ b/medlarquay/tasks/source_reader.py
@@ -14,6 +14,7 @@
 # The age of a confirmation counts from the sending of the watch. Twice this
 # wait and four levels of probes each 0.5 s stay below the bound of 5 s.
 _WAIT_MS = 1000
+_MS_PER_SECOND = 1000
 
 
 class SourceReader(task.Task):
@@ -101,6 +102,7 @@
     ) -> None:
         """Pass an answer on."""
         reader.limiter.succeeded()
+        self._report(reader, answer)
         if self.configuration is not None:
             self.configuration.post(answer)
         self._failing.discard(reader.tree)
@@ -123,6 +125,27 @@
         self._tell_reachable()
         reader.machine.ended()
 
+    def _report(
+        self,
+        reader: tree_reader.TreeReader,
+        answer: events.DocumentsRead,
+    ) -> None:
+        """Log an answer that brought something, with where its time went."""
+        ended_at = reader.ended_at
+        now = self._clock()
+        reader.ended_at = now
+        if answer.entries:
+            self._log.info(
+                'tree={} after={} revision={} entries={} idle_ms={} '
+                'answer_ms={}',
+                answer.tree.value,
+                answer.after,
+                answer.revision,
+                len(answer.entries),
+                _milliseconds(ended_at, answer.asked_at),
+                _milliseconds(answer.asked_at, now),
+            )
+
     def _tell_reachable(self) -> None:
         # The documents need far more of the link than the instance list.
         reachable = not self._failing
@@ -160,6 +183,12 @@
             self.finish(reader, answer)
 
 
+def _milliseconds(since: float | None, until: float) -> str:
+    if since is None:
+        return '-'
+    return f'{(until - since) * _MS_PER_SECOND:.0f}'
+
+
 @functools.singledispatch
 def _handle(message: object, source: SourceReader) -> None:
     raise TypeError(f'unexpected message {type(message).__name__}')
--- a/medlarquay/tasks/tests/test_source_reader.py
+++ b/medlarquay/tasks/tests/test_source_reader.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+import logbook
 from twisted.internet import task
 
 from medlarquay import errors, events, ids, replica, states
@@ -58,3 +59,45 @@
     for _ in range(40):
         clock.advance(0.1)
     assert not recorder.reachable
+
+
+class _SlowSource:
+    """Answers each read with one entry after a while."""
+
+    def __init__(self, clock: task.Clock) -> None:
+        self._clock = clock
+
+    async def fetch(
+        self,
+        tree: replica.SourceTree,
+        *,
+        after: ids.Revision,
+        wait_ms: int,
+    ) -> bytes:
+        """Return an entry 0.3 s after it was asked for."""
+        await task.deferLater(self._clock, 0.3)
+        entry = {'key': 'a', 'revision': 7, 'value': None}
+        return json.dumps({'revision': 7, 'entries': [entry]}).encode()
+
+
+def test_the_log_tells_a_late_read_from_a_late_answer() -> None:
+    """Guards against a late change whose time no line takes apart."""
+    clock = task.Clock()
+    reader = source_reader.SourceReader(
+        reactor=clock,
+        fetcher=_SlowSource(clock),
+        randomness=random.Random(1),
+        clock=clock.seconds,
+    )
+    written = logbook.TestHandler()
+    with written:
+        reader.post(events.ReadingChosen(mode=states.ReadingMode.READER))
+        clock.pump([0.1] * 20)
+    lines = [
+        record.message
+        for record in written.records
+        if 'tree=instances' in record.message
+    ]
+    assert lines[0].endswith('entries=1 idle_ms=- answer_ms=300')
+    assert 'answer_ms=300' in lines[1]
+    assert 'idle_ms=-' not in lines[1]
--- a/medlarquay/tasks/tree_reader.py
+++ b/medlarquay/tasks/tree_reader.py
@@ -33,6 +33,8 @@
         Task that owns the reads.
     due_at : float or None
         When the next read is sent, seconds on the monotonic clock.
+    ended_at : float or None
+        When the last answer had arrived, seconds on the monotonic clock.
     held : ids.Revision
         Revision up to which the node holds the tree.
     """
@@ -42,6 +44,7 @@
     owner: TreeReaderOwner
     machine: tree_reading.ReadingMachine = dataclasses.field(init=False)
     due_at: float | None = None
+    ended_at: float | None = None
     held: ids.Revision = ids.Revision(0)
 
     def __post_init__(self) -> None:
