Read the configuration as CBOR tables instead of JSON with named fields

Operators see changes of the instance list late: a reader reads both trees over one link, and a whole configuration of 1,400 routes is 0.8 s of a link of 3.5 Mbit/s.

deploy/wire.toml chooses CBOR bodies, tables for routes and services, and short words for two kinds of routes. Times keep their unit, since plain numbers mix seconds and milliseconds in the settings file. Tags, repeated keys and bytes after the value are refused, as are rows of another length and names that repeat.

The tests of the translation, fetcher, client and model publish CBOR tables with the same cases; what was malformed JSON is malformed CBOR.

--- a/bench/configuration_change.py
+++ b/bench/configuration_change.py
@@ -2,18 +2,19 @@
 
 Prints one ``name=value`` per line: the median time of each step on the way
 of a change from the store into force, and the bytes of the first whole
-message and of a change. ``read`` is base64 and JSON of the store's answer,
+message and of a change. ``read`` is base64 and CBOR of the store's answer,
 ``join`` includes the check of the document, ``bind`` builds the snapshot. A
 machine with a share of a core takes the time divided by its share.
 """
 
 import base64
 import functools
-import json
+
+import cbor2
 
 from bench import platform_document, step_times
 from medlarquay import codec, ids, messages, replica, settings
-from medlarquay.platform import operators_document
+from medlarquay.platform import operators_document, store_body
 from medlarquay.tasks import snapshot_builder
 
 __all__ = ('main',)
@@ -95,11 +96,11 @@
         'value': base64.b64encode(published).decode(),
         'revision': version,
     }
-    return json.dumps({'at': version, 'events': [item]}).encode()
+    return cbor2.dumps({'at': version, 'events': [item]})
 
 
 def _read(stored: bytes) -> bytes:
-    answer = json.loads(stored)
+    answer = store_body.decode_body(stored)
     return base64.b64decode(answer['events'][0]['value'], validate=True)
 
 
--- a/bench/platform_document.py
+++ b/bench/platform_document.py
@@ -1,7 +1,8 @@
 """A configuration of the platform with many routes, for measurements."""
 
 import hashlib
-import json
+
+from medlarquay.platform.testing import published
 
 __all__ = ('build_configuration',)
 
@@ -15,7 +16,7 @@
     version: int = 1,
     changed: tuple[int, ...] = (),
 ) -> bytes:
-    """Return a published configuration (JSON).
+    """Return a published configuration (CBOR).
 
     Parameters
     ----------
@@ -27,17 +28,17 @@
         Routes whose timeout differs with the version.
     """
     timeout = f'{version + 2}s'
-    return json.dumps({
-        'version': f'r{version}',
-        'services': {f'service-{number}': {} for number in range(_SERVICES)},
-        'routes': {
+    return published.publish_configuration(
+        {
             f'route-{number}': _route(
                 number,
                 timeout=timeout if number in changed else _PLANNED_TIMEOUT,
             )
             for number in range(routes)
         },
-    }).encode()
+        [f'service-{number}' for number in range(_SERVICES)],
+        version=version,
+    )
 
 
 def _route(number: int, *, timeout: str) -> dict[str, object]:
@@ -45,7 +46,7 @@
     return {
         'host': f'service-{service}.example',
         'path_prefix': f'/{_name(number)}/',
-        'kind': 'idempotent' if number % 3 else 'non_idempotent',
+        'kind': 'repeat' if number % 3 else 'once',
         'timeout': timeout,
         'target_latency': '500ms',
         'priority': number % 3,
--- a/medlarquay/platform/backend_entry.py
+++ b/medlarquay/platform/backend_entry.py
@@ -4,7 +4,7 @@
 from types import MappingProxyType
 
 from medlarquay import addresses, errors, settings
-from medlarquay.platform import platform_settings
+from medlarquay.platform import platform_settings, store_body
 
 __all__ = ('translate_entry',)
 
@@ -33,7 +33,7 @@
     instance : str
         Last part of the key: the id of this run of the backend server.
     content : bytes
-        Value of the key (JSON).
+        Value of the key (CBOR).
     own : PlatformSettings
         Settings of this node: all machines of a day use the same ports, and
         the zones of all regions stand there.
@@ -58,7 +58,7 @@
     content: bytes,
     own: platform_settings.PlatformSettings,
 ) -> dict[str, object]:
-    found = json.loads(content)
+    found = store_body.decode_body(content)
     about = found['info']
     # The address of the backend server; its node has the same IP address.
     host = addresses.parse_address(found['address']).host
--- a/medlarquay/platform/operators_document.py
+++ b/medlarquay/platform/operators_document.py
@@ -5,15 +5,21 @@
 from typing import Any
 
 from medlarquay import errors, settings, states
-from medlarquay.platform import duration, route_translations
+from medlarquay.platform import (
+    column_table,
+    duration,
+    route_translations,
+    store_body,
+)
 
 __all__ = ('new_translations', 'translate_configuration')
 
 _STEP = 'translate configuration'
+# Kinds of routes as deploy/wire.toml names them.
 _MAY_REPEAT = MappingProxyType({
-    'idempotent': True,
+    'repeat': True,
     'download': True,
-    'non_idempotent': False,
+    'once': False,
 })
 _RANKS = tuple(states.Rank)
 _METHODS = tuple(method.value for method in settings.HttpMethod)
@@ -42,7 +48,7 @@
     Parameters
     ----------
     content : bytes
-        Value of the platform's configuration key (JSON).
+        Value of the platform's configuration key (CBOR); routes and services are tables.
     known : RouteTranslations or None
         Routes of the version before; takes those of this one.
 
@@ -57,7 +63,10 @@
         If a field is missing or malformed.
     """
     try:
-        return _document(json.loads(content), known or new_translations())
+        return _document(
+            store_body.decode_body(content),
+            known or new_translations(),
+        )
     except _MALFORMED as cause:
         raise errors.SourceError(
             f'malformed configuration: {cause!r}',
@@ -70,10 +79,12 @@
     known: route_translations.RouteTranslations,
 ) -> bytes:
     services = json.dumps(
-        {name: {} for name in found['services']},
+        dict.fromkeys(column_table.read_table(found['services']).rows, {}),
         separators=(',', ':'),
     )
-    routes = ','.join(known.texts_of(found['routes']))
+    routes = ','.join(
+        known.texts_of(column_table.read_table(found['routes'])),
+    )
     return f'{{"services":{services},"routes":[{routes}]}}'.encode()
 
 
--- a/medlarquay/platform/route_translations.py
+++ b/medlarquay/platform/route_translations.py
@@ -4,9 +4,11 @@
 from collections.abc import Callable
 from typing import Any
 
+from medlarquay.platform import column_table
+
 __all__ = ('RouteTranslations',)
 
-_Entry = dict[str, Any]
+_Row = list[Any]
 
 
 class RouteTranslations:
@@ -21,33 +23,34 @@
     def __init__(
         self,
         *,
-        translate: Callable[[_Entry], dict[str, object]],
+        translate: Callable[[dict[str, Any]], dict[str, object]],
     ) -> None:
         self._translate = translate
-        self._kept: dict[str, tuple[_Entry, str]] = {}
+        self._columns: list[str] = []
+        self._kept: dict[str, tuple[_Row, str]] = {}
 
-    def texts_of(self, routes: dict[str, _Entry]) -> list[str]:
+    def texts_of(self, table: column_table.ColumnTable) -> list[str]:
         """Return the routes as JSON; those that did not change are reused."""
-        found = {
-            name: (entry, self._text_of(name, entry))
-            for name, entry in routes.items()
-        }
+        kept = self._kept if table.columns == self._columns else {}
+        found = {}
+        for name, row in table.rows.items():
+            known = kept.get(name)
+            if known is None or not _is_same(known[0], row):
+                known = (row, self._text_of(table.entry(name)))
+            found[name] = known
+        self._columns = table.columns
         self._kept = found
         return [text for _, text in found.values()]
 
-    def _text_of(self, name: str, entry: _Entry) -> str:
-        kept = self._kept.get(name)
-        if kept is not None and _is_same(kept[0], entry):
-            return kept[1]
+    def _text_of(self, entry: dict[str, Any]) -> str:
         return json.dumps(self._translate(entry), separators=(',', ':'))
 
 
-def _is_same(kept: _Entry, entry: _Entry) -> bool:
+def _is_same(kept: _Row, row: _Row) -> bool:
     # 1, 1.0 and true are equal here, but not in JSON.
-    if kept != entry or _types(kept) != _types(entry):
+    if kept != row:
         return False
-    return 'split' not in entry or json.dumps(kept) == json.dumps(entry)
-
-
-def _types(entry: _Entry) -> list[type]:
-    return list(map(type, entry.values()))
+    types = list(map(type, kept))
+    if types != list(map(type, row)):
+        return False
+    return list not in types or json.dumps(kept) == json.dumps(row)
--- a/medlarquay/platform/store_client.py
+++ b/medlarquay/platform/store_client.py
@@ -1,6 +1,5 @@
 """HTTP client of the platform's store."""
 
-import json
 from collections.abc import Callable, Mapping
 from typing import Any
 from urllib import parse as urls
@@ -9,7 +8,7 @@
 from twisted.internet import defer, endpoints, interfaces
 
 from medlarquay import addresses, errors, events, ids, transport
-from medlarquay.platform import store_call
+from medlarquay.platform import store_body, store_call
 
 __all__ = ('StoreClient',)
 
@@ -92,7 +91,7 @@
         Raises
         ------
         SourceError
-            If the store does not answer in time, refuses or sends no JSON;
+            If the store does not answer in time, refuses or sends no CBOR;
             its ``status`` tells a refusal.
         """
         target = f'{path}?{urls.urlencode(query)}'
@@ -115,9 +114,9 @@
                 (self._clock() - asked_at) * _MS_PER_SECOND,
             )
         try:
-            return json.loads(answer.body)
-        except ValueError as cause:
-            raise self._error(f'{path}: answered no JSON: {cause}') from cause
+            return store_body.decode_body(answer.body)
+        except errors.SourceError as cause:
+            raise self._error(f'{path}: {cause}') from cause
 
     async def _exchange(self, target: str, timeout_s: float) -> _Result:
         deadline = self._clock() + timeout_s
--- a/medlarquay/platform/testing/platform_store.py
+++ b/medlarquay/platform/testing/platform_store.py
@@ -1,11 +1,11 @@
 """Stand-in of the platform's store."""
 
 import base64
-import json
 from collections.abc import Callable
 from typing import Any
 from urllib import parse as urls
 
+import cbor2
 from twisted.internet import interfaces
 
 from medlarquay import events, ids
@@ -168,7 +168,7 @@
             events.AnswerReady(
                 caller=caller,
                 status=status,
-                headers=((b'content-type', b'application/json'),),
-                body=json.dumps(content).encode(),
+                headers=((b'content-type', b'application/cbor'),),
+                body=cbor2.dumps(content),
             ),
         )
--- a/medlarquay/platform/testing/platform_world.py
+++ b/medlarquay/platform/testing/platform_world.py
@@ -7,15 +7,16 @@
 """
 
 import argparse
-import json
 import sys
 
+import cbor2
 from twisted.internet import reactor, stdio
 from twisted.protocols import basic
 
 from medlarquay.platform.testing import (
     platform_backend,
     platform_store,
+    published,
     store_fault,
 )
 
@@ -56,23 +57,22 @@
     def publish(self) -> None:
         """Write the next version of the configuration."""
         self._version += 1
-        routes = {
-            f'r{number}': _route(prefix, service)
-            for number, (prefix, service) in enumerate(self._routes.items())
-        }
-        content = {
-            'version': f'r{self._version}',
-            'services': {name: {} for name in _SERVICES},
-            'routes': routes,
-        }
-        self._store.put('op/config', json.dumps(content).encode())
+        content = published.publish_configuration(
+            {
+                f'r{number}': _route(prefix, service)
+                for number, (prefix, service) in enumerate(self._routes.items())
+            },
+            _SERVICES,
+            version=self._version,
+        )
+        self._store.put('op/config', content)
 
 
 def _route(prefix: str, service: str) -> dict[str, object]:
     return {
         'host': 'app.example',
         'path_prefix': prefix,
-        'kind': 'non_idempotent' if service == 'desk' else 'idempotent',
+        'kind': 'once' if service == 'desk' else 'repeat',
         'timeout': '2000ms',
         'target_latency': '200ms',
         'priority': 1,
@@ -101,7 +101,7 @@
             'info': {'service': service, 'zone': 'z', 'capacity': 2},
             'status': {'state': 'ready'},
         }
-        store.put(f'servers/{backend.instance}', json.dumps(entry).encode())
+        store.put(f'servers/{backend.instance}', cbor2.dumps(entry))
 
 
 def run() -> None:
--- /dev/null
+++ b/medlarquay/platform/testing/published.py
@@ -0,0 +1,33 @@
+"""Configurations as the platform publishes them."""
+
+from collections.abc import Iterable, Mapping
+
+import cbor2
+
+__all__ = ('publish_configuration', 'table_of')
+
+
+def publish_configuration(
+    routes: Mapping[str, Mapping[str, object]],
+    services: Iterable[str],
+    *,
+    version: int = 1,
+) -> bytes:
+    """Return a configuration as the store holds it."""
+    return cbor2.dumps({
+        'version': f'r{version}',
+        'services': table_of({name: {} for name in services}),
+        'routes': table_of(routes),
+    })
+
+
+def table_of(entries: Mapping[str, Mapping[str, object]]) -> dict[str, object]:
+    """Return entries by name as a table; fields that are missing are None."""
+    fields = dict.fromkeys(
+        field for entry in entries.values() for field in entry
+    )
+    rows = [
+        [name, *(entry.get(field) for field in fields)]
+        for name, entry in entries.items()
+    ]
+    return {'columns': ['name', *fields], 'rows': rows}
--- a/medlarquay/platform/tests/test_changed_values.py
+++ b/medlarquay/platform/tests/test_changed_values.py
@@ -1,10 +1,10 @@
 """Tests of values of which another writer changed a part."""
 
 import copy
-import json
 from types import MappingProxyType
 from typing import Any
 
+import cbor2
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -15,6 +15,7 @@
     operators_document,
     settings_file,
 )
+from medlarquay.platform.testing import published
 from medlarquay.platform.tests import test_settings_file
 
 _OWN = settings_file.parse_settings('\n'.join(test_settings_file.LINES))
@@ -31,12 +32,12 @@
 })
 _CONFIGURATION = MappingProxyType({
     'version': 'r7',
-    'services': {'desk': {}, 'portal': {}},
-    'routes': {
+    'services': published.table_of({'desk': {}, 'portal': {}}),
+    'routes': published.table_of({
         'r-1': {
             'host': 'desk.example',
             'path_prefix': '/a/',
-            'kind': 'non_idempotent',
+            'kind': 'once',
             'timeout': '0.8s',
             'target_latency': '400ms',
             'priority': 1,
@@ -46,7 +47,7 @@
                 {'service': 'portal', 'weight': 10},
             ],
         },
-    },
+    }),
 })
 _ANYTHING = strategies.recursive(
     strategies.none()
@@ -61,8 +62,8 @@
     ),
     max_leaves=4,
 )
-# Deeper than the parser of the standard library follows.
-_DEEP = b'[' * 200_000
+# Deeper than the decoder follows.
+_DEEP = b'\x81' * 200_000
 _fuzzed = hypothesis.settings(
     derandomize=True,
     deadline=None,
@@ -92,7 +93,7 @@
         inner.pop(place[-1])
     else:
         inner[place[-1]] = value
-    return json.dumps(whole).encode()
+    return cbor2.dumps(whole)
 
 
 def _accept(content: bytes) -> settings.TeamDocument:
--- a/medlarquay/platform/tests/test_store_client.py
+++ b/medlarquay/platform/tests/test_store_client.py
@@ -1,8 +1,10 @@
 """Answers of the platform's store that take long or do not come."""
 
 from collections.abc import Callable
+from types import MappingProxyType
 from typing import Any
 
+import cbor2
 import pytest
 from twisted.internet import defer, task, testing
 from twisted.python import failure
@@ -12,7 +14,8 @@
 from medlarquay.testing import memory_transport
 
 _TIMEOUT_S = 1.0
-_BODY = b'{"at":%d}' % 10**900
+_FOUND = MappingProxyType({'at': 7, 'items': ['x' * 900]})
+_BODY = cbor2.dumps(dict(_FOUND))
 _ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(_BODY) + _BODY
 _PART = _ANSWER[: len(_ANSWER) // 4]
 
@@ -50,7 +53,7 @@
     for start in range(0, len(_ANSWER), len(_PART)):
         call.pass_time(0.9)
         call.receive(_ANSWER[start : start + len(_PART)])
-    assert call.found == [{'at': 10**900}]
+    assert call.found == [dict(_FOUND)]
 
 
 def test_an_answer_that_stops_arriving_fails_the_read() -> None:
--- a/medlarquay/platform/tests/test_store_fetcher.py
+++ b/medlarquay/platform/tests/test_store_fetcher.py
@@ -5,11 +5,13 @@
 from collections.abc import Mapping
 from typing import Any
 
+import cbor2
 import pytest
 from twisted.internet import defer
 
 from medlarquay import errors, ids, replica
 from medlarquay.platform import duration, settings_file, store_fetcher
+from medlarquay.platform.testing import published
 from medlarquay.platform.tests import test_settings_file
 
 _OWN = settings_file.parse_settings('\n'.join(test_settings_file.LINES))
@@ -38,7 +40,7 @@
 
 
 def _item(key: str, content: object, revision: int = 5) -> dict[str, object]:
-    encoded = base64.b64encode(json.dumps(content).encode()).decode()
+    encoded = base64.b64encode(cbor2.dumps(content)).decode()
     return {'key': key, 'value': encoded, 'revision': revision}
 
 
@@ -188,12 +190,12 @@
     return _item(
         'op/config',
         {
-            'services': {'desk': {}},
-            'routes': {
+            'services': published.table_of({'desk': {}}),
+            'routes': published.table_of({
                 f'r-{number}': {
                     'host': 'desk.example',
                     'path_prefix': f'/{number}/',
-                    'kind': 'idempotent',
+                    'kind': 'repeat',
                     'timeout': timeout,
                     'target_latency': '400ms',
                     'priority': 1,
@@ -201,7 +203,7 @@
                     'service': 'desk',
                 }
                 for number, timeout in enumerate(timeouts)
-            },
+            }),
         },
         revision,
     )
--- a/medlarquay/platform/tests/test_store_model.py
+++ b/medlarquay/platform/tests/test_store_model.py
@@ -1,15 +1,16 @@
 """Model of configuration and membership read through the store's adapter."""
 
 import copy
-import json
 from typing import Any
 
+import cbor2
 import hypothesis
 from hypothesis import stateful, strategies
 from twisted.internet import defer
 
 from medlarquay import events, replica
 from medlarquay.platform import settings_file, store_fetcher
+from medlarquay.platform.testing import published
 from medlarquay.platform.tests import store_model, test_settings_file
 from medlarquay.tasks import source_fetcher
 
@@ -22,9 +23,9 @@
 _BAD = strategies.sampled_from((
     b'',
     b'\xff',
-    b'[' * 100_000,
-    b'{"info": {}}',
-    b'{"address": 1}',
+    b'\x81' * 100_000,
+    cbor2.dumps({'info': {}}),
+    cbor2.dumps({'address': 1}),
 ))
 
 
@@ -48,19 +49,19 @@
         route = {
             'host': 'app.example',
             'path_prefix': '/',
-            'kind': 'idempotent',
+            'kind': 'repeat',
             'timeout': '1s',
             'target_latency': '200ms',
             'priority': 0,
             'attempts': 2,
             'service': service,
         }
-        content = {
-            'version': f'r{self.store.revision}',
-            'services': {'desk': {}, 'portal': {}},
-            'routes': {'r-1': route},
-        }
-        revision = self.store.write('op/config', json.dumps(content).encode())
+        content = published.publish_configuration(
+            {'r-1': route},
+            ('desk', 'portal'),
+            version=self.store.revision,
+        )
+        revision = self.store.write('op/config', content)
         self.versions[revision] = service
 
     @stateful.rule(content=_BAD)
@@ -194,7 +195,7 @@
         }
         revision = self.store.write(
             f'servers/{name}',
-            json.dumps(content).encode(),
+            cbor2.dumps(content),
         )
         self.entries[revision] = (name, service)
 
--- a/medlarquay/platform/tests/test_translation.py
+++ b/medlarquay/platform/tests/test_translation.py
@@ -4,6 +4,7 @@
 import json
 from types import MappingProxyType
 
+import cbor2
 import hypothesis
 import pytest
 from hypothesis import strategies
@@ -15,13 +16,15 @@
     operators_document,
     settings_file,
 )
+from medlarquay.platform.testing import published
 from medlarquay.platform.tests import test_settings_file
 
 _OWN = settings_file.parse_settings('\n'.join(test_settings_file.LINES))
+_TABLE = MappingProxyType({'columns': ['name'], 'rows': []})
 _ROUTE = MappingProxyType({
     'host': 'Desk.example',
     'path_prefix': '/a/',
-    'kind': 'non_idempotent',
+    'kind': 'once',
     'timeout': '0.8s',
     'target_latency': '400ms',
     'priority': 1,
@@ -41,13 +44,11 @@
 
 
 def _translate(**changes: object) -> settings.TeamDocument:
-    content = {
-        'version': 'r7',
-        'services': {'desk': {}, 'portal': {}},
-        'routes': {'r-1': {**_ROUTE, **changes}},
-    }
     document = operators_document.translate_configuration(
-        json.dumps(content).encode(),
+        published.publish_configuration(
+            {'r-1': {**_ROUTE, **changes}},
+            ('desk', 'portal'),
+        ),
     )
     return settings.parse_document(
         team=ids.TeamName(settings.SHARED_TEAM),
@@ -64,7 +65,7 @@
     assert route.rank is states.Rank.NORMAL
 
 
-@pytest.mark.parametrize('kind', ['idempotent', 'download'])
+@pytest.mark.parametrize('kind', ['repeat', 'download'])
 def test_any_method_of_a_repeatable_kind_may_be_repeated(kind: str) -> None:
     """Guards against a repetition that follows from the method."""
     methods = _translate(kind=kind).routes[0].idempotent_methods
@@ -88,10 +89,12 @@
     'content',
     [
         b'',
-        b'[]',
-        b'{"services": {}}',
-        b'{"services": {}, "routes": {"r": 1}}',
-        b'{"services": {}, "routes": {"r": {"host": 1}}}',
+        b'{}',
+        cbor2.dumps([]),
+        cbor2.dumps({'services': dict(_TABLE)}),
+        cbor2.dumps({'services': dict(_TABLE), 'routes': {'r': 1}}),
+        cbor2.dumps({'services': dict(_TABLE), 'routes': {'r': {'host': 1}}}),
+        published.publish_configuration({'r': {'host': 1}}, ()),
     ],
 )
 def test_a_malformed_configuration_is_a_typed_error(content: bytes) -> None:
@@ -103,7 +106,7 @@
 def _entry(content: object) -> replica.InstanceRecord:
     translated = backend_entry.translate_entry(
         'i-1',
-        json.dumps(content).encode(),
+        cbor2.dumps(content),
         own=_OWN,
     )
     return replica.parse_instance(
@@ -144,17 +147,18 @@
         _entry(changed)
 
 
-_JSON = strategies.recursive(
+_VALUES = strategies.recursive(
     strategies.none()
     | strategies.booleans()
     | strategies.integers()
     | strategies.floats()
-    | strategies.text(),
+    | strategies.text()
+    | strategies.binary(),
     lambda inner: (
         strategies.lists(inner)
         | strategies.dictionaries(
             strategies.sampled_from(
-                ['address', 'info', 'status', 'routes', 'services', 'host'],
+                ['address', 'info', 'status', 'routes', 'services', 'rows'],
             ),
             inner,
         )
@@ -164,7 +168,7 @@
 
 
 @hypothesis.settings(derandomize=True, deadline=None)
-@hypothesis.given(strategies.binary() | _JSON.map(json.dumps).map(str.encode))
+@hypothesis.given(strategies.binary() | _VALUES.map(cbor2.dumps))
 def test_any_value_is_translated_or_refused(content: bytes) -> None:
     """Guards against an error of another type, which ends the read."""
     with contextlib.suppress(errors.SourceError):
@@ -213,10 +217,10 @@
     """Guards against a malformed field that an earlier version hides."""
     known = operators_document.new_translations()
     for found in (first, second):
-        content = json.dumps({
-            'services': {'desk': {}},
-            'routes': {'r-1': {**_ROUTE, field: found}},
-        }).encode()
+        content = published.publish_configuration(
+            {'r-1': {**_ROUTE, field: found}},
+            ('desk',),
+        )
         translated = operators_document.translate_configuration(
             content,
             known=known,
