Tell unknown when an attempt may have run before a refusal

A caller was told 429 or 503 with outcome not-run for an idempotent request that had run: the first attempt was lost after it was sent, the second one was refused, and the refusal of the last attempt was passed on as if it spoke for both.

The router remembers whether an attempt may have run (its fate is unknown or its backend server answered with a failure) and then tells 502 unknown with the reason of the refusal. An attempt that the backend server shed has not run and changes nothing.

Evidence: test_a_refusal_after_a_lost_attempt_is_unknown failed before.

--- a/medlarquay/ingress/ingress_call.py
+++ b/medlarquay/ingress/ingress_call.py
@@ -44,6 +44,8 @@
         Snapshot by which the owner was chosen.
     sends : int
         Attempts that a backend server may have seen.
+    may_have_run : bool
+        Whether an attempt that failed may have run.
     tried : tuple of InstanceId
         Owners of all attempts, the current one last.
     """
@@ -61,6 +63,7 @@
     sent_at: float = 0
     generation: int = 0
     sends: int = 0
+    may_have_run: bool = False
     tried: tuple[ids.InstanceId, ...] = ()
 
     @property
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -198,6 +198,8 @@
         now = self.clock()
         if not routing.is_unsent(failure):
             call.sends += 1
+        if not isinstance(failure, messages.CallRefused):
+            call.may_have_run = True
         other = routing.choose(
             routing.AnyOwnerWanted(
                 candidates=self.table.candidates(call.service),
@@ -243,7 +245,13 @@
         final: bool,
         link_wait: float = 0,
     ) -> None:
-        """Tell the caller of a call that it was not run."""
+        """Tell the caller of a call that its last attempt was refused.
+
+        It is told not run unless an earlier attempt may have run.
+        """
+        if call.may_have_run:
+            self.tell_unknown(call, reason)
+            return
         unreachable = reason is states.RefusalReason.OWNER_UNREACHABLE
         if unreachable and isinstance(call.parameters.key, keys.BoundKey):
             reason = states.RefusalReason.KEY_HOME_LOST
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -121,6 +121,45 @@
     assert counts[states.RetryDenial.NO_OTHER_BACKEND] == 8
 
 
+@pytest.mark.parametrize('failed', [False, True])
+def test_a_refusal_after_a_lost_attempt_is_unknown(
+    bench: ingress_bench.IngressBench,
+    failed: bool,  # noqa: FBT001
+) -> None:
+    """Guards against a request that is told not run and has run."""
+    bench.request(1)
+    first = ingress_bench.only(bench.sent())
+    if failed:
+        bench.router.post(
+            messages.CallAnswered(
+                call_id=first.request.call_id,
+                status=500,
+                headers=(),
+                body=b'',
+            ),
+        )
+    else:
+        bench.lose(first.request.call_id)
+    second = ingress_bench.only(bench.sent())
+    bench.refuse(second.request.call_id, states.RefusalReason.LINK_FULL)
+    found = bench.fields()
+    assert (found['status'], found['outcome']) == ('502', 'unknown')
+    assert found['reason'] == 'link_full'
+
+
+def test_a_refusal_after_a_shed_attempt_is_not_run(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a refused request whose caller is left in doubt."""
+    bench.request(1)
+    first = ingress_bench.only(bench.sent())
+    bench.refuse(first.request.call_id, states.RefusalReason.SHED)
+    second = ingress_bench.only(bench.sent())
+    bench.refuse(second.request.call_id, states.RefusalReason.LINK_FULL)
+    found = bench.fields()
+    assert (found['status'], found['outcome']) == ('429', 'not-run')
+
+
 def test_a_final_answer_is_obeyed_and_passed_on(
     bench: ingress_bench.IngressBench,
 ) -> None:
