--- a/medlarquay/platform/tests/test_store_client.py
+++ b/medlarquay/platform/tests/test_store_client.py
@@ -83,7 +83,7 @@
     # The answer came during the pause and is read after the timers.
     call.receive(_ANSWER[len(_PART) * begun :])
     assert not call.failed
-    assert call.found == [{'at': 10**900}]
+    assert call.found == [dict(_FOUND)]
 
 
 def test_an_answer_that_arrives_without_end_fails_the_read() -> None:
