Leave an owner that does not answer a probe

Cause: nothing but the expiry of three calls showed that an owner was silent. A link was probed after 1 s and closed when a call on it expired, by each of 85 ingresses for itself, while requests expire after 1.2 s.

Change: a link on which nothing is heard for 0.25 s with a call waiting is probed. After 0.35 s without an answer the owner is passed over until it is heard or its link is closed, and idempotent calls that wait there are sent to another owner as far as the retry budget allows (`owner_silent`). Calls that must not run twice wait on. A cut-off link without calls is closed at once; the time after which a link counts as cut off is 2 s as before.

Evidence: test_a_call_at_a_silent_owner_is_sent_to_another, test_a_silent_owner_is_passed_over_until_it_is_heard, test_an_owner_without_power_is_told_of_within_a_second and test_a_silent_link_without_calls_is_closed need the new events and fail without them.

--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -29,7 +29,9 @@
 from medlarquay.events.parent_chosen import ParentChosen
 from medlarquay.events.parent_lost import ParentLost
 from medlarquay.events.peer_greeted import PeerGreeted
+from medlarquay.events.peer_heard import PeerHeard
 from medlarquay.events.peer_lost import PeerLost
+from medlarquay.events.peer_silent import PeerSilent
 from medlarquay.events.peer_version import PeerVersion
 from medlarquay.events.queue_frame import QueueFrame
 from medlarquay.events.reading_chosen import ReadingChosen
@@ -61,7 +63,9 @@
     'BytesSent',
     'WithdrawFrame',
     'QueueFrame',
+    'PeerHeard',
     'PeerLost',
+    'PeerSilent',
     'PeerGreeted',
     'OpenLink',
     'CallExpired',
--- /dev/null
+++ b/medlarquay/events/peer_silent.py
@@ -0,0 +1,20 @@
+"""A node does not answer a probe on its call link."""
+
+import dataclasses
+
+from medlarquay import ids
+
+__all__ = ('PeerSilent',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class PeerSilent:
+    """A node does not answer a probe on its call link.
+
+    Attributes
+    ----------
+    instance : ids.InstanceId
+        Instance.
+    """
+
+    instance: ids.InstanceId
--- a/medlarquay/routing/observation.py
+++ b/medlarquay/routing/observation.py
@@ -41,6 +41,9 @@
         Ejections since the last answer.
     ejected_until : float
         End of the ejection, seconds on the monotonic clock.
+    silent_until : float
+        Time until which its node counts as silent, seconds on the monotonic
+        clock.
     full_until : float
         Time until which a refusal for load counts as a lack of capacity,
         seconds on the monotonic clock.
@@ -59,9 +62,15 @@
     failures: int = 0
     ejections: int = 0
     ejected_until: float = 0
+    silent_until: float = 0
     full_until: float = 0
     draining_until: float = 0
 
+    @property
+    def avoided_until(self) -> float:
+        """End of the ejection or of the silence, whichever is later."""
+        return max(self.ejected_until, self.silent_until)
+
     def failing_share(self, now: float) -> float:
         """Return the share of calls that fail; it fades without news."""
         faded = math.exp((self.failing_at - now) / _FADE_S)
--- a/medlarquay/routing/observations.py
+++ b/medlarquay/routing/observations.py
@@ -17,7 +17,8 @@
     by_instance : dict of InstanceId to Observation
         Observations of instances that a call was sent to.
     ejected_until : float
-        End of the latest ejection, seconds on the monotonic clock; spares
+        End of the latest ejection or silence, seconds on the monotonic
+        clock; spares
         the count of ejected servers while there are none.
     large_routes : set of RouteName
         Routes whose last answer was large.
--- a/medlarquay/routing/observe.py
+++ b/medlarquay/routing/observe.py
@@ -56,7 +56,7 @@
     Parameters
     ----------
     event : CallSent, AnswerObserved, RefusalObserved, LossObserved, \
-CallWithdrawn, Draining, PeerGreeted, PeerLost or Tick
+CallWithdrawn, Draining, PeerGreeted, PeerSilent, PeerHeard, PeerLost or Tick
         What happened.
     state : Observations
         Updated in place.
@@ -187,9 +187,31 @@
     found = state.by_instance.get(event.instance)
     if found is not None:
         found.load = None
+        found.silent_until = 0
         found.draining_until = min(found.draining_until, now + _RESTART_S)
 
 
+@observe.register
+def _silent(
+    event: events.PeerSilent,
+    state: observations.Observations,
+    now: float,
+) -> None:
+    found = state.of(event.instance)
+    # It ends when the node is heard or its link is closed.
+    found.silent_until = now + _LONGEST_EJECTION_S
+    state.ejected_until = max(state.ejected_until, found.silent_until)
+
+
+@observe.register
+def _heard(
+    event: events.PeerHeard,
+    state: observations.Observations,
+    now: float,
+) -> None:
+    state.of(event.instance).silent_until = 0
+
+
 @observe.register
 def _ticked(
     event: events.Tick,
--- a/medlarquay/routing/pick.py
+++ b/medlarquay/routing/pick.py
@@ -79,7 +79,7 @@
     seen = state.observations.by_instance
     live = wanted.candidates.live
     ejected = sum(
-        seen[instance].ejected_until > now
+        seen[instance].avoided_until > now
         for instance in live
         if instance in seen
     )
@@ -112,7 +112,7 @@
 ) -> bool:
     if found is None:
         return True
-    return found.draining_until <= now and found.ejected_until <= ejected_after
+    return found.draining_until <= now and found.avoided_until <= ejected_after
 
 
 def _pick_in_zone(
--- a/medlarquay/states/retry_reason.py
+++ b/medlarquay/states/retry_reason.py
@@ -15,4 +15,5 @@
     REFUSED_NOT_READY = 'refused_not_ready'
     REFUSED_NOT_HOME = 'refused_not_home'
     OUTCOME_UNKNOWN = 'outcome_unknown'
+    OWNER_SILENT = 'owner_silent'
     ANSWERED_FAILURE = 'answered_failure'
--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -8,8 +8,13 @@
 __all__ = ('OutgoingLink',)
 
 # A link on which nothing was heard for this long, while a call waits, is
-# probed; a probe that is not answered for this long shows that it is cut off.
-_SILENCE_S = 1
+# probed. The other side answers at once, in 60 ms from another region.
+_PROBE_AFTER_S = 0.25
+# After a probe that is not answered for this long other owners go first;
+# long turns of the event loop there and a slow link stay below it.
+_SILENT_AFTER_S = 0.35
+# After this long the link is taken for cut off.
+_CUT_OFF_AFTER_S = 1.75
 # A link that was not greeted for this long leads to a process that is paused
 # or cut off; one of these seconds is for the connection.
 _GREETING_S = 2
@@ -41,6 +46,8 @@
         part of a frame.
     probed_at : float
         Time of the last probe.
+    silent : bool
+        Whether the router was told that a probe is not answered.
 
     Notes
     -----
@@ -57,6 +64,7 @@
     sent: dict[ids.CallId, float] = dataclasses.field(default_factory=dict)
     heard_at: float = 0
     probed_at: float = -math.inf
+    silent: bool = False
 
     def take_waiting(self, call_id: ids.CallId) -> events.SendCall | None:
         """Remove and return a call that waits for the link."""
@@ -78,18 +86,31 @@
         Silence alone proves nothing: large answers wait at their owner until
         its machine has sent those before them.
         """
-        silent_since = now - _SILENCE_S
+        if self.link is None or self._is_probed:
+            return
         oldest = min(self.sent.values(), default=math.inf)
-        heard = max(oldest, self.heard_at) > silent_since
-        if self.link is not None and not heard and not self._is_probed:
+        if max(oldest, self.heard_at) <= now - _PROBE_AFTER_S:
             self.probed_at = now
             self.link.ping()
 
+    def becomes_silent(self, now: float) -> bool:
+        """Tell once that a probe was not answered for some time."""
+        due = self._is_probed and self.probed_at <= now - _SILENT_AFTER_S
+        found = due and not self.silent
+        self.silent = self.silent or due
+        return found
+
+    def becomes_heard(self) -> bool:
+        """Tell once that the other side sends again."""
+        found = self.silent
+        self.silent = False
+        return found
+
     def is_cut_off(self, now: float) -> bool:
         """Tell whether a probe or the opening had no answer for too long."""
         if self.link is None:
             return self.heard_at <= now - _GREETING_S
-        return self._is_probed and self.probed_at <= now - _SILENCE_S
+        return self._is_probed and self.probed_at <= now - _CUT_OFF_AFTER_S
 
     @property
     def _is_probed(self) -> bool:
--- /dev/null
+++ b/medlarquay/tasks/peer_links_handle.py
@@ -0,0 +1,146 @@
+"""Handlers of the messages to the task of call links."""
+
+import functools
+
+from medlarquay import events, messages, states
+from medlarquay.tasks import outgoing_link, peer_links_base
+
+__all__ = ('handle',)
+
+
+@functools.singledispatch
+def handle(message: object, links: peer_links_base.PeerLinksBase) -> None:
+    """Handle one message to the task of call links.
+
+    Raises
+    ------
+    TypeError
+        If the type of the message is unknown.
+    """
+    raise TypeError(f'unexpected message {type(message).__name__}')
+
+
+@handle.register
+def _send_call(
+    message: events.SendCall, links: peer_links_base.PeerLinksBase
+) -> None:
+    outgoing = links.link_to(message)
+    if outgoing.link is None:
+        outgoing.waiting.append(message)
+    else:
+        links.write_call(outgoing, message)
+
+
+@handle.register
+def _send_cancel(
+    message: events.SendCancel, links: peer_links_base.PeerLinksBase
+) -> None:
+    outgoing = links.outgoing.get(message.instance)
+    if outgoing is None or _cancel_unsent(message, outgoing, links):
+        return
+    if outgoing.link is None or message.call_id not in outgoing.sent:
+        return
+    cancel = messages.CallCancel(call_id=message.call_id)
+    links.writer.send(outgoing.number, cancel)
+    if message.expired:
+        links.abort_if_silent(outgoing)
+    outgoing.sent.pop(message.call_id, None)
+
+
+def _cancel_unsent(
+    message: events.SendCancel,
+    outgoing: outgoing_link.OutgoingLink,
+    links: peer_links_base.PeerLinksBase,
+) -> bool:
+    """Cancel a call that no owner can have run, if it is one."""
+    reason = states.RefusalReason.DEADLINE_PASSED
+    call = links.leaving.pop(outgoing.number, message.call_id)
+    if call is None:
+        reason = states.RefusalReason.OWNER_UNREACHABLE
+        call = outgoing.take_waiting(message.call_id)
+    else:
+        links.writer.withdraw(outgoing.number, message.call_id)
+    if call is not None and message.expired:
+        links.refuse(call, reason)
+    return call is not None
+
+
+@handle.register
+def _tick(message: events.Tick, links: peer_links_base.PeerLinksBase) -> None:
+    links.probe_links()
+
+
+@handle.register
+def _open_link(
+    message: events.OpenLink, links: peer_links_base.PeerLinksBase
+) -> None:
+    links.link_to(message)
+
+
+@handle.register
+def _send_reply(
+    message: events.SendReply, links: peer_links_base.PeerLinksBase
+) -> None:
+    links.reply(message)
+
+
+@handle.register
+def _write_fragment(
+    message: events.WriteFragment, links: peer_links_base.PeerLinksBase
+) -> None:
+    links.writer.write(message)
+    if message.kind is states.FragmentKind.LAST:
+        links.note_sent(message.link, message.call_id)
+        links.closing.go_on(message.link)
+
+
+@handle.register
+def _dropped(
+    message: events.FrameDropped, links: peer_links_base.PeerLinksBase
+) -> None:
+    links.writer.drop(message)
+    reason = states.RefusalReason.DEADLINE_PASSED
+    if message.link in links.incoming:
+        links.writer.send_call(
+            message.link,
+            messages.CallUnknown(call_id=message.call_id, reason=reason),
+        )
+        links.closing.go_on(message.link)
+        return
+    call = links.leaving.pop(message.link, message.call_id)
+    if call is not None:
+        links.refuse(call, reason)
+
+
+@handle.register
+def _send_notice(
+    message: events.SendNotice, links: peer_links_base.PeerLinksBase
+) -> None:
+    outgoing = links.link_to(message)
+    if outgoing.link is None:
+        outgoing.notices.append(message.message)
+    else:
+        links.writer.send(outgoing.number, message.message)
+
+
+@handle.register
+def _broadcast(
+    message: events.BroadcastReply, links: peer_links_base.PeerLinksBase
+) -> None:
+    for number in tuple(links.incoming):
+        links.writer.send(number, message.message)
+
+
+@handle.register
+def _drain(
+    message: events.DrainRequested, links: peer_links_base.PeerLinksBase
+) -> None:
+    """Keep the links: calls under way need them for their answers."""
+
+
+@handle.register
+def _changed(
+    message: events.LifecycleChanged, links: peer_links_base.PeerLinksBase
+) -> None:
+    if message.state is states.NodeState.FLUSHING:
+        links.closing.start(links.incoming)
--- /dev/null
+++ b/medlarquay/tasks/router_attempts.py
@@ -0,0 +1,160 @@
+"""Attempts of the router to have a call answered."""
+
+from medlarquay import ingress, messages, replica, routing, states
+from medlarquay.tasks import router_answers, router_base
+
+__all__ = ('attempt', 'fail', 'leave_silent')
+
+# An owner that is not the last to be asked refuses what it cannot answer when
+# due; each further one costs a round trip.
+_OWNERS_ASKED = 3
+
+_Failure = messages.CallRefused | messages.CallUnknown | messages.CallAnswered
+_Choice = routing.OwnerChosen | routing.ChoiceRefused
+
+
+def attempt(call: ingress.IngressCall, router: router_base.RouterBase) -> None:
+    """Choose an owner and send it the call."""
+    now = router.clock()
+    wanted = ingress.wanted_owner(
+        call.parameters.key,
+        call,
+        router.table,
+        router.incarnations,
+    )
+    found = routing.choose(wanted, router.chooser, now)
+    if isinstance(found, routing.ChoiceRefused):
+        router_answers.tell_refusal(call, found.reason, router, final=False)
+        return
+    _send(call, found.backend, router)
+
+
+def _send(
+    call: ingress.IngressCall,
+    backend: replica.InstanceRecord,
+    router: router_base.RouterBase,
+) -> None:
+    """Send a call to the owner of a backend server."""
+    now = router.clock()
+    call.instance = backend.instance
+    call.node = backend.node_name
+    call.tried = (*call.tried, call.instance)
+    call.generation = router.table.generation
+    call.sent_at = now
+    router.calls.add(call)
+    router.observe(routing.CallSent(instance=call.instance))
+    if router.alarm is not None:
+        router.alarm.wake_at(call.deadline)
+    live = len(router.table.candidates(call.service).live)
+    last = len(call.tried) >= min(live, _OWNERS_ASKED)
+    request = ingress.call_request(
+        call,
+        router.front,
+        last=last,
+        round_trip_s=routing.ROUND_TRIP_S[router.table.zone_of(backend)],
+    )
+    router.sender.send(backend, request)
+
+
+def fail(
+    call: ingress.IngressCall, failure: _Failure, router: router_base.RouterBase
+) -> None:
+    """Attempt a failed call again, or tell its caller."""
+    if not routing.is_unsent(failure):
+        call.sends += 1
+    if not isinstance(failure, messages.CallRefused):
+        call.may_have_run = True
+    other = _choose_other(call, router)
+    decision = _decide_retry(call, failure, other, router)
+    if isinstance(decision, routing.RetryDenied):
+        router.reporter.retried(call, decision.denial)
+        router_answers.give_up(failure, call, router)
+        return
+    router.reporter.retried(call, decision.reason)
+    if isinstance(other, routing.OwnerChosen):
+        _send(call, other.backend, router)
+    else:
+        attempt(call, router)
+
+
+def leave_silent(
+    call: ingress.IngressCall, router: router_base.RouterBase
+) -> None:
+    """Send a call to another owner if a retry is granted.
+
+    It waits on otherwise: its owner may only be slow.
+    """
+    failure = messages.CallUnknown(
+        call_id=call.call_id,
+        reason=states.RefusalReason.OWNER_LOST,
+    )
+    other = _choose_other(call, router)
+    decision = _decide_retry(call, failure, other, router)
+    granted = isinstance(decision, routing.RetryGranted)
+    if not granted or not isinstance(other, routing.OwnerChosen):
+        return
+    router.calls.finish(call.call_id)
+    router.observe(routing.CallWithdrawn(instance=call.instance))
+    router.sender.cancel(call.node, call.call_id)
+    call.sends += 1
+    call.may_have_run = True
+    router.reporter.retried(call, states.RetryReason.OWNER_SILENT)
+    _send(call, other.backend, router)
+
+
+def _choose_other(
+    call: ingress.IngressCall, router: router_base.RouterBase
+) -> _Choice:
+    return routing.choose(
+        routing.AnyOwnerWanted(
+            candidates=router.table.candidates(call.service),
+            excluded=call.tried,
+            due=call.parameters.due,
+            route=call.route.name,
+        ),
+        router.chooser,
+        router.clock(),
+    )
+
+
+def _decide_retry(
+    call: ingress.IngressCall,
+    failure: _Failure,
+    other: _Choice,
+    router: router_base.RouterBase,
+) -> routing.RetryGranted | routing.RetryDenied:
+    now = router.clock()
+    return routing.decide_retry(
+        failure,
+        _tried(call, other, now, router),
+        router.chooser.budgets.of(call.service),
+        now,
+    )
+
+
+def _tried(
+    call: ingress.IngressCall,
+    other: _Choice,
+    now: float,
+    router: router_base.RouterBase,
+) -> routing.Attempt:
+    return routing.Attempt(
+        idempotent=call.parameters.idempotent,
+        keyed=call.parameters.key is not None,
+        retries=len(call.tried) - 1,
+        deadline=call.parameters.deadline,
+        expected_time=(
+            routing.expected_time(
+                other.backend,
+                router.chooser,
+                now,
+                route=call.route.name,
+            )
+            if isinstance(other, routing.OwnerChosen)
+            else 0
+        ),
+        other_backend=isinstance(other, routing.OwnerChosen),
+        newer_snapshot=router.table.generation > call.generation,
+        sends=call.sends,
+        max_sends=call.route.parameters.attempts,
+    )
--- /dev/null
+++ b/medlarquay/tasks/router_handle.py
@@ -0,0 +1,217 @@
+"""Handlers of the messages to the router."""
+
+import functools
+
+from medlarquay import events, ingress, messages, routing, states
+from medlarquay.tasks import router_answers, router_attempts, router_base
+
+__all__ = ('handle',)
+
+# The caller set the deadline, so its passing says nothing about the owner.
+_NOT_A_FAULT = frozenset((
+    states.RefusalReason.DEADLINE_PASSED,
+    states.RefusalReason.CANCELLED,
+))
+
+
+@functools.singledispatch
+def handle(message: object, router: router_base.RouterBase) -> None:
+    """Handle one message to the router.
+
+    Raises
+    ------
+    TypeError
+        If the type of the message is unknown.
+    """
+    raise TypeError(f'unexpected message {type(message).__name__}')
+
+
+@handle.register
+def _replaced(
+    message: events.SnapshotReplaced, router: router_base.RouterBase
+) -> None:
+    router.table.replace(message.snapshot)
+    router.chooser.turns.keep_only(message.snapshot)
+    router.chooser.budgets.keep_only(message.snapshot)
+    router.chooser.observations.forget_except(router.table.instances())
+    router.wake()
+
+
+@handle.register
+def _rejected(
+    message: events.RequestRejected, router: router_base.RouterBase
+) -> None:
+    router_answers.refuse_request(message, message.reason, router)
+
+
+@handle.register
+def _received(
+    message: events.RequestReceived, router: router_base.RouterBase
+) -> None:
+    now = router.clock()
+    if router.draining and now >= router.drain.refuse_at:
+        router_answers.refuse_request(
+            message, states.RefusalReason.DRAINING, router
+        )
+        return
+    opened = ingress.open_call(message, router.table, router.chooser.turns, now)
+    if isinstance(opened, routing.ChoiceRefused):
+        router_answers.refuse_request(message, opened.reason, router)
+    elif isinstance(opened, ingress.KeyWanted):
+        router.key_issuer.request(opened, router.chooser, now)
+    else:
+        opened.request_id = router.request_id(message)
+        if router.draining:
+            opened.end_by(router.drain.answer_by)
+        router.chooser.budgets.of(opened.service).count_first_attempt()
+        router_attempts.attempt(opened, router)
+
+
+@handle.register
+def _gone(message: events.CallerGone, router: router_base.RouterBase) -> None:
+    router.incarnations.withdraw(message.caller)
+    call = router.calls.finish_caller(message.caller)
+    if call is not None:
+        router.reporter.unanswered(call, states.Unanswered.CALLER_GONE)
+        router.observe(routing.CallWithdrawn(instance=call.instance))
+        router.sender.cancel(call.node, call.call_id)
+
+
+@handle.register
+def _answered(
+    message: messages.CallAnswered, router: router_base.RouterBase
+) -> None:
+    call = router.finish(message.call_id)
+    if call is None:
+        return
+    router.observe(
+        routing.AnswerObserved(
+            instance=call.instance,
+            latency=router.clock() - call.sent_at,
+            load=message.load,
+            failed=message.failed,
+            route=call.route.name,
+            large=message.large,
+        ),
+    )
+    if message.failed and call.parameters.idempotent:
+        router_attempts.fail(call, message, router)
+    else:
+        router_answers.tell_answer(call, message, router)
+
+
+@handle.register
+def _refused(
+    message: messages.CallRefused, router: router_base.RouterBase
+) -> None:
+    call = router.finish(message.call_id)
+    if call is None:
+        return
+    router.observe(
+        routing.RefusalObserved(
+            instance=call.instance,
+            reason=message.reason,
+            load=message.load,
+        ),
+    )
+    router_attempts.fail(call, message, router)
+
+
+@handle.register
+def _unknown(
+    message: messages.CallUnknown, router: router_base.RouterBase
+) -> None:
+    call = router.finish(message.call_id)
+    if call is None:
+        return
+    if message.reason in _NOT_A_FAULT:
+        router.observe(routing.CallWithdrawn(instance=call.instance))
+    else:
+        router.observe(routing.LossObserved(instance=call.instance))
+    router_attempts.fail(call, message, router)
+
+
+@handle.register
+def _expired(
+    message: events.CallExpired, router: router_base.RouterBase
+) -> None:
+    call = router.calls.finish(message.call_id)
+    if call is not None:
+        router.observe(routing.LossObserved(instance=call.instance))
+        reason = states.RefusalReason.DEADLINE_PASSED
+        if router.clock() >= router.drain.answer_by:
+            reason = states.RefusalReason.DRAINING
+        router_answers.tell_unknown(call, reason, router)
+
+
+@handle.register
+def _ticked(message: events.Tick, router: router_base.RouterBase) -> None:
+    router.observe(message)
+    for call in router.calls.expired(message.now):
+        # A call that was not sent yet is refused before it expires below.
+        router.sender.cancel(call.node, call.call_id, expired=True)
+        router.post(events.CallExpired(call_id=call.call_id))
+    router.key_issuer.expire(message.now)
+    router.wake()
+
+
+@handle.register
+def _greeted(
+    message: events.PeerGreeted, router: router_base.RouterBase
+) -> None:
+    router.observe_node(message)
+    router.key_issuer.greet(message)
+
+
+@handle.register
+def _peer_silent(
+    message: events.PeerSilent, router: router_base.RouterBase
+) -> None:
+    router.observe_node(message)
+    for call in router.calls:
+        if call.node == message.instance:
+            router_attempts.leave_silent(call, router)
+
+
+@handle.register
+def _peer_heard(
+    message: events.PeerHeard, router: router_base.RouterBase
+) -> None:
+    router.observe_node(message)
+
+
+@handle.register
+def _peer_lost(
+    message: events.PeerLost, router: router_base.RouterBase
+) -> None:
+    router.observe_node(message)
+    router.key_issuer.lose(message, router.chooser)
+
+
+@handle.register
+def _peer_drains(
+    message: messages.Draining, router: router_base.RouterBase
+) -> None:
+    router.observe_node(message)
+
+
+@handle.register
+def _state_changed(
+    message: events.LifecycleChanged, router: router_base.RouterBase
+) -> None:
+    if message.state is not states.NodeState.STOPPED:
+        return
+    # The process ends with these calls open, so nothing else tells of them.
+    for call in router.calls:
+        router.calls.finish(call.call_id)
+        router.reporter.unanswered(call, states.Unanswered.NODE_STOPPED)
+
+
+@handle.register
+def _drain(
+    message: events.DrainRequested, router: router_base.RouterBase
+) -> None:
+    router.draining = True
+    router.drain = message
+    router.calls.end_by(message.answer_by)
+    router.wake()
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -551,3 +551,54 @@
     sent = source.transport.value()
     source.transport.clear()
     target.dataReceived(sent)
+
+
+def _signs(bench: _Bench) -> list[object]:
+    kinds = (events.PeerSilent, events.PeerHeard)
+    return [
+        message for message in bench.router.take() if isinstance(message, kinds)
+    ]
+
+
+def test_an_owner_without_power_is_told_of_within_a_second(
+    bench: _Bench,
+) -> None:
+    """Guards against calls sent for seconds to a machine without power."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    bench.pass_time(1)
+    silent = events.PeerSilent(instance=ids.InstanceId('a1'))
+    assert _signs(bench) == [silent]
+    bench.pump(far)
+    heard = events.PeerHeard(instance=ids.InstanceId('a1'))
+    assert _signs(bench) == [heard]
+
+
+def test_an_owner_that_answers_probes_is_not_silent(bench: _Bench) -> None:
+    """Guards against calls taken from an owner that is only busy."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    for _ in range(40):
+        bench.pump(far)
+        bench.pass_time(0.1)
+    assert not _signs(bench)
+
+
+def test_a_silent_link_without_calls_is_closed(bench: _Bench) -> None:
+    """Guards against a link that is cut off and used for the next call."""
+    bench.call('a1', 1)
+    bench.connect()
+    bench.pump(_Far(bench, 'a1'))
+    bench.pass_time(1)
+    bench.links.post(
+        events.SendCancel(
+            instance=ids.InstanceId('a1'),
+            call_id=ids.CallId(1),
+        ),
+    )
+    assert not bench.wires[0].disconnecting
+    bench.pass_time(1.5)
+    assert bench.wires[0].disconnecting
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -567,3 +567,52 @@
     bench.answer(sent.request.call_id, body=b'x' * 90_000)
     assert ingress_bench.only(bench.told()).status == 200
     assert not bench.owner.take()
+
+
+def _silent(bench: ingress_bench.IngressBench, node: ids.InstanceId) -> None:
+    bench.router.post(events.PeerSilent(instance=node))
+
+
+def test_a_call_at_a_silent_owner_is_sent_to_another(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against callers that wait for a machine without power."""
+    bench.request(1, b'GET')
+    first = ingress_bench.only(bench.sent())
+    _silent(bench, first.instance)
+    cancel, second = bench.links.take()
+    assert cancel == events.SendCancel(
+        instance=first.instance,
+        call_id=first.request.call_id,
+    )
+    assert second.instance != first.instance
+    bench.answer(first.request.call_id, b'late')
+    assert not bench.told()
+    bench.answer(second.request.call_id)
+    assert bench.fields()['outcome'] == 'run'
+    denied = states.DroppedMessage.NO_CALL_AT_INGRESS
+    assert bench.counters.counts[denied] == 1
+
+
+def test_a_post_at_a_silent_owner_waits(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against a post that runs twice because its owner was slow."""
+    call = bench.send(1)
+    _silent(bench, call.instance)
+    assert not bench.links.take()
+    bench.answer(call.request.call_id)
+    assert bench.fields()['outcome'] == 'run'
+
+
+def test_a_silent_owner_is_passed_over_until_it_is_heard(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against one lost call after another at a machine without power."""
+    silent = bench.send(0).instance
+    _silent(bench, silent)
+    chosen = {bench.send(caller).instance for caller in range(1, 20)}
+    assert silent not in chosen
+    bench.router.post(events.PeerHeard(instance=silent))
+    chosen = {bench.send(caller).instance for caller in range(20, 60)}
+    assert silent in chosen
