Answer the requests that a closing caller connection cuts off

Faults as callers see them: at a stop, a request whose header or body is still arriving ends with its connection, without an answer or a line. An answer that ends a connection may be reset when further requests of the caller wait unread in the socket, or when the caller needs more than 2 s to take it after a refusal.

Cause: the connection was closed at once when no whole request was under way; only refused requests were read on before the close, and then for 2 s whatever was still unsent. A timer for the request held the end of these 2 s back, up to 30 s.

Change: a stop refuses a partial request as draining, 503, which proves it not run. A connection with pipelined requests is read on like a refused one before it is closed, and one whose answer is still leaving is kept.

--- a/medlarquay/tasks/tests/test_caller_delivery.py
+++ b/medlarquay/tasks/tests/test_caller_delivery.py
@@ -157,3 +157,16 @@
     bench.answer(0, 1, length, request_id='a1')
     assert len(logged.records) == 1
     assert 'request=a1 delivery=lost' in logged.records[0].message
+
+
+def test_a_refusal_on_a_slow_connection_arrives_whole() -> None:
+    """Guards against an answer cut off while its caller still takes it."""
+    bench = DeliveryBench()
+    bench.answer()
+    bench.connection.dataReceived(b'malformed')
+    bench.answer(bytes(4 * _LARGE))
+    bench.machine.run(4)
+    received = b''.join(bench.wire.arrived)
+    assert len(received) >= 4 * _LARGE
+    bench.machine.run(2.1)
+    assert bench.wire.disconnecting
--- a/medlarquay/transport/caller_connection.py
+++ b/medlarquay/transport/caller_connection.py
@@ -72,6 +72,7 @@
         self._keep_alive = True
         self._head = False
         self._closing = False
+        self._unsent = 0
         self._stage = receive_stage.ReceiveStage.IDLE
         self._deadline: float | None = None
         self._timer: interfaces.IDelayedCall | None = None
@@ -143,9 +144,18 @@
         self._feed(pending)
 
     def finish(self) -> None:
-        """Close after the answer under way, or now if there is none."""
-        if not self._waiting and not self._closing:
+        """Close after the answer under way, or now if there is none.
+
+        A request that has not arrived whole is refused, which proves that it
+        was not run; the end of the connection would not.
+        """
+        if self._waiting or self._closing:
+            return
+        if self._assembler.stage is receive_stage.ReceiveStage.IDLE:
             self._close()
+        else:
+            self._assembler.reject(states.RefusalReason.DRAINING)
+            self._go_on()
 
     def _feed(self, data: bytes) -> None:
         if data:
@@ -190,15 +200,32 @@
         if self._running() < self._deadline:
             self._watch(self._deadline)
         elif self._closing:
-            self.transport.abortConnection()
+            self._end_linger()
         else:
             self._assembler.reject(states.RefusalReason.REQUEST_TOO_SLOW)
             self._go_on()
 
     def _close(self) -> None:
         self._closing = True
-        if not self._assembler.failed:
+        if not self._assembler.failed and not self._pending:
             self.transport.loseConnection()
             return
+        self._pending = b''
+        self.transport.resumeProducing()
+        self._linger()
+
+    def _linger(self) -> None:
+        self._unsent = self._writer.waiting_bytes
         self._deadline = self._running() + _LINGER_S
+        if self._timer is not None:
+            # It waits for the deadline of the request, which is later.
+            self._timer.cancel()
+            self._timer = None
         self._watch(self._deadline)
+
+    def _end_linger(self) -> None:
+        if self._writer.waiting_bytes < self._unsent:
+            # A caller on a slow link still takes the answer.
+            self._linger()
+        else:
+            self.transport.abortConnection()
--- a/medlarquay/transport/tests/test_caller_connection.py
+++ b/medlarquay/transport/tests/test_caller_connection.py
@@ -35,7 +35,13 @@
         """Let the caller send bytes."""
         self.connection.dataReceived(data)
 
-    def answer(self, body: bytes = b'', status: int = 200) -> None:
+    def answer(
+        self,
+        body: bytes = b'',
+        status: int = 200,
+        *,
+        close: bool = False,
+    ) -> None:
         """Answer the request under way."""
         self.connection.answer(
             events.AnswerReady(
@@ -43,6 +49,7 @@
                 status=status,
                 headers=(),
                 body=body,
+                close=close,
             ),
         )
 
@@ -260,3 +267,44 @@
     caller.answer()
     assert caller.wire.producerState == 'producing'
     assert len(caller.delivered) == 2
+
+
+@pytest.mark.parametrize('data', [_GET[:9], _WHOLE[:-1]])
+def test_a_stop_refuses_a_request_that_has_not_arrived(
+    caller: _Caller,
+    data: bytes,
+) -> None:
+    """Guards against a request closed without an answer at a stop."""
+    caller.send(data)
+    caller.connection.finish()
+    assert caller.reasons() == [states.RefusalReason.DRAINING]
+    caller.answer(status=503)
+    assert b'HTTP/1.1 503' in caller.wire.value()
+    assert b'connection: close' in caller.wire.value()
+    caller.clock.advance(3)
+    assert caller.wire.aborted
+
+
+def test_a_stop_closes_an_idle_connection(caller: _Caller) -> None:
+    """Guards against a stop that waits for callers that ask nothing."""
+    caller.send(_GET)
+    caller.answer()
+    caller.connection.finish()
+    assert caller.wire.disconnecting
+    assert len(caller.delivered) == 1
+
+
+def test_a_last_answer_is_not_cut_by_a_pipelined_request(
+    caller: _Caller,
+) -> None:
+    """Guards against a reset, for bytes not read, that overtakes an answer."""
+    caller.send(_GET)
+    caller.send(_GET * 4000)
+    caller.answer(b'last', close=True)
+    assert caller.wire.value().endswith(b'last')
+    assert caller.wire.producerState == 'producing'
+    caller.send(_GET)
+    assert not caller.wire.disconnecting
+    caller.clock.advance(2.1)
+    assert caller.wire.aborted
+    assert len(caller.delivered) == 1
