Hold removals back only when the instance list itself was away

The ingress knows the removal after 1.0 s and does not act on it for 2.1 s more: LapseGuard takes the age of all data for an outage of the store, and that age exceeds 4.5 s while a whole configuration is on its way over a slow link.

The age of the instance list alone now decides. A heartbeat carries it beside the age of all data, so nodes of this version do not understand heartbeats of earlier ones.

The codec tests state the new field.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -80,6 +80,7 @@
     heartbeat = messages.Heartbeat(
         nonce=1,
         age_ms=900,
+        list_age_ms=600,
         vector=held.vector,
         digest=held.digest,
     )
--- a/medlarquay/codec/control_decoders.py
+++ b/medlarquay/codec/control_decoders.py
@@ -40,17 +40,22 @@
 
 def _heartbeat(reader: checked.Checked, now: float) -> messages.Heartbeat:
     nonce = _count(reader)
-    age_ms = reader.take_optional(int)
-    if age_ms is not None and not 0 <= age_ms <= control_limits.MAX_REVISION:
-        raise reader.error('is out of range')
     return messages.Heartbeat(
         nonce=nonce,
-        age_ms=age_ms,
+        age_ms=_age_ms(reader),
+        list_age_ms=_age_ms(reader),
         vector=_vector(reader),
         digest=_digest(reader),
     )
 
 
+def _age_ms(reader: checked.Checked) -> int | None:
+    age_ms = reader.take_optional(int)
+    if age_ms is None or 0 <= age_ms <= control_limits.MAX_REVISION:
+        return age_ms
+    raise reader.error('is out of range')
+
+
 def _records(reader: checked.Checked, now: float) -> messages.Records:
     teams = tuple(_teams(reader))
     return messages.Records(
--- a/medlarquay/codec/control_encoding.py
+++ b/medlarquay/codec/control_encoding.py
@@ -34,6 +34,7 @@
         int(message_type.MessageType.HEARTBEAT),
         message.nonce,
         message.age_ms,
+        message.list_age_ms,
         message.vector.tree_revision,
         message.vector.list_revision,
         message.digest,
--- a/medlarquay/codec/tests/test_control_fuzz.py
+++ b/medlarquay/codec/tests/test_control_fuzz.py
@@ -81,8 +81,20 @@
     _RECORDS,
     _DIFFERENCES,
     messages.Probe(nonce=3),
-    messages.Heartbeat(nonce=3, age_ms=12, vector=_VECTOR, digest=_DIGEST),
-    messages.Heartbeat(nonce=3, age_ms=None, vector=_VECTOR, digest=_DIGEST),
+    messages.Heartbeat(
+        nonce=3,
+        age_ms=12,
+        list_age_ms=7,
+        vector=_VECTOR,
+        digest=_DIGEST,
+    ),
+    messages.Heartbeat(
+        nonce=3,
+        age_ms=None,
+        list_age_ms=None,
+        vector=_VECTOR,
+        digest=_DIGEST,
+    ),
 )
 _FRAMES = tuple(codec.encode(message, now=0) for message in _MESSAGES)
 _VALUES = strategies.recursive(
--- a/medlarquay/events/freshness_confirmed.py
+++ b/medlarquay/events/freshness_confirmed.py
@@ -1,6 +1,7 @@
 """The source confirmed the configuration held."""
 
 import dataclasses
+import math
 
 __all__ = ('FreshnessConfirmed',)
 
@@ -13,6 +14,9 @@
     ----------
     confirmed_at : float
         Latest time at which it was current, seconds on the monotonic clock.
+    list_confirmed_at : float
+        The same for the instance list alone; -inf if unknown.
     """
 
     confirmed_at: float
+    list_confirmed_at: float = -math.inf
--- a/medlarquay/events/freshness_received.py
+++ b/medlarquay/events/freshness_received.py
@@ -21,9 +21,12 @@
         When the probe was sent, seconds on the monotonic clock.
     confirmed_at : float
         When the source confirmed what the peer holds; -inf if unknown.
+    list_confirmed_at : float
+        The same for the instance list alone.
     """
 
     peer: str
     vector: replica.VersionVector
     asked_at: float
     confirmed_at: float
+    list_confirmed_at: float
--- a/medlarquay/messages/heartbeat.py
+++ b/medlarquay/messages/heartbeat.py
@@ -17,6 +17,8 @@
         Nonce of the probe.
     age_ms : int | None
         Milliseconds since the source last confirmed the data; None if never.
+    list_age_ms : int | None
+        The same for the instance list alone.
     vector : replica.VersionVector
         Revisions up to which the sender holds every record.
     digest : ids.Digest
@@ -25,5 +27,6 @@
 
     nonce: int
     age_ms: int | None
+    list_age_ms: int | None
     vector: replica.VersionVector
     digest: ids.Digest
--- a/medlarquay/replica/lapse_guard.py
+++ b/medlarquay/replica/lapse_guard.py
@@ -20,7 +20,8 @@
     An entry lapses when its backend server cannot reach the source, and comes
     back when it can. Acting on the removals at the return of the source
     would empty every service for two seconds. Each node decides by the age of
-    its own data, so nothing is sent for it.
+    its own list. The age of the documents does not count: they take seconds
+    of a slow link while the source is there.
     """
 
     def __init__(self) -> None:
@@ -36,8 +37,8 @@
         now : float
             Seconds on the monotonic clock.
         confirmed_at : float
-            When the source last confirmed what the node held before; -inf
-            for a node that has just started.
+            When the source last confirmed the instance list that the node
+            held before; -inf for a node that has just started.
         """
         if -math.inf < confirmed_at < now - _AWAY_S:
             self._hold_until = now + _HOLD_S
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -60,6 +60,7 @@
         super().__init__(name='configuration')
         self.replica = replica.Replica()
         self.freshness = replica.Freshness()
+        self.list_freshness = replica.Freshness()
         self.floor = floor
         self.counters = counters
         self.distribution: tuple[task.Task, ...] = ()
@@ -96,6 +97,7 @@
             )
             self.read_at.clear()
             self.freshness.expire(now=tick.now)
+            self.list_freshness.expire(now=tick.now)
             self._tell_freshness()
         if self._builder.release(tick.now):
             self._unpublished = True
@@ -129,7 +131,7 @@
             change,
             hold_until=self._guard.hold_until(
                 now=self._clock(),
-                confirmed_at=self.freshness.confirmed_at,
+                confirmed_at=self.list_freshness.confirmed_at,
             ),
         )
         changed = events.ReplicaChanged(
@@ -150,9 +152,18 @@
             self._publish_when_allowed()
             self._tell_freshness()
 
+    def confirm_list(self, *, confirmed_at: float, asked_at: float) -> None:
+        """Take a confirmation of the instance list."""
+        if self.list_freshness.confirm(
+            confirmed_at=confirmed_at,
+            asked_at=asked_at,
+        ):
+            self._tell_freshness()
+
     def _tell_freshness(self) -> None:
         told = events.FreshnessConfirmed(
             confirmed_at=self.freshness.confirmed_at,
+            list_confirmed_at=self.list_freshness.confirmed_at,
         )
         for subscriber in self._freshness_subscribers:
             subscriber.post(told)
@@ -214,6 +225,11 @@
     )
     if states.ReplicaEvent.SOURCE_STALE in change.notes:
         return
+    if message.tree is replica.SourceTree.INSTANCES:
+        configuration.confirm_list(
+            confirmed_at=message.asked_at,
+            asked_at=message.asked_at,
+        )
     # Both trees have to be confirmed, so the older of the two reads counts.
     configuration.read_at[message.tree] = message.asked_at
     if len(configuration.read_at) == len(replica.SourceTree):
@@ -247,8 +263,14 @@
     configuration: Configuration,
 ) -> None:
     configuration.floor.answer(message.peer, message.vector)
-    # The confirmation is about what the peer holds.
-    if configuration.replica.vector.covers(message.vector):
+    # The confirmations are about what the peer holds.
+    held = configuration.replica.vector
+    if held.list_revision >= message.vector.list_revision:
+        configuration.confirm_list(
+            confirmed_at=message.list_confirmed_at,
+            asked_at=message.asked_at,
+        )
+    if held.covers(message.vector):
         configuration.confirm(
             confirmed_at=message.confirmed_at,
             asked_at=message.asked_at,
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -318,7 +318,7 @@
         # The probe was sent before a pause, or never.
         return
     now = follower.now()
-    confirmed_at = _confirmed_at(message, sent_at)
+    confirmed_at = _confirmed_at(message.age_ms, sent_at)
     link.state.confirm(confirmed_at)
     if link.state.take_heartbeat(message, follower.vector, now=now):
         link.machine.useful()
@@ -331,6 +331,7 @@
                 vector=message.vector,
                 asked_at=sent_at,
                 confirmed_at=confirmed_at,
+                list_confirmed_at=_confirmed_at(message.list_age_ms, sent_at),
             ),
         )
 
@@ -352,7 +353,7 @@
         follower.write(link, messages.FetchAll())
 
 
-def _confirmed_at(heartbeat: messages.Heartbeat, sent_at: float) -> float:
-    if heartbeat.age_ms is None:
+def _confirmed_at(age_ms: int | None, sent_at: float) -> float:
+    if age_ms is None:
         return -math.inf
-    return sent_at - heartbeat.age_ms / _MS_PER_SECOND
+    return sent_at - age_ms / _MS_PER_SECOND
--- a/medlarquay/tasks/relay.py
+++ b/medlarquay/tasks/relay.py
@@ -60,6 +60,7 @@
             instances=None,
         )
         self.confirmed_at = -math.inf
+        self.list_confirmed_at = -math.inf
         self._numbers: dict[control_link.ControlLink, ids.LinkId] = {}
         self.instances: tuple[replica.InstanceRecord, ...] = ()
         self._clock = clock
@@ -197,10 +198,10 @@
     return sum(entry.vector is not None for entry in children)
 
 
-def _age_ms(relay: Relay) -> int | None:
-    if relay.confirmed_at == -math.inf:
+def _age_ms(confirmed_at: float, now: float) -> int | None:
+    if confirmed_at == -math.inf:
         return None
-    age = relay.now() - relay.confirmed_at
+    age = now - confirmed_at
     return max(0, math.ceil(age * _MS_PER_SECOND))
 
 
@@ -235,6 +236,7 @@
 @_handle.register
 def _fresh(message: events.FreshnessConfirmed, relay: Relay) -> None:
     relay.confirmed_at = message.confirmed_at
+    relay.list_confirmed_at = message.list_confirmed_at
 
 
 @_handle.register
@@ -262,9 +264,11 @@
 def _heartbeat_due(message: events.HeartbeatDue, relay: Relay) -> None:
     found = relay.children.get(message.link)
     if found is not None:
+        now = relay.now()
         heartbeat = messages.Heartbeat(
             nonce=message.nonce,
-            age_ms=_age_ms(relay),
+            age_ms=_age_ms(relay.confirmed_at, now),
+            list_age_ms=_age_ms(relay.list_confirmed_at, now),
             vector=relay.held.vector,
             digest=relay.held.digest,
         )
