--- a/medlarquay/tasks/source_reader.py
+++ b/medlarquay/tasks/source_reader.py
@@ -3,6 +3,7 @@
 import functools
 import random
 from collections.abc import Callable
+from types import MappingProxyType
 
 from twisted.internet import defer, interfaces
 
@@ -15,6 +16,12 @@
 # wait and four levels of probes each 0.5 s stay below the bound of 5 s.
 _WAIT_MS = 1000
 _MS_PER_SECOND = 1000
+# A read of the documents in a storm of versions would fill the link once
+# more for each, so they keep to the period.
+_BURSTS = MappingProxyType({
+    replica.SourceTree.TEAMS: 1,
+    replica.SourceTree.INSTANCES: topology.LIST_BURST,
+})
 
 
 class SourceReader(task.Task):
@@ -47,7 +54,10 @@
         self.readers = {
             tree: tree_reader.TreeReader(
                 tree=tree,
-                limiter=topology.SourceLimiter(randomness=randomness),
+                limiter=topology.SourceLimiter(
+                    randomness=randomness,
+                    burst=_BURSTS[tree],
+                ),
                 owner=self,
             )
             for tree in replica.SourceTree
--- a/medlarquay/topology/__init__.py
+++ b/medlarquay/topology/__init__.py
@@ -7,7 +7,7 @@
 from medlarquay.topology.peer import Peer
 from medlarquay.topology.rank_value import rank_value
 from medlarquay.topology.situation import Situation
-from medlarquay.topology.source_limiter import SourceLimiter
+from medlarquay.topology.source_limiter import LIST_BURST, SourceLimiter
 from medlarquay.topology.suspects import Suspects
 
 __all__ = (
@@ -17,6 +17,7 @@
     'Members',
     'Peer',
     'Situation',
+    'LIST_BURST',
     'SourceLimiter',
     'Suspects',
     'choose',
