Probe a link on which large calls are on their way

Calls that are leaving now count as waiting from their first one on, and the expiry of one closes a link that is cut off.

Evidence: test_a_link_that_is_cut_off_under_a_large_call_is_probed fails before.

--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -78,9 +78,16 @@
         """Note that bytes arrived."""
         self.heard_at = now
 
-    def probe_if_silent(self, now: float) -> None:
+    def probe_if_silent(self, now: float, leaving_since: float) -> None:
         """Ask for a sign of life if a call waits and nothing was heard.
 
+        Parameters
+        ----------
+        now : float
+            Present time.
+        leaving_since : float
+            Since when calls are on their way; infinity if none is.
+
         Notes
         -----
         Silence alone proves nothing: large answers wait at their owner until
@@ -88,7 +95,7 @@
         """
         if self.link is None or self._is_probed:
             return
-        oldest = min(self.sent.values(), default=math.inf)
+        oldest = min((*self.sent.values(), leaving_since))
         if max(oldest, self.heard_at) <= now - _PROBE_AFTER_S:
             self.probed_at = now
             self.link.ping()
--- a/medlarquay/tasks/peer_links_base.py
+++ b/medlarquay/tasks/peer_links_base.py
@@ -81,16 +81,17 @@
         self._reactor = reactor
         self._hello = hello
         self._clock = clock
-        self._silence = silence_watch.SilenceWatch(
-            clock=running or clock,
-            tell=lambda sign: _post(self.router, sign),
-        )
         self._counters = counters
         self.writer = link_writer.LinkWriter(
             clock=clock,
             link_bytes_per_s=link_bytes_per_s,
         )
         self.leaving = leaving_calls.LeavingCalls()
+        self._silence = silence_watch.SilenceWatch(
+            leaving=self.leaving,
+            clock=running or clock,
+            tell=lambda sign: _post(self.router, sign),
+        )
         self.closing = link_closing.LinkClosing(writer=self.writer)
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
 
@@ -160,7 +161,8 @@
             # The call waited for the link, or the process was paused.
             self.refuse(call, states.RefusalReason.DEADLINE_PASSED)
         elif outgoing.link is not None:
-            self.leaving.add(outgoing.number, call)
+            self.leaving.add(outgoing.number, call, self._silence.now())
+            self._alarm.wake_at(now + _CHECK_S)
             waits = self.writer.send_call(
                 outgoing.number,
                 call.request,
@@ -178,7 +180,6 @@
         if outgoing is not None and outgoing.number == number:
             self.leaving.pop(number, call_id)
             outgoing.sent[call_id] = self._silence.now()
-            self._alarm.wake_at(self._clock() + _CHECK_S)
 
     def refuse(
         self,
@@ -216,7 +217,7 @@
         """Probe silent links with calls; close those that lead nowhere."""
         waiting = self._silence.watched(self.outgoing.values())
         for outgoing in waiting:
-            if not outgoing.sent:
+            if not self._silence.in_use(outgoing):
                 # Calls on it would be lost; without any, nothing is.
                 self.abort_if_silent(outgoing)
             self._silence.probe(outgoing)
--- a/medlarquay/tasks/peer_links_handle.py
+++ b/medlarquay/tasks/peer_links_handle.py
@@ -62,6 +62,7 @@
         links.writer.withdraw(outgoing.number, message.call_id)
     if call is not None and message.expired:
         links.refuse(call, reason)
+        links.abort_if_silent(outgoing)
     return call is not None
 
 
--- a/medlarquay/tasks/silence_watch.py
+++ b/medlarquay/tasks/silence_watch.py
@@ -1,9 +1,10 @@
 """Watch over the call links whose other side may be silent."""
 
+import math
 from collections.abc import Callable, Iterable
 
 from medlarquay import events
-from medlarquay.tasks import outgoing_link
+from medlarquay.tasks import leaving_calls, outgoing_link
 
 __all__ = ('SilenceWatch',)
 
@@ -15,6 +16,8 @@
 
     Parameters
     ----------
+    leaving : LeavingCalls
+        Large calls that are on their way.
     clock : callable
         Returns seconds without the pauses of this process.
     tell : callable
@@ -24,9 +27,11 @@
     def __init__(
         self,
         *,
+        leaving: leaving_calls.LeavingCalls,
         clock: Callable[[], float],
         tell: Callable[[_Sign], None],
     ) -> None:
+        self._leaving = leaving
         self._clock = clock
         self._tell = tell
 
@@ -50,13 +55,18 @@
         return [
             found
             for found in links
-            if found.sent or found.silent or found.link is None
+            if self.in_use(found) or found.silent or found.link is None
         ]
 
+    def in_use(self, outgoing: outgoing_link.OutgoingLink) -> bool:
+        """Tell whether a call is on its way or waits for its answer."""
+        leaving = self._leaving.begun_at(outgoing.number) < math.inf
+        return leaving or bool(outgoing.sent)
+
     def probe(self, outgoing: outgoing_link.OutgoingLink) -> None:
         """Probe a link that is silent; tell once if it stays silent."""
         now = self._clock()
-        outgoing.probe_if_silent(now)
+        outgoing.probe_if_silent(now, self._leaving.begun_at(outgoing.number))
         if outgoing.becomes_silent(now):
             self._tell(events.PeerSilent(instance=outgoing.instance))
 
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -277,12 +277,12 @@
     assert refused.reason is states.RefusalReason.OWNER_UNREACHABLE
 
 
-def _expire(bench: _Bench) -> None:
-    """Let the deadline of the first call pass."""
+def _expire(bench: _Bench, number: int = 1) -> None:
+    """Let the deadline of a call pass."""
     bench.links.post(
         events.SendCancel(
             instance=ids.InstanceId('a1'),
-            call_id=ids.CallId(1),
+            call_id=ids.CallId(number),
             expired=True,
         ),
     )
@@ -602,3 +602,24 @@
     assert not bench.wires[0].disconnecting
     bench.pass_time(1.5)
     assert bench.wires[0].disconnecting
+
+
+def test_a_link_that_is_cut_off_under_a_large_call_is_probed(
+    bench: _Bench,
+) -> None:
+    """Guards against large calls sent one by one into a link without end."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    far.send(_answered(1))
+    bench.pump(far)
+    bench.router.take()
+    # It takes over 2 s to leave.
+    bench.call('a1', 2, bytes(990_000))
+    bench.pass_time(1)
+    silent = events.PeerSilent(instance=ids.InstanceId('a1'))
+    assert _signs(bench) == [silent]
+    bench.pass_time(1.4)
+    _expire(bench, 2)
+    assert bench.wires[0].disconnecting
