Let slow ingresses hold no other answer back where the rate is known

Fault as callers see it: large answers on a sound link wait for those of four or more ingresses that read slowly. In the test, with ingresses that read 40 KB/s each, an answer for an idle link waits 14.7 s where the link carries it in 0.3 s; its caller gives up, and its connection closes without an answer.

Cause: no more than four sockets may be full at a time, which bounds what waits in the machine when its rate is unknown. With a known rate the pace does that already, but the bound held: as often as one slow socket drained, the frame that was started on it came first and filled it again.

Change: the bound applies to an unknown rate only.

Evidence: test_links_that_are_read_slowly_hold_no_other_link_back fails before for four, five and six slow links. Found with a property test of the uplink, the call links and the pacing with links that fill, drain, close, cancel and expire at random (test_uplink_model.py): each answer is sent whole, dropped with its ingress told, withdrawn, or lost with its link, and is logged as one of these once. It fails when a drained socket is not reported, a stuck socket counts for ever, a lost frame is not reported, or a dropped one is not told.

--- a/medlarquay/pacing/schedule.py
+++ b/medlarquay/pacing/schedule.py
@@ -38,6 +38,9 @@
     def __init__(self, *, bytes_per_s: float) -> None:
         self.pace = pace.Pace(bytes_per_s=bytes_per_s)
         self.full = full_sockets.FullSockets()
+        # A known rate bounds what waits before the link, whatever the number
+        # of sockets; peers that read slowly then hold nobody else back.
+        self._bounds_full = math.isinf(bytes_per_s)
         self._fragment_bytes = pace.fragment_bytes(bytes_per_s)
         self._frames: dict[_Key, large_frame.LargeFrame] = {}
 
@@ -86,7 +89,9 @@
             arrival = self.pace.arrival(frame.remaining, now)
             if arrival > frame.urgency.deadline:
                 return drop_frame.DropFrame(frame=frame)
-        ready_at = max(self.pace.ready_at(), self.full.blocked_until(now))
+        ready_at = self.pace.ready_at()
+        if self._bounds_full:
+            ready_at = max(ready_at, self.full.blocked_until(now))
         if ready_at > now:
             return self._wait(ready_at)
         return self._send_first(now)
