Test answers of a backend server that trickle without end

Adds the cases that were missing: one byte a second, without end, in the status line, the fields, interim answers, a body with and without length, chunks and trailers, to a GET and to a POST; and a byte a second after a whole answer on a kept connection. Each ends at the deadline of the request, or the grace time after it for a POST; the caller is told deadline_passed (outcome unknown), the slot is free, and the connection is not kept.

--- a/medlarquay/tasks/tests/test_endless_backend.py
+++ b/medlarquay/tasks/tests/test_endless_backend.py
@@ -24,11 +24,13 @@
 
     def __init__(self, *, begin: bytes, endless: bytes) -> None:
         self.closed = False
+        self.asked = False
         self._begin = begin
         self._endless = endless
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Begin to send without end."""
+        self.asked = True
         self.transport.write(self._begin)
         if self._endless:
             self.transport.registerProducer(self, False)  # noqa: FBT003
@@ -57,13 +59,27 @@
             interface='127.0.0.1',
         )
         self.bench = owner_bench.OwnerBench(slots=1)
-        self.bench.owner.backend = backend.Backend(
+        self.backend = backend.Backend(
             reactor=self.reactor,
             owner=self.bench.owner,
             host='127.0.0.1',
             port=self.port.getHost().port,
             clock=self.bench.clock.seconds,
         )
+        self.bench.owner.backend = self.backend
+
+    def trickle(self, endless: bytes, seconds: int) -> int:
+        """Send one byte a second; return how many the node took."""
+        for second in range(seconds):
+            if self.server.closed:
+                return second
+            place = second % len(endless)
+            self.server.transport.write(endless[place : place + 1])
+            for _ in range(4):
+                self.reactor.runUntilCurrent()
+                self.reactor.doIteration(0.001)
+            self.bench.clock.advance(1)
+        return seconds
 
     def until(self, found: Callable[[], object]) -> None:
         """Let the reactor turn until something is found."""
@@ -191,3 +207,76 @@
     assert isinstance(result, messages.CallAnswered)
     assert result.body == b'ok'
     assert not made.running()
+
+
+_TRICKLES = pytest.mark.parametrize(
+    ('begin', 'endless'),
+    [
+        pytest.param(b'', b'HTTP/1.1 200 OK' + b'k' * 99, id='status-line'),
+        pytest.param(_OK, b'X: a\r\n', id='fields'),
+        pytest.param(b'', b'HTTP/1.1 100 Continue\r\n\r\n', id='interim'),
+        pytest.param(_OK + b'\r\n', b'x', id='body-without-length'),
+        pytest.param(
+            _OK + b'Content-Length: 1000\r\n\r\n',
+            b'x',
+            id='body-with-length',
+        ),
+        pytest.param(_CHUNKED, b'1\r\nx\r\n', id='chunks'),
+        pytest.param(_CHUNKED + b'0\r\n', b'X: a\r\n', id='trailers'),
+    ],
+)
+
+
+@_TRICKLES
+def test_a_byte_a_second_ends_at_the_deadline(
+    serve: Callable[[bytes, bytes], _Bench],
+    begin: bytes,
+    endless: bytes,
+) -> None:
+    """Guards against a slot and a caller held by an answer without end."""
+    made = serve(begin, b'')
+    made.bench.call(1, idempotent=True, timeout=10)
+    made.until(lambda: made.server.asked)
+    assert made.trickle(endless, 60) <= 11
+    assert [_unknown(result) for result in made.results()] == [
+        states.RefusalReason.DEADLINE_PASSED,
+    ]
+    assert not made.running()
+    assert not made.backend.idle
+    assert not made.backend.active
+
+
+@_TRICKLES
+def test_a_byte_a_second_to_a_post_ends_a_while_later(
+    serve: Callable[[bytes, bytes], _Bench],
+    begin: bytes,
+    endless: bytes,
+) -> None:
+    """Guards against a slot that is held for ever by a trickle."""
+    made = serve(begin, b'')
+    made.bench.owner.local = type(made.bench.owner.local)(hung_s=5)
+    made.bench.call(1, timeout=10)
+    made.until(lambda: made.server.asked)
+    assert made.trickle(endless, 60) <= 17
+    assert [_unknown(result) for result in made.results()] == [
+        states.RefusalReason.DEADLINE_PASSED,
+    ]
+    assert not made.running()
+    assert not made.backend.idle
+
+
+@pytest.mark.parametrize('endless', [b'x', b'\r\n', _OK])
+def test_a_byte_after_an_answer_ends_its_connection(
+    serve: Callable[[bytes, bytes], _Bench],
+    endless: bytes,
+) -> None:
+    """Guards against a kept connection whose next answer is not its own."""
+    made = serve(_OK + b'Content-Length: 2\r\n\r\nok', b'')
+    made.bench.call(1)
+    made.until(made.results)
+    assert len(made.backend.idle) == 1
+    assert made.trickle(endless, 10) <= 2
+    made.until(lambda: made.server.closed)
+    assert not any(kept.usable for kept in made.backend.idle)
+    assert len(made.results()) == 1
+    assert not made.running()
