Start large answers at once and let the uplink order them

Owners refused large answers where the link was just enough, and told one in ten of those callers late. Admission held each large request back until the link would be free, and refused it when it could not be answered when due, even if no other owner was left, with three mean deviations of caution, since nothing could be ordered or dropped once it was on the link.

The uplink does both now, with the sizes that the answers have: what is late yields, what can't arrive is dropped. So a large request starts as soon as a slot is free, and is judged once, at its arrival: until due if another owner may be asked, until the deadline if not, as for slots, with the deviation of the sum in place of three. A running request counts with its expected bytes, which keeps its place. The check for room before a start is gone.

An answer that the replayed link drops counts as a refusal in test_link.py, so its tests are stricter than before.

--- a/medlarquay/admission/arrival.py
+++ b/medlarquay/admission/arrival.py
@@ -1,7 +1,5 @@
 """What becomes of a request that arrives at the owner."""
 
-import dataclasses
-
 from medlarquay import messages, states
 from medlarquay.admission import (
     admission,
@@ -30,43 +28,20 @@
         return _load_reason(states.RefusalReason.QUEUE_FULL, state, now)
     work = _queued_work(event, state)
     end = expected_end.expected_end(state, work, event.rank, now)
-    if end.link_bound:
-        service = state.times.of_route(event.rank, event.route)
-        return _wait_for_link(work, end, service)
     too_late = event.deadline
     if end.waits and not event.last:
         # Another owner may answer in time.
         too_late = work.due
     if end.answered_at <= too_late:
         return work
+    if end.link_bound:
+        return states.RefusalReason.LINK_FULL
     if end.answered_at > event.deadline:
         state.times.relax(event.rank, event.route)
         state.answer_bytes.relax(event.route)
     return _load_reason(states.RefusalReason.DEADLINE_UNREACHABLE, state, now)
 
 
-def _wait_for_link(
-    work: queued_work.QueuedWork,
-    end: expected_end.ExpectedEnd,
-    service: float,
-) -> _Assessed:
-    """Return a request that waits for the link, or its refusal.
-
-    Notes
-    -----
-    What waits for a slot may be late if no other owner will be asked. What
-    waits for a full link may not, since every answer behind it would be late
-    as well.
-    """
-    if end.answered_at > work.due:
-        return states.RefusalReason.LINK_FULL
-    return dataclasses.replace(
-        work,
-        latest_start=work.due - service - work.transfer,
-        late_reason=states.RefusalReason.LINK_FULL,
-    )
-
-
 def _queued_work(
     event: inputs.Arrived,
     state: admission.Admission,
--- a/medlarquay/admission/choose_rank.py
+++ b/medlarquay/admission/choose_rank.py
@@ -1,12 +1,11 @@
 """Choice of the rank that gets the next free slot."""
 
 import math
-from collections.abc import Iterator
 
 from medlarquay import states
-from medlarquay.admission import admission, link_room, queued_work
+from medlarquay.admission import admission
 
-__all__ = ('choose_rank', 'is_open', 'startable')
+__all__ = ('choose_rank', 'is_open')
 
 # Share of the slots that may stay idle for urgent work; goodput is to stay at
 # or above 0.9 of capacity.
@@ -24,7 +23,6 @@
 def choose_rank(
     state: admission.Admission,
     slots: int,
-    now: float,
 ) -> states.Rank | None:
     """Return the rank whose first queued request is to start.
 
@@ -34,40 +32,21 @@
         State with the time advanced.
     slots : int
         Usable slots.
-    now : float
-        Seconds on the monotonic clock.
 
     Returns
     -------
     Rank or None
-        None when nothing is queued that may start, or the free slots are
-        reserved.
+        None when nothing is queued or the free slots are reserved.
     """
-    below = _largest_deficit(state, slots, now)
+    below = _largest_deficit(state, slots)
     if below is not None:
         return below
     for rank in states.Rank:
-        waits = any(startable(state, rank, now))
-        if waits and _unreserved(state, rank, slots):
+        if state.queues[rank] and _unreserved(state, rank, slots):
             return rank
     return None
 
 
-def startable(
-    state: admission.Admission,
-    rank: states.Rank,
-    now: float,
-) -> Iterator[queued_work.QueuedWork]:
-    """Return the queued requests of a rank that the link has room for."""
-    queue = state.queues[rank].values()
-    link_free_at = state.link_free_at(now) if queue else now
-    return (
-        work
-        for work in queue
-        if link_room.room_at(work, link_free_at, now) <= now
-    )
-
-
 def is_open(
     state: admission.Admission,
     rank: states.Rank,
@@ -95,12 +74,11 @@
 def _largest_deficit(
     state: admission.Admission,
     slots: int,
-    now: float,
 ) -> states.Rank | None:
     largest: float = 0
     found = None
     for rank, floor in state.bounds.floors.items():
-        if not any(startable(state, rank, now)):
+        if not state.queues[rank]:
             continue
         deficit = _deficit(state, rank, floor, slots)
         if deficit > largest:
--- a/medlarquay/admission/decide.py
+++ b/medlarquay/admission/decide.py
@@ -135,7 +135,7 @@
         if work.deadline <= now
     ]
     hopeless = [
-        _refuse_queued(work, work.late_reason, state)
+        _refuse_queued(work, states.RefusalReason.DEADLINE_UNREACHABLE, state)
         for work in waiting
         if work.latest_start <= now < work.deadline
     ]
--- a/medlarquay/admission/expected_end.py
+++ b/medlarquay/admission/expected_end.py
@@ -7,7 +7,6 @@
 from medlarquay.admission import (
     admission,
     expected_wait,
-    link_room,
     queued_before,
     queued_work,
 )
@@ -15,11 +14,6 @@
 __all__ = ('ExpectedEnd', 'expected_end')
 
 
-# Sizes of single answers vary; few sums of answers exceed their mean by more
-# than this number of mean deviations.
-_DEVIATIONS = 3
-
-
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ExpectedEnd:
     """Expected end of a request.
@@ -46,25 +40,24 @@
     now: float,
 ) -> ExpectedEnd:
     """Return the expected end of a new request."""
+    start_at = now
     full = len(state.running) >= state.limit.usable(now)
-    wait: float = 0
     if full:
-        wait = expected_wait.expected_wait(state, work, rank, now)
-    if not full and link_room.has_room(state, work, now):
-        # A free slot costs nothing, so an even chance is worth a try.
-        service = state.times.of_route(rank, work.route)
-        return ExpectedEnd(
-            answered_at=now + service + work.transfer,
-            waits=False,
-            link_bound=False,
-        )
+        start_at += expected_wait.expected_wait(state, work, rank, now)
     link_free_at = now
     if work.large:
         link_free_at = _link_free_at(state, work, rank, now)
+    link_bound = link_free_at > start_at + work.service
+    if full or link_bound:
+        answered_at = work.answered_at(start_at, link_free_at)
+    else:
+        # A free slot costs nothing, so an even chance is worth a try.
+        service = state.times.of_route(rank, work.route)
+        answered_at = now + service + work.transfer
     return ExpectedEnd(
-        answered_at=work.answered_at(now + wait, link_free_at),
-        waits=True,
-        link_bound=work.large and link_free_at > now + wait + work.service,
+        answered_at=answered_at,
+        waits=full or link_bound,
+        link_bound=link_bound,
     )
 
 
@@ -82,8 +75,13 @@
         before.extend(state.queues[other].values())
     sizes = state.answer_bytes
     routes = [queued.route for queued in before if queued.large]
-    expected = sum(sizes.mean(route) for route in routes)
-    routes.append(work.route)
-    squares = sum(sizes.deviation(route) ** 2 for route in routes)
-    caution = _DEVIATIONS * math.sqrt(squares)
-    return state.link_free_at(now) + state.link.time_of(expected + caution)
+    expected = state.link.time_of(sum(sizes.mean(route) for route in routes))
+    free_at = state.link_free_at(now) + expected
+    if free_at <= now:
+        return now
+    # The sizes of single answers vary; a sum of them varies by the root of
+    # the sum of the squares.
+    squares = sum(
+        sizes.deviation(route) ** 2 for route in (*routes, work.route)
+    )
+    return free_at + state.link.time_of(math.sqrt(squares))
--- a/medlarquay/admission/fill_slots.py
+++ b/medlarquay/admission/fill_slots.py
@@ -4,7 +4,6 @@
 from medlarquay.admission import (
     admission,
     choose_rank,
-    link_room,
     next_work,
     queued_work,
     refuse,
@@ -18,13 +17,13 @@
 
 
 def fill_slots(state: admission.Admission, now: float) -> Decision:
-    """Start queued requests while slots and the link have room."""
+    """Start queued requests while slots are free."""
     if not state.queued_ranks:
         return ()
     decided: list[start.Start | refuse.Refuse] = []
     slots = state.limit.usable(now)
     while len(state.running) < slots:
-        rank = choose_rank.choose_rank(state, slots, now)
+        rank = choose_rank.choose_rank(state, slots)
         if rank is None:
             break
         decided.append(_take_first(rank, state, now))
@@ -36,7 +35,7 @@
     state: admission.Admission,
     now: float,
 ) -> start.Start | refuse.Refuse:
-    work = next_work.next_work(choose_rank.startable(state, rank, now), now)
+    work = next_work.next_work(state.queues[rank].values(), now)
     state.pop(work)
     reason = _refusal_at_start(work, rank, state, now)
     if reason is not None:
@@ -85,6 +84,4 @@
     slots = state.limit.usable(now)
     if state.queued_ranks or len(state.running) >= slots:
         return False
-    if not link_room.has_room(state, work, now):
-        return False
     return choose_rank.is_open(state, rank, slots)
--- a/medlarquay/admission/next_check.py
+++ b/medlarquay/admission/next_check.py
@@ -1,6 +1,6 @@
 """The next time at which queued work is to be checked."""
 
-from medlarquay.admission import admission, link_room
+from medlarquay.admission import admission
 
 __all__ = ('next_check',)
 
@@ -22,10 +22,6 @@
     if not waiting:
         return None
     deadlines = [work.latest_start for work in waiting]
-    link_free_at = state.link_free_at(now)
-    rooms = (link_room.room_at(work, link_free_at, now) for work in waiting)
-    # Work that the link has room for waits for a slot, which is an event.
-    deadlines.extend(room for room in rooms if room > now)
     if state.limit.restricted(now):
         deadlines.append(now + _RAMP_INTERVAL_S)
     return min(deadlines)
--- a/medlarquay/admission/queued_work.py
+++ b/medlarquay/admission/queued_work.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from medlarquay import ids, states
+from medlarquay import ids
 
 __all__ = ('QueuedWork',)
 
@@ -27,8 +27,6 @@
         Whether its answer waits on the link until those before it have left.
     latest_start : float
         Time at which the request is refused if it still waits.
-    late_reason : RefusalReason
-        Why it is refused then.
     route : RouteName
         Route of the request.
     """
@@ -41,9 +39,6 @@
     route: ids.RouteName
     transfer: float = 0
     large: bool = False
-    late_reason: states.RefusalReason = (
-        states.RefusalReason.DEADLINE_UNREACHABLE
-    )
 
     def answered_at(self, start_at: float, link_free_at: float) -> float:
         """Return when the answer has left if the request starts at a time.
--- a/medlarquay/testing/replay/replay.py
+++ b/medlarquay/testing/replay/replay.py
@@ -139,8 +139,15 @@
     def _advance_link(self, now: float) -> None:
         gone, again_at = self.link.advance(now)
         for entry in gone:
-            if entry.exchange in self.waiting:
-                self.end(entry.exchange, now=now, finished_at=entry.left_at)
+            reason = None
+            if entry.left_at is None:
+                reason = states.RefusalReason.DEADLINE_PASSED
+            self.end(
+                entry.exchange,
+                now=now,
+                finished_at=entry.left_at,
+                reason=reason,
+            )
         free_at = self.link.schedule.free_at(now)
         if self._report.is_due(free_at, now):
             self.tell(admission.LinkChanged(free_at=free_at), now)
--- a/medlarquay/testing/replay/replay_result.py
+++ b/medlarquay/testing/replay/replay_result.py
@@ -23,7 +23,7 @@
         When its answer had left, seconds from the start; None when none
         left.
     reason : RefusalReason or None
-        Why it was refused.
+        Why it was refused or its answer dropped.
     """
 
     request: replay_request.ReplayRequest
