Judge large requests by the answers that go before them only

Normal requests with large answers were refused as link_full because bulk answers waited for the link, which they overtake. The uplink told admission one time for all ranks. It tells one for each rank now: when what waits up to it will have left. Admission counts running requests and answers handed over in the same way. Changes under 40 ms are not told, since fragments that are written ahead of the link come and go in the times of the other ranks.

The new test fails before.

--- a/medlarquay/admission/admission.py
+++ b/medlarquay/admission/admission.py
@@ -51,20 +51,23 @@
             collections.OrderedDict[ids.ExchangeId, queued_work.QueuedWork],
         ] = {rank: collections.OrderedDict() for rank in states.Rank}
 
-    def link_free_at(self, now: float) -> float:
+    def link_free_at(self, rank: states.Rank, now: float) -> float:
         """Return when the large answers under way will have left the link.
 
         Parameters
         ----------
+        rank : Rank
+            Last rank that counts; those after it are overtaken.
         now : float
             Seconds on the monotonic clock.
         """
+        counted = rank.up_to()
         expected = sum(
             self.answer_bytes.mean(work.route)
             for work in self.running.values()
-            if work.large
+            if work.large and work.rank in counted
         )
-        return self.link.free_at(now) + self.link.time_of(expected)
+        return self.link.free_at(rank, now) + self.link.time_of(expected)
 
     def pop(self, work: queued_work.QueuedWork) -> None:
         """Take a request out of the queue of its rank."""
--- a/medlarquay/admission/decide.py
+++ b/medlarquay/admission/decide.py
@@ -76,7 +76,7 @@
     if work is not None:
         state.times.add(work.rank, work.route, now - work.started_at)
         state.answer_bytes.add(work.route, event.answer_bytes)
-    state.link.book(event.link_bytes, now)
+        state.link.book(event.link_bytes, work.rank, now)
     return fill_slots.fill_slots(state, now)
 
 
--- a/medlarquay/admission/expected_end.py
+++ b/medlarquay/admission/expected_end.py
@@ -69,14 +69,12 @@
 ) -> float:
     """Return when the large answers that go first have left the link."""
     before = list(queued_before.queued_before(state, work, rank, now))
-    for other in states.Rank:
-        if other is rank:
-            break
+    for other in rank.up_to()[:-1]:
         before.extend(state.queues[other].values())
     sizes = state.answer_bytes
     routes = [queued.route for queued in before if queued.large]
     expected = state.link.time_of(sum(sizes.mean(route) for route in routes))
-    free_at = state.link_free_at(now) + expected
+    free_at = state.link_free_at(rank, now) + expected
     if free_at <= now:
         return now
     # The sizes of single answers vary; a sum of them varies by the root of
--- a/medlarquay/admission/inputs/link_changed.py
+++ b/medlarquay/admission/inputs/link_changed.py
@@ -1,6 +1,9 @@
 """The answers that wait for the link have changed."""
 
 import dataclasses
+from collections.abc import Mapping
+
+from medlarquay import states
 
 __all__ = ('LinkChanged',)
 
@@ -11,8 +14,9 @@
 
     Attributes
     ----------
-    free_at : float
-        When all of them will have left, seconds on the monotonic clock.
+    free_at : Mapping[Rank, float]
+        When the answers of each rank and of those before it will have
+        left, seconds on the monotonic clock.
     """
 
-    free_at: float
+    free_at: Mapping[states.Rank, float]
--- a/medlarquay/admission/load.py
+++ b/medlarquay/admission/load.py
@@ -1,6 +1,6 @@
 """Load of one backend server."""
 
-from medlarquay import messages
+from medlarquay import messages, states
 from medlarquay.admission import admission
 
 __all__ = ('load_of',)
@@ -24,4 +24,4 @@
         for work in queue.values()
         if work.large
     )
-    return state.link_free_at(now) - now + queued
+    return state.link_free_at(states.Rank.BULK, now) - now + queued
--- a/medlarquay/admission/tests/test_link.py
+++ b/medlarquay/admission/tests/test_link.py
@@ -16,6 +16,7 @@
 _CHECK = ids.RouteName('source-verify')
 _CHECKS_PER_S = 15
 _SECONDS = 80
+_SLOTS = 6
 _FLOORS = MappingProxyType({
     states.Rank.URGENT: 0.3,
     states.Rank.NORMAL: 0.2,
@@ -228,3 +229,45 @@
     assert sum(entry.when_due for entry in admitted) >= sum(
         entry.when_due for entry in paced
     )
+
+
+def _ranked(rank: states.Rank, load: float) -> replay.Demand:
+    bundles_per_s = load * _LINK_BYTES_PER_S / _BUNDLE_BYTES
+    return replay.Demand(
+        rank=rank,
+        load=bundles_per_s * 0.1 / _SLOTS,
+        service=0.1,
+        patience=3.926,
+        target=1.963,
+        route=ids.RouteName(f'{rank.value}-bundle'),
+        answer_bytes=_BUNDLE_BYTES,
+    )
+
+
+def _served(**loads: float) -> dict[states.Rank, float]:
+    """Return what left when due of each rank, over what the link carries."""
+    requests = replay.make_flood(
+        [_ranked(states.Rank(rank), load) for rank, load in loads.items()],
+        slots=_SLOTS,
+        seconds=_SECONDS,
+        seed=7,
+    )
+    policy = admission.Admission(bounds=_bounds(_SLOTS, _LINK_BYTES_PER_S))
+    results = replay.replay(
+        requests,
+        policy,
+        link_bytes_per_s=_LINK_BYTES_PER_S,
+    )
+    served = dict.fromkeys(states.Rank, float(0))
+    for entry in results:
+        if entry.when_due:
+            share = entry.request.answer_bytes / _LINK_BYTES_PER_S / _SECONDS
+            served[entry.request.rank] += share
+    return served
+
+
+def test_large_answers_overtake_those_of_a_later_rank() -> None:
+    """Guards against normal bundles refused because of bulk ones."""
+    served = _served(normal=0.4, bulk=2)
+    alone = _served(normal=0.4)
+    assert served[states.Rank.NORMAL] >= 0.95 * alone[states.Rank.NORMAL]
--- a/medlarquay/events/uplink_changed.py
+++ b/medlarquay/events/uplink_changed.py
@@ -1,6 +1,9 @@
 """What waits for the link of the machine has changed."""
 
 import dataclasses
+from collections.abc import Mapping
+
+from medlarquay import states
 
 __all__ = ('UplinkChanged',)
 
@@ -11,9 +14,9 @@
 
     Attributes
     ----------
-    free_at : float
-        When all that waits will have left at the pace of the link, seconds
-        on the monotonic clock.
+    free_at : Mapping[Rank, float]
+        When all that waits of each rank and of those before it will have
+        left, seconds on the monotonic clock.
     """
 
-    free_at: float
+    free_at: Mapping[states.Rank, float]
--- a/medlarquay/pacing/backlog_report.py
+++ b/medlarquay/pacing/backlog_report.py
@@ -1,12 +1,15 @@
 """When a change of the backlog of the link is told."""
 
 import math
+from collections.abc import Mapping
+
+from medlarquay import states
 
 __all__ = ('BacklogReport',)
 
-#: What waits for less time is told with the next change; it is about the
-#: time of one fragment, so each large frame is told.
-_LEAST_CHANGE_S = 0.016
+# Fragments are written ahead of the link, and the next one is counted with
+# them: this much comes and goes for ranks of which nothing waits.
+_LEAST_CHANGE_S = 0.04
 
 
 class BacklogReport:
@@ -19,21 +22,27 @@
     """
 
     def __init__(self) -> None:
-        self._told = -math.inf
+        self._told: Mapping[states.Rank, float] = dict.fromkeys(
+            states.Rank,
+            -math.inf,
+        )
 
-    def is_due(self, free_at: float, now: float) -> bool:
+    def is_due(self, free_at: Mapping[states.Rank, float], now: float) -> bool:
         """Tell whether a backlog is to be told; it then counts as told.
 
         Parameters
         ----------
-        free_at : float
-            When all that waits will have left, seconds on the monotonic
-            clock.
+        free_at : Mapping[Rank, float]
+            When what waits up to each rank will have left, seconds on the
+            monotonic clock.
         now : float
             Seconds on the same clock.
         """
-        change = max(free_at, now) - max(self._told, now)
-        if abs(change) < _LEAST_CHANGE_S:
+        changes = (
+            max(free_at[rank], now) - max(self._told[rank], now)
+            for rank in states.Rank
+        )
+        if max(map(abs, changes)) < _LEAST_CHANGE_S:
             return False
         self._told = free_at
         return True
--- a/medlarquay/pacing/schedule.py
+++ b/medlarquay/pacing/schedule.py
@@ -1,5 +1,6 @@
 """Which large frame uses the link of the machine, and when."""
 
+import itertools
 import math
 
 from medlarquay import ids, states
@@ -74,20 +75,27 @@
             self.remove(frame.link, frame.call_id)
         return part
 
-    def free_at(self, now: float) -> float:
-        """Return when all frames will have left, unless their peers stall.
+    def free_at(self, now: float) -> dict[states.Rank, float]:
+        """Return when the frames up to each rank will have left.
 
         Parameters
         ----------
         now : float
-            Seconds on the monotonic clock.
+            Seconds on the monotonic clock, like the results.
+
+        Notes
+        -----
+        Frames whose peers stall do not count.
         """
-        waiting = sum(
-            frame.remaining
-            for frame in self._frames.values()
-            if not self.full.is_stalled(frame.link, now)
-        )
-        return self.pace.free_at(waiting, now)
+        waiting = dict.fromkeys(states.Rank, 0)
+        for frame in self._frames.values():
+            if not self.full.is_stalled(frame.link, now):
+                waiting[frame.urgency.rank] += frame.remaining
+        ahead = itertools.accumulate(waiting.values())
+        return {
+            rank: self.pace.free_at(length, now)
+            for rank, length in zip(waiting, ahead, strict=True)
+        }
 
     def next_step(self, now: float) -> Step:
         """Decide what to do now.
--- a/medlarquay/states/rank.py
+++ b/medlarquay/states/rank.py
@@ -15,3 +15,8 @@
     # Admission looks ranks up in dictionaries many times for each call. The
     # hash of ``Enum`` is a Python function and took a tenth of that time.
     __hash__ = object.__hash__
+
+    def up_to(self) -> tuple['Rank', ...]:
+        """Return this rank and those that go before it, in order."""
+        order = tuple(Rank)
+        return order[: order.index(self) + 1]
--- a/medlarquay/tasks/tests/owner_bench.py
+++ b/medlarquay/tasks/tests/owner_bench.py
@@ -180,6 +180,11 @@
         event = events.CancelCall(link=LINK, call_id=ids.CallId(number))
         self.owner.post(event)
 
+    def link_free_at(self, when: float) -> None:
+        """Let the uplink tell when all that waits will have left."""
+        free_at = dict.fromkeys(states.Rank, when)
+        self.owner.post(events.UplinkChanged(free_at=free_at))
+
     def wait(self, seconds: float) -> None:
         """Let time pass with all timers on time."""
         for _ in range(int(seconds / 0.5)):
