Answer 503 for a missing route while the configuration is stale

A 404 promises that no configuration in force has the route, and a caller does not ask again.

A request without a route is now refused as freshness_lost, with a time of return, when the source has not confirmed the configuration for 3.5 s. Without a fault the last node of the tree is confirmed at least every 3.2 s. The router learns of confirmations as the owner does. What a caller is told after the last attempt moves to a file of its own, unchanged.

--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -87,7 +87,7 @@
         # The lifecycle comes last, so that all others have the configuration
         # when the node is announced as serving.
         subscribers=(path.router, path.owner, operators, life),
-        freshness_subscribers=(path.owner, operators),
+        freshness_subscribers=(path.router, path.owner, operators),
         around=surroundings.Surroundings(
             reactor=reactor,
             clock=clock,
--- a/medlarquay/ingress/open_call.py
+++ b/medlarquay/ingress/open_call.py
@@ -9,6 +9,10 @@
     ingress_call.IngressCall | key_wanted.KeyWanted | routing.ChoiceRefused
 )
 
+# Without a fault the data of the last node of the tree is confirmed in
+# steps of 3.2 s at most: 2.1 s at the reader and two levels of probes.
+_CONFIRMED_S = 3.5
+
 _HOST = b'host'
 _POST = b'POST'
 
@@ -40,8 +44,10 @@
     if snapshot is None:
         return _refuse(states.RefusalReason.NO_CONFIGURATION)
     if message.target.partition(b'?')[0] == routing.KEY_PATH:
-        return _open_key(message, snapshot, _host(message))
-    return _open_route(message, snapshot, turns, now)
+        opened = _open_key(message, snapshot, _host(message))
+    else:
+        opened = _open_route(message, snapshot, turns, now)
+    return _no_route(table, now) if opened is None else opened
 
 
 def _open_route(
@@ -49,11 +55,11 @@
     snapshot: snapshots.Snapshot,
     turns: routing.SplitTurns,
     now: float,
-) -> _Opened:
+) -> _Opened | None:
     host = _host(message)
     route = snapshots.match_route(snapshot, host=host, target=message.target)
     if route is None:
-        return _refuse(states.RefusalReason.NO_ROUTE)
+        return None
     parameters = routing.read_parameters(message, route, now)
     if isinstance(parameters, routing.ChoiceRefused):
         return parameters
@@ -73,7 +79,7 @@
     message: events.RequestReceived,
     snapshot: snapshots.Snapshot,
     host: bytes,
-) -> _Opened:
+) -> _Opened | None:
     service = None
     if message.method == _POST:
         service = routing.service_for_key(
@@ -82,10 +88,21 @@
             target=message.target,
         )
     if service is None:
-        return _refuse(states.RefusalReason.NO_ROUTE)
+        return None
     return key_wanted.KeyWanted(message=message, service=service)
 
 
+def _no_route(
+    table: routing_table.RoutingTable,
+    now: float,
+) -> routing.ChoiceRefused:
+    # A missing route is a promise that no configuration in force has it. Of
+    # what was accepted since the last confirmation this node knows nothing.
+    if now - table.confirmed_at <= _CONFIRMED_S:
+        return _refuse(states.RefusalReason.NO_ROUTE)
+    return _refuse(states.RefusalReason.FRESHNESS_LOST)
+
+
 def _host(message: events.RequestReceived) -> bytes:
     for name, content in message.headers:
         if name == _HOST:
--- a/medlarquay/ingress/retry_after.py
+++ b/medlarquay/ingress/retry_after.py
@@ -13,7 +13,8 @@
 # from coming back together.
 _LOAD_S = 0.15
 _LOAD_SPREAD_S = 0.3
-# A node takes about this long from its start to its first configuration.
+# A node takes about this long from its start to its first configuration,
+# and a node that lost its parent to the next confirmation.
 _START_S = 0.5
 _START_SPREAD_S = 0.5
 
@@ -28,6 +29,7 @@
 ))
 _FOR_START = frozenset((
     states.RefusalReason.NO_CONFIGURATION,
+    states.RefusalReason.FRESHNESS_LOST,
     states.RefusalReason.DRAINING,
 ))
 
--- a/medlarquay/ingress/routing_table.py
+++ b/medlarquay/ingress/routing_table.py
@@ -1,5 +1,6 @@
 """The snapshot in force at the ingress."""
 
+import math
 from collections.abc import Iterator
 
 from medlarquay import ids, replica, routing, snapshots
@@ -14,9 +15,16 @@
     ----------
     place : Location
         Where this ingress runs.
+
+    Attributes
+    ----------
+    confirmed_at : float
+        Latest time at which the source held nothing newer, seconds on the
+        monotonic clock; -inf if unknown.
     """
 
     def __init__(self, *, place: routing.Location) -> None:
+        self.confirmed_at = -math.inf
         self._place = place
         self._snapshot: snapshots.Snapshot | None = None
         self._generation = 0
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -17,7 +17,7 @@
     routing,
     states,
 )
-from medlarquay.tasks import alarm, task
+from medlarquay.tasks import alarm, last_failure, task
 
 __all__ = ('Router',)
 
@@ -216,7 +216,7 @@
         )
         if isinstance(decision, routing.RetryDenied):
             self.reporter.retried(call, decision.denial)
-            _give_up(failure, call, self)
+            last_failure.give_up(failure, call, self)
             return
         self.reporter.retried(call, decision.reason)
         if isinstance(other, routing.OwnerChosen):
@@ -330,48 +330,6 @@
         lifecycle.post(events.WorkFinished(part=states.NodePart.ROUTER))
 
 
-@functools.singledispatch
-def _give_up(
-    failure: object,
-    call: ingress.IngressCall,
-    router: Router,
-) -> None:
-    raise TypeError(f'unexpected failure {type(failure).__name__}')
-
-
-@_give_up.register
-def _tell_refused(
-    failure: messages.CallRefused,
-    call: ingress.IngressCall,
-    router: Router,
-) -> None:
-    link_wait = 0 if failure.load is None else failure.load.link_wait
-    router.tell_refusal(
-        call,
-        failure.reason,
-        final=True,
-        link_wait=link_wait,
-    )
-
-
-@_give_up.register
-def _tell_unknown(
-    failure: messages.CallUnknown,
-    call: ingress.IngressCall,
-    router: Router,
-) -> None:
-    router.tell_unknown(call, failure.reason)
-
-
-@_give_up.register
-def _tell_answer(
-    failure: messages.CallAnswered,
-    call: ingress.IngressCall,
-    router: Router,
-) -> None:
-    router.tell_answer(call, failure)
-
-
 @functools.singledispatch
 def _handle(message: object, router: Router) -> None:
     raise TypeError(f'unexpected message {type(message).__name__}')
@@ -386,6 +344,11 @@
     router.wake()
 
 
+@_handle.register
+def _confirmed(message: events.FreshnessConfirmed, router: Router) -> None:
+    router.table.confirmed_at = message.confirmed_at
+
+
 @_handle.register
 def _rejected(message: events.RequestRejected, router: Router) -> None:
     router.refuse_request(message, message.reason)
