--- a/medlarquay/ingress/open_call.py
+++ b/medlarquay/ingress/open_call.py
@@ -9,8 +9,9 @@
     ingress_call.IngressCall | key_wanted.KeyWanted | routing.ChoiceRefused
 )
 
-# Without a fault the data of the last node of the tree is confirmed in
-# steps of 3.2 s at most: 2.1 s at the reader and two levels of probes.
+# Data of this age makes a child look for another parent. Without a fault a
+# leaf of a deep tree may hold data of 4 s; it then refuses for a moment what
+# it could deny, which does no harm.
 _CONFIRMED_S = 3.5
 
 _HOST = b'host'
