--- a/medlarquay/tasks/router_handle.py
+++ b/medlarquay/tasks/router_handle.py
@@ -37,6 +37,14 @@
     router.wake()
 
 
+@handle.register
+def _confirmed(
+    message: events.FreshnessConfirmed,
+    router: router_base.RouterBase,
+) -> None:
+    router.table.confirmed_at = message.confirmed_at
+
+
 @handle.register
 def _rejected(
     message: events.RequestRejected, router: router_base.RouterBase
