Let the soak silence and reset the way to the source; count stray answers

The relay also stands before the source, so that its readers can be left without an answer or reset. The caller counts answers that no request waits for, which the check of whole answers could not see.

--- a/bench/soak/act.py
+++ b/bench/soak/act.py
@@ -120,11 +120,18 @@
 
 @begin.register
 def _harm_source(fault: faults.SourceFault, running: soak.Soak) -> None:
-    running.running.harm_source(**_SOURCE_HARMS[fault.harm])
+    match fault.harm:
+        case faults.SourceHarm.SILENT:
+            running.running.change_link('', hold_out=True, hold_in=True)
+        case faults.SourceHarm.RESET:
+            running.running.reset_links('')
+        case _:
+            running.running.harm_source(**_SOURCE_HARMS[fault.harm])
 
 
 @finish.register
 def _mend_source(fault: faults.SourceFault, running: soak.Soak) -> None:
+    running.running.change_link('', **_LINK_SOUND)
     running.running.harm_source(**_SOURCE_SOUND)
 
 
--- a/bench/soak/checks/answers.py
+++ b/bench/soak/checks/answers.py
@@ -30,6 +30,8 @@
     compared = testing.compare(told=record.told, ran=record.ran)
     entries = {entry.request: entry for entry in record.told}
     ran = {run.request for run in record.ran}
+    if record.stray:
+        yield finding.Finding(kind=_Kind.STRAY, detail=f'{record.stray}')
     for request in compared.unanswered:
         if not _paused(record, entries[request]):
             yield _found(_Kind.UNANSWERED, record, entries[request])
--- a/bench/soak/checks/finding_kind.py
+++ b/bench/soak/checks/finding_kind.py
@@ -16,6 +16,7 @@
     UNANSWERED = 'P4 no answer and no end of the connection'
     NOT_WHOLE = 'P4 answer not whole'
     FOREIGN = 'P4 answer to another request'
+    STRAY = 'P4 answer that no request waited for'
     TOLD_RUN = 'P5 told run, no run'
     TOLD_NOT_RUN = 'P5 told not run, but ran'
     TWICE = 'P6 ran twice'
--- a/bench/soak/faults/source_harm.py
+++ b/bench/soak/faults/source_harm.py
@@ -12,3 +12,5 @@
     SLOW = 'slow'
     STALE = 'stale'
     LATE_LIST = 'late_list'
+    SILENT = 'silent'
+    RESET = 'reset'
--- a/bench/soak/run_soak.py
+++ b/bench/soak/run_soak.py
@@ -1,6 +1,6 @@
 """One soak from start to end."""
 
-from bench import load_runner
+from bench import http_json, load_runner
 from bench.soak import (
     inject,
     soak,
@@ -75,6 +75,7 @@
         told=told,
         ran=running.runs(),
         unready=_wait_ready(running, hosts),
+        stray=http_json.ask(f'{caller}/-/state')['stray'],
     )
 
 
--- a/bench/soak/soak_cluster.py
+++ b/bench/soak/soak_cluster.py
@@ -33,6 +33,7 @@
         self._tell_rate = tell_rate
         self._checkout = checkout
         self._relay_url = ''
+        self._source_port = 0
 
     def add(
         self,
@@ -50,22 +51,22 @@
             unstarted.flags.append(f'--drain-timeout-s={topology.DRAIN_S}')
             if self._tell_rate:
                 unstarted.flags.append(f'--link-mbps={topology.LINK_MBPS}')
+        self._source_port = int(self.source_url.rpartition(':')[2])
         relay = self._start_relay(found)
         ports = relay_ports.relay_ports(relay)
         self._relay_url = f'http://127.0.0.1:{relay.port()}/-'
+        self.node_source_url = f'http://127.0.0.1:{ports[self._source_port]}'
         for one in found:
             one.published_peer_port = ports[one.ports['peer-port']]
         super().add(found, backend=backend, quiet=quiet)
 
     def change_link(self, name: str, **fields: float | bool) -> None:
-        """Set conditions of the link of a machine."""
-        port = self.instances[name].ports['peer-port']
-        http_json.ask(f'{self._relay_url}/link/{port}', fields)
+        """Set conditions of the link of a node; of the source without name."""
+        http_json.ask(f'{self._relay_url}/link/{self._port_of(name)}', fields)
 
     def reset_links(self, name: str) -> None:
-        """Reset all connections of other nodes to a node."""
-        port = self.instances[name].ports['peer-port']
-        http_json.ask(f'{self._relay_url}/reset/{port}', {})
+        """Reset the connections to a node; those to the source without name."""
+        http_json.ask(f'{self._relay_url}/reset/{self._port_of(name)}', {})
 
     def harm_source(self, **fields: float | bool) -> None:
         """Set faults of the source."""
@@ -81,6 +82,11 @@
         """Copy the output of all processes to a directory."""
         shutil.copytree(self.directory, directory, dirs_exist_ok=True)
 
+    def _port_of(self, name: str) -> int:
+        if name:
+            return self.instances[name].ports['peer-port']
+        return self._source_port
+
     def _start_relay(
         self,
         found: list[instance.Instance],
@@ -93,5 +99,6 @@
             'medlarquay.testing.link_relay',
             'relay',
             f'--conditions={json.dumps(conditions)}',
+            f'--target={self._source_port}',
             *[f'--target={one.ports["peer-port"]}' for one in found],
         )
--- a/bench/soak/soak_record.py
+++ b/bench/soak/soak_record.py
@@ -30,6 +30,8 @@
         What backend servers ran.
     unready : str
         What was wrong when nodes did not become ready at the end.
+    stray : int
+        Answers that no request waited for.
     """
 
     plan: soak_plan.SoakPlan
@@ -40,6 +42,7 @@
     told: list[testing.ToldEntry]
     ran: list[testing.RunEntry]
     unready: str = ''
+    stray: int = 0
 
     def mix_of(self, entry: testing.ToldEntry) -> testing.LoadMix:
         """Return the kind of a request."""
--- a/bench/soak/tests/test_checks.py
+++ b/bench/soak/tests/test_checks.py
@@ -131,6 +131,10 @@
     _answer(record, 'bundle', foreign=True)
 
 
+def _stray(record: soak_record.SoakRecord) -> None:
+    record.stray = 1
+
+
 def _told_run(record: soak_record.SoakRecord) -> None:
     _answer(record, 'bundle')
     record.ran.clear()
@@ -190,6 +194,7 @@
         (_unreached, checks.FindingKind.UNREACHED),
         (_half, checks.FindingKind.NOT_WHOLE),
         (_foreign, checks.FindingKind.FOREIGN),
+        (_stray, checks.FindingKind.STRAY),
         (_told_run, checks.FindingKind.TOLD_RUN),
         (_told_not_run, checks.FindingKind.TOLD_NOT_RUN),
         (_twice, checks.FindingKind.TWICE),
--- a/medlarquay/testing/caller.py
+++ b/medlarquay/testing/caller.py
@@ -34,7 +34,8 @@
     """Sends requests at seeded times and records what it was told.
 
     ``POST /-/run`` starts a load (the fields of ``LoadPlan``), ``GET
-    /-/state`` shows whether it is over, ``GET /-/record`` the record.
+    /-/state`` shows whether it is over and the number of answers that no
+    request waited for, ``GET /-/record`` the record.
 
     Parameters
     ----------
@@ -45,7 +46,11 @@
     def __init__(self, *, reactor: interfaces.IReactorTCP) -> None:
         self.record: list[told_entry.ToldEntry] = []
         self._reactor = reactor
-        self._client = http_client.HttpClient(reactor=reactor)
+        self._client = http_client.HttpClient(
+            reactor=reactor,
+            stray=self._count_stray,
+        )
+        self._stray = 0
         self._arrivals: collections.deque[
             tuple[float, int, load_mix.LoadMix]
         ] = collections.deque()
@@ -62,13 +67,17 @@
                 exchange.answer()
             case '/-/state':
                 over = not self._arrivals and not self._under_way
-                exchange.answer(json.dumps({'over': over}).encode())
+                state = {'over': over, 'stray': self._stray}
+                exchange.answer(json.dumps(state).encode())
             case '/-/record':
                 entries = [dataclasses.asdict(entry) for entry in self.record]
                 exchange.answer(json.dumps(entries).encode())
             case _:
                 exchange.answer(status=404)
 
+    def _count_stray(self) -> None:
+        self._stray += 1
+
     def _run(self, plan: load_plan.LoadPlan) -> None:
         self.record = []
         self._keys = random.Random(plan.seed)  # noqa: S311
--- a/medlarquay/testing/client_connection.py
+++ b/medlarquay/testing/client_connection.py
@@ -17,12 +17,18 @@
     ----------
     release : callable
         Receives this connection when it can carry another exchange.
+    stray : callable, optional
+        Called for each answer that no request waits for.
     """
 
     def __init__(
-        self, *, release: Callable[['ClientConnection'], None]
+        self,
+        *,
+        release: Callable[['ClientConnection'], None],
+        stray: Callable[[], None] | None = None,
     ) -> None:
         self._release = release
+        self._stray = stray
         self._deliver: Callable[[client_answer.ClientAnswer], None] | None = (
             None
         )
@@ -77,6 +83,9 @@
 
     def on_message_complete(self) -> None:
         """Deliver the whole answer."""
+        if self._deliver is None:
+            self._refuse_stray()
+            return
         answer = client_answer.ClientAnswer(
             status=self._parser.get_status_code(),
             headers=self._headers,
@@ -92,6 +101,12 @@
         if deliver is not None:
             deliver(answer)
 
+    def _refuse_stray(self) -> None:
+        self._open = False
+        self.transport.abortConnection()
+        if self._stray is not None:
+            self._stray()
+
     def _finish(self, answer: client_answer.ClientAnswer) -> None:
         deliver = self._deliver
         self._deliver = None
--- a/medlarquay/testing/http_client.py
+++ b/medlarquay/testing/http_client.py
@@ -19,9 +19,17 @@
     ----------
     reactor : IReactorTCP
         Opens connections and runs timers.
+    stray : callable, optional
+        Called for each answer that no request waits for.
     """
 
-    def __init__(self, *, reactor: interfaces.IReactorTCP) -> None:
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorTCP,
+        stray: Callable[[], None] | None = None,
+    ) -> None:
+        self._stray = stray
         self._reactor = reactor
         self._idle: dict[str, list[client_connection.ClientConnection]] = (
             collections.defaultdict(list)
@@ -82,6 +90,7 @@
             endpoint,
             client_connection.ClientConnection(
                 release=self._idle[address].append,
+                stray=self._stray,
             ),
         )
         connecting.addCallbacks(
