Eject no owner for a call that expired at the ingress

Owners in an overload were passed over though they were healthy: a call that expired counted as a loss, and three losses eject an owner. The owner's own word for the same event, deadline_passed, does not, but it comes only 0.1 s before, and on a busy node later than that (found by a review: six expiries eject both owners).

An owner that does not answer at all is noticed by the probe of its link since, so an expiry now ends the call and says nothing about the owner.

Evidence: test_calls_that_expire_eject_no_owner_that_is_heard fails before.

--- a/medlarquay/routing/loss_observed.py
+++ b/medlarquay/routing/loss_observed.py
@@ -1,4 +1,4 @@
-"""A call broke or timed out after it was sent."""
+"""A call broke after it was sent."""
 
 import dataclasses
 
@@ -9,7 +9,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class LossObserved:
-    """A call broke or timed out after it was sent.
+    """A call broke after it was sent.
 
     Attributes
     ----------
--- a/medlarquay/tasks/router_handle.py
+++ b/medlarquay/tasks/router_handle.py
@@ -145,7 +145,9 @@
 ) -> None:
     call = router.calls.finish(message.call_id)
     if call is not None:
-        router.observe(routing.LossObserved(instance=call.instance))
+        # What the owner tells of the deadline may only be late; one that
+        # does not answer at all is silent.
+        router.observe(routing.CallWithdrawn(instance=call.instance))
         reason = states.RefusalReason.DEADLINE_PASSED
         if router.clock() >= router.drain.answer_by:
             reason = states.RefusalReason.DRAINING
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -616,3 +616,16 @@
     bench.router.post(events.PeerHeard(instance=silent))
     chosen = {bench.send(caller).instance for caller in range(20, 60)}
     assert silent in chosen
+
+
+def test_calls_that_expire_eject_no_owner_that_is_heard(
+    bench: ingress_bench.IngressBench,
+) -> None:
+    """Guards against healthy owners passed over for a late word of theirs."""
+    for caller in range(8):
+        bench.send(caller, request_timeout_ms='500')
+        bench.clock.advance(0.61)
+    observations = bench.router.chooser.observations
+    assert not observations.ejected_until
+    seen = observations.by_instance.values()
+    assert not any(found.in_flight for found in seen)
