Answer a request whose message the ingress fails to handle

Fault as callers see it: when a handler of the router fails between the end of a call and its answer, the request gets no answer, until the caller closes, and no line: the log has the error without the request id. The deadline of the call does not help, since it is forgotten by then.

Cause: a failed message is logged and dropped by the task, whatever request it was about.

Change: the calls of the ingress remember the request that the message being handled began or ended, until it is answered or sent. If the handler fails, its caller is told 502 with the outcome unknown and the new reason internal_error, with a line and a count.

Evidence: four cases of test_a_fault_of_the_ingress_leaves_no_request_... fail before.

--- a/medlarquay/ingress/answers.py
+++ b/medlarquay/ingress/answers.py
@@ -47,6 +47,7 @@
     states.RefusalReason.SHED: 429,
     states.RefusalReason.DEADLINE_UNREACHABLE: 429,
     states.RefusalReason.LINK_FULL: 429,
+    states.RefusalReason.INTERNAL_ERROR: _UNKNOWN_STATUS,
 })
 
 # The home of the key did not look it up, so this attempt was not run and
@@ -68,7 +69,7 @@
     keyed: bool = False,
     final: bool = False,
 ) -> events.AnswerReady:
-    """Return the answer that says a request was not run.
+    """Return the answer of the system to a request that it refuses.
 
     Parameters
     ----------
@@ -82,7 +83,9 @@
     final : bool
         Whether upstream hops must not retry.
     """
-    headers = _outcome(refusal_outcome(reason), reason, final=final)
+    outcome = refusal_outcome(reason)
+    final = final or outcome is states.Outcome.UNKNOWN
+    headers = _outcome(outcome, reason, final=final)
     if keyed and reason in _NOT_LOOKED_UP:
         headers = (*headers, _EARLIER_UNKNOWN)
     return events.AnswerReady(
@@ -98,6 +101,9 @@
     if reason is states.RefusalReason.KEY_RESULT_DROPPED:
         # An earlier attempt ran; only its answer was not kept.
         return states.Outcome.RUN
+    if reason is states.RefusalReason.INTERNAL_ERROR:
+        # The fault may have come after the request was sent.
+        return states.Outcome.UNKNOWN
     return states.Outcome.NOT_RUN
 
 
--- a/medlarquay/ingress/call_reporter.py
+++ b/medlarquay/ingress/call_reporter.py
@@ -8,7 +8,7 @@
 import logbook
 
 from medlarquay import events, ids, states, telemetry
-from medlarquay.ingress import ingress_call
+from medlarquay.ingress import answers, ingress_call
 
 __all__ = ('CallReporter',)
 
@@ -131,14 +131,14 @@
         reason: states.RefusalReason,
         request_id: str = '',
     ) -> None:
-        """Record a refusal before a route and its parameters were known."""
+        """Record a refusal of a request that is no call, or not any more."""
         self.count(reason)
         method, target = _request_line(message)
         _LOG.info(
             telemetry.format_fields(
                 request=request_id or None,
                 told=answer.status,
-                outcome=states.Outcome.NOT_RUN.value,
+                outcome=answers.refusal_outcome(reason).value,
                 reason=reason.value,
                 target=target.decode('ascii', 'replace'),
             ),
@@ -152,7 +152,7 @@
                 method=method,
                 target=target,
                 request_key=None,
-                outcome=states.Outcome.NOT_RUN,
+                outcome=answers.refusal_outcome(reason),
                 status=answer.status,
                 reason=reason,
             ),
--- a/medlarquay/ingress/ingress_calls.py
+++ b/medlarquay/ingress/ingress_calls.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from medlarquay import ids
+from medlarquay import events, ids
 from medlarquay.ingress import ingress_call
 
 __all__ = ('IngressCalls',)
@@ -15,9 +15,16 @@
     -----
     Each attempt has a number of its own that is never used again, so a
     result can only be matched to the attempt that it belongs to.
+
+    Attributes
+    ----------
+    owed : RequestReceived or None
+        Request that is neither under way nor answered: the message being
+        handled began or ended it.
     """
 
     def __init__(self) -> None:
+        self.owed: events.RequestReceived | None = None
         self._by_id: dict[ids.CallId, ingress_call.IngressCall] = {}
         self._by_caller: dict[ids.CallerId, ids.CallId] = {}
         self._last = 0
@@ -42,6 +49,7 @@
         call = self._by_id.pop(call_id, None)
         if call is not None:
             self._by_caller.pop(call.caller, None)
+            self.owed = call.message
         return call
 
     def finish_caller(
--- a/medlarquay/states/refusal_reason.py
+++ b/medlarquay/states/refusal_reason.py
@@ -37,3 +37,4 @@
     BACKEND_LOST = 'backend_lost'
     ANSWER_TOO_LARGE = 'answer_too_large'
     CANCELLED = 'cancelled'
+    INTERNAL_ERROR = 'internal_error'
--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -110,7 +110,17 @@
 
     def receive(self, message: object) -> None:
         """Handle one message."""
-        _handle(message, self)
+        self.calls.owed = None
+        if isinstance(message, events.RequestReceived):
+            self.calls.owed = message
+        try:
+            _handle(message, self)
+        except Exception:
+            owed = self.calls.owed
+            if owed is not None:
+                self.calls.finish_caller(owed.caller)
+                self.refuse_request(owed, states.RefusalReason.INTERNAL_ERROR)
+            raise
         if self.draining:
             self._report_if_finished()
 
@@ -185,6 +195,7 @@
             round_trip_s=routing.ROUND_TRIP_S[self.table.zone_of(backend)],
         )
         self.sender.send(backend, request)
+        self.calls.owed = None
 
     def finish(self, call_id: ids.CallId) -> ingress.IngressCall | None:
         """Forget an attempt; count a result that belongs to none."""
@@ -280,6 +291,7 @@
         request_id: str = '',
     ) -> None:
         """Give the listener an answer."""
+        self.calls.owed = None
         if self.listener is not None:
             self.listener.post(
                 dataclasses.replace(
@@ -422,6 +434,7 @@
 def _gone(message: events.CallerGone, router: Router) -> None:
     router.incarnations.withdraw(message.caller)
     call = router.calls.finish_caller(message.caller)
+    router.calls.owed = None
     if call is not None:
         router.reporter.unanswered(call, states.Unanswered.CALLER_GONE)
         router.observe(routing.CallWithdrawn(instance=call.instance))
--- a/medlarquay/tasks/tests/test_router_log.py
+++ b/medlarquay/tasks/tests/test_router_log.py
@@ -95,3 +95,33 @@
     bench.router.post(events.CallerGone(caller=ids.CallerId(1)))
     assert _fields(logged, 'done')['told'] == '200'
     assert not bench.counters.counts[states.Unanswered.CALLER_GONE]
+
+
+@pytest.mark.parametrize(
+    'ended', ['received', 'refused', 'answered', 'expired']
+)
+def test_a_fault_of_the_ingress_leaves_no_request_without_an_answer(
+    bench: ingress_bench.IngressBench,
+    logged: logbook.TestHandler,
+    monkeypatch: pytest.MonkeyPatch,
+    ended: str,
+) -> None:
+    """Guards against a caller that waits for a message that failed."""
+    sent = bench.send(1, request_id='first')
+    bench.listener.take()
+    # Every message about an owner fails from now on.
+    monkeypatch.setattr(bench.router, 'observe', None)
+    if ended == 'received':
+        bench.request(2, b'POST', request_id='first')
+    elif ended == 'refused':
+        bench.refuse(sent.request.call_id, states.RefusalReason.DRAINING)
+    elif ended == 'answered':
+        bench.answer(sent.request.call_id)
+    else:
+        bench.router.post(events.CallExpired(call_id=sent.request.call_id))
+    answer = ingress_bench.only(bench.listener.take())
+    assert answer.status == 502
+    assert (b'medlarquay-reason', b'internal_error') in answer.headers
+    written = _fields(logged, 'first')
+    assert written['told'] == '502'
+    assert written['outcome'] == 'unknown'
