--- a/medlarquay/tasks/router.py
+++ b/medlarquay/tasks/router.py
@@ -1,6 +1,7 @@
 """The task that routes the requests of callers at the ingress."""
 
-from medlarquay.tasks import router_base, router_handle
+from medlarquay import events, states
+from medlarquay.tasks import router_answers, router_base, router_handle
 
 __all__ = ('Router',)
 
@@ -16,5 +17,23 @@
 
     def receive(self, message: object) -> None:
         """Handle one message."""
-        router_handle.handle(message, self)
+        self.calls.owed = None
+        if isinstance(message, events.RequestReceived):
+            self.calls.owed = message
+        try:
+            router_handle.handle(message, self)
+        except Exception:
+            self._answer_owed()
+            raise
         self.finish_drain()
+
+    def _answer_owed(self) -> None:
+        """Answer the request whose message could not be handled."""
+        owed = self.calls.owed
+        if owed is not None:
+            self.calls.finish_caller(owed.caller)
+            router_answers.refuse_request(
+                owed,
+                states.RefusalReason.INTERNAL_ERROR,
+                self,
+            )
--- a/medlarquay/tasks/router_attempts.py
+++ b/medlarquay/tasks/router_attempts.py
@@ -54,6 +54,7 @@
         round_trip_s=routing.ROUND_TRIP_S[router.table.zone_of(backend)],
     )
     router.sender.send(backend, request)
+    router.calls.owed = None
 
 
 def fail(
--- a/medlarquay/tasks/router_base.py
+++ b/medlarquay/tasks/router_base.py
@@ -128,6 +128,7 @@
         request_id: str = '',
     ) -> None:
         """Give the listener an answer."""
+        self.calls.owed = None
         if self.listener is not None:
             self.listener.post(
                 dataclasses.replace(
--- a/medlarquay/tasks/router_handle.py
+++ b/medlarquay/tasks/router_handle.py
@@ -79,6 +79,7 @@
 def _gone(message: events.CallerGone, router: router_base.RouterBase) -> None:
     router.incarnations.withdraw(message.caller)
     call = router.calls.finish_caller(message.caller)
+    router.calls.owed = None
     if call is not None:
         router.reporter.unanswered(call, states.Unanswered.CALLER_GONE)
         router.observe(routing.CallWithdrawn(instance=call.instance))
