Keep large answers in the region while an owner there takes work

Cause: a large answer that would be late in its region, or was refused there as link_full, was sent from another one. The users pay for these bytes by volume; at their prices one such answer costs more than twice what it earns.

Change: a call that expects a large answer leaves the region only if no owner there takes work: draining, ejected, silent, or tried and lost. The owner that is the last of the region is told so, and may then answer late. Small answers are placed as before.

The assertion that a late bundle goes to another region stated the wrong choice. In its place: the same choice between two data centres of the region, and that a bundle stays whether it is in time or late. New tests for a region whose owners take no work. test_large_answers_stay_in_the_region fails before.

--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -23,6 +23,7 @@
 from medlarquay.routing.owner_chosen import OwnerChosen
 from medlarquay.routing.read_parameters import read_parameters
 from medlarquay.routing.refusal_observed import RefusalObserved
+from medlarquay.routing.region import owners_to_ask
 from medlarquay.routing.retry_budget import RetryBudget
 from medlarquay.routing.retry_budgets import RetryBudgets
 from medlarquay.routing.retry_denied import RetryDenied
@@ -64,4 +65,5 @@
     'choose',
     'group_candidates',
     'observe',
+    'owners_to_ask',
 )
--- a/medlarquay/routing/expected_wait.py
+++ b/medlarquay/routing/expected_wait.py
@@ -5,7 +5,7 @@
 from medlarquay import replica
 from medlarquay.routing import observation
 
-__all__ = ('Estimate', 'estimate')
+__all__ = ('Estimate', 'estimate', 'is_busy')
 
 # A report is believed less the older it is, and not at all after this time.
 _LOAD_LIFE_S = 1.0
@@ -97,6 +97,13 @@
     )
 
 
+def is_busy(found: observation.Observation | None, now: float) -> bool:
+    """Tell whether a backend server or the link of its machine is full."""
+    if found is None:
+        return False
+    return found.full_until > now or _link_wait(found, now) > 0
+
+
 def _link_wait(found: observation.Observation, now: float) -> float:
     """Return what is left of a reported wait for the link."""
     elapsed = now - found.load_at
--- a/medlarquay/routing/pick.py
+++ b/medlarquay/routing/pick.py
@@ -8,8 +8,9 @@
     chooser,
     expected_wait,
     link_cost,
-    observation,
     owner_offer,
+    region,
+    zone,
 )
 
 __all__ = ('pick_owner',)
@@ -34,7 +35,9 @@
     The nearest zone with a free slot that answers when due ends the search.
     Others still compete by their expected time of answer, so a short queue
     near by beats a free slot 60 ms away, and a slow server does not keep
-    the work that it would answer too late.
+    the work that it would answer too late. A large answer leaves the region
+    only if no owner there takes work, since the bytes between regions are
+    paid by volume and cost more than a late answer.
     """
     best: replica.InstanceRecord | None = None
     best_cost = float('inf')
@@ -54,7 +57,10 @@
 ) -> Iterator[owner_offer.OwnerOffer]:
     use_ejected = _too_many_ejected(wanted, state, now)
     large = wanted.route in state.observations.large_routes
-    for zone, members in wanted.candidates.zones:
+    for distance, members in wanted.candidates.zones:
+        far = distance is zone.Zone.OTHER_REGION
+        if far and region.stays_in_region(wanted, state, now):
+            return
         usable = _usable(wanted, state, members, now, use_ejected=use_ejected)
         if usable:
             picked, waiting = _pick_in_zone(usable, state, now, large=large)
@@ -63,7 +69,7 @@
                 cost=(
                     waiting.wait
                     + waiting.service
-                    + link_cost.ROUND_TRIP_S[zone]
+                    + link_cost.ROUND_TRIP_S[distance]
                 ),
                 free=waiting.free,
             )
@@ -101,20 +107,10 @@
         backend
         for backend in members
         if backend.instance not in wanted.excluded
-        and _accepts(seen.get(backend.instance), now, ejected_after)
+        and region.accepts(seen.get(backend.instance), now, ejected_after)
     ]
 
 
-def _accepts(
-    found: observation.Observation | None,
-    now: float,
-    ejected_after: float,
-) -> bool:
-    if found is None:
-        return True
-    return found.draining_until <= now and found.avoided_until <= ejected_after
-
-
 def _pick_in_zone(
     usable: _Backends,
     state: chooser.Chooser,
--- /dev/null
+++ b/medlarquay/routing/region.py
@@ -0,0 +1,74 @@
+"""Whether a call may leave the region of its ingress."""
+
+from medlarquay.routing import (
+    any_owner_wanted,
+    chooser,
+    expected_wait,
+    observation,
+    zone,
+)
+
+__all__ = ('accepts', 'owners_to_ask', 'stays_in_region')
+
+
+def stays_in_region(
+    wanted: any_owner_wanted.AnyOwnerWanted,
+    state: chooser.Chooser,
+    now: float,
+) -> bool:
+    """Tell whether a call expects a large answer that its region can give.
+
+    Notes
+    -----
+    The bytes between regions are paid by volume, and one large answer costs
+    more than it is worth. So it leaves the region only if no owner there
+    takes work, not because all of them are busy.
+    """
+    if wanted.route not in state.observations.large_routes:
+        return False
+    seen = state.observations.by_instance
+    return any(
+        accepts(seen.get(backend.instance), now, now)
+        and (
+            backend.instance not in wanted.excluded
+            or expected_wait.is_busy(seen.get(backend.instance), now)
+        )
+        for distance, members in wanted.candidates.zones
+        if distance is not zone.Zone.OTHER_REGION
+        for backend in members
+    )
+
+
+def owners_to_ask(
+    wanted: any_owner_wanted.AnyOwnerWanted,
+    state: chooser.Chooser,
+    now: float,
+) -> int:
+    """Return how many owners a call may be sent to."""
+    far_too = not stays_in_region(wanted, state, now)
+    return sum(
+        len(members)
+        for distance, members in wanted.candidates.zones
+        if far_too or distance is not zone.Zone.OTHER_REGION
+    )
+
+
+def accepts(
+    found: observation.Observation | None,
+    now: float,
+    ejected_after: float,
+) -> bool:
+    """Tell whether a backend server takes calls as far as is known.
+
+    Parameters
+    ----------
+    found : Observation or None
+        What this ingress observed of it.
+    now : float
+        Seconds on the monotonic clock.
+    ejected_after : float
+        An ejection that ends later counts, on the same clock.
+    """
+    if found is None:
+        return True
+    return found.draining_until <= now and found.avoided_until <= ejected_after
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -382,24 +382,58 @@
     """Guards against bundles that pile up on one machine's link."""
     state = fleet.chooser()
     full, near = fleet.backend('a2'), fleet.backend('a3')
-    far = fleet.backend('b1', region='south')
+    other_centre = fleet.backend('b1')
     _observe_large(state, 'a2', link_wait=1.5)
     _observe_large(state, 'a3', link_wait=0.5)
     _observe_large(state, 'b1', link_wait=0)
     assert fleet.pick(state, full, near, route=_BUNDLE) == 'a3'
-    assert fleet.pick(state, full, far, route=_BUNDLE, due=1) == 'b1'
-    assert fleet.pick(state, full, far, due=1) == 'a2'
+    found = fleet.pick(state, full, other_centre, route=_BUNDLE, due=1)
+    assert found == 'b1'
+    assert fleet.pick(state, full, other_centre, due=1) == 'a2'
     # The wait that was reported has passed.
-    assert fleet.pick(state, full, far, now=2, route=_BUNDLE, due=3) == 'a2'
+    found = fleet.pick(state, full, other_centre, now=2, route=_BUNDLE, due=3)
+    assert found == 'a2'
 
 
-def test_large_answers_stay_in_the_region_while_they_are_in_time() -> None:
+@pytest.mark.parametrize('link_wait', [0.5, 1.5])
+def test_large_answers_stay_in_the_region(link_wait: float) -> None:
     """Guards against bundles that cross regions, which is paid by volume."""
     state = fleet.chooser()
-    near, far = fleet.backend('a2'), fleet.backend('b1', region='south')
-    _observe_large(state, 'a2', link_wait=0.5)
-    _observe_large(state, 'b1', link_wait=0)
-    assert fleet.pick(state, near, far, route=_BUNDLE, due=2) == 'a2'
+    near, far = fleet.backend('a2'), fleet.backend('c1', region='south')
+    _observe_large(state, 'a2', link_wait=link_wait)
+    _observe_large(state, 'c1', link_wait=0)
+    assert fleet.pick(state, near, far, route=_BUNDLE, due=1) == 'a2'
+    # It has refused the call, for its link, and is not asked again.
+    tried = (near.instance,)
+    found = fleet.pick(state, near, far, route=_BUNDLE, due=1, excluded=tried)
+    assert found is None
+    assert fleet.pick(state, near, far, due=1, excluded=tried) == 'c1'
+
+
+@pytest.mark.parametrize(
+    'reason',
+    [states.RefusalReason.OWNER_UNREACHABLE, states.RefusalReason.DRAINING],
+)
+def test_large_answers_leave_a_region_without_owners(
+    reason: states.RefusalReason,
+) -> None:
+    """Guards against bundles refused because a data centre is lost."""
+    state = fleet.chooser()
+    near, far = fleet.backend('a2'), fleet.backend('c1', region='south')
+    _observe_large(state, 'c1', link_wait=0)
+    _refuse(state, 'a2', reason)
+    assert fleet.pick(state, near, far, route=_BUNDLE) == 'c1'
+
+
+def test_a_large_call_leaves_a_region_whose_only_server_is_down() -> None:
+    """Guards against bundles refused while another region can serve them."""
+    state = fleet.chooser()
+    near, far = fleet.backend('a2'), fleet.backend('c1', region='south')
+    _observe_large(state, 'c1', link_wait=0)
+    _refuse(state, 'a2', states.RefusalReason.BACKEND_DOWN)
+    tried = (near.instance,)
+    found = fleet.pick(state, near, far, route=_BUNDLE, excluded=tried)
+    assert found == 'c1'
 
 
 def test_the_time_of_large_answers_is_not_that_of_short_calls() -> None:
@@ -412,3 +446,14 @@
     bundle = routing.expected_time(backend, state, 0, route=_BUNDLE)
     assert short == pytest.approx(0.005)
     assert bundle == pytest.approx(1.505)
+
+
+def test_the_last_owner_of_the_region_knows_that_it_is_the_last() -> None:
+    """Guards against bundles refused as late although nobody else is asked."""
+    state = fleet.chooser()
+    near, far = fleet.backend('a2'), fleet.backend('c1', region='south')
+    _observe_large(state, 'a2', link_wait=0.5)
+    candidates = routing.group_candidates((near, far), place=fleet.PLACE)
+    for route, owners in ((_BUNDLE, 1), (_CHECK, 2)):
+        wanted = routing.AnyOwnerWanted(candidates=candidates, route=route)
+        assert routing.owners_to_ask(wanted, state, 0) == owners
--- a/medlarquay/tasks/router_attempts.py
+++ b/medlarquay/tasks/router_attempts.py
@@ -1,6 +1,6 @@
 """Attempts of the router to have a call answered."""
 
-from medlarquay import ingress, messages, replica, routing, states
+from medlarquay import ids, ingress, messages, replica, routing, states
 from medlarquay.tasks import router_answers, router_base
 
 __all__ = ('attempt', 'fail', 'leave_silent')
@@ -45,8 +45,12 @@
     router.observe(routing.CallSent(instance=call.instance))
     if router.alarm is not None:
         router.alarm.wake_at(call.deadline)
-    live = len(router.table.candidates(call.service).live)
-    last = len(call.tried) >= min(live, _OWNERS_ASKED)
+    owners = routing.owners_to_ask(
+        _wanted(call, router, excluded=()),
+        router.chooser,
+        now,
+    )
+    last = len(call.tried) >= min(owners, _OWNERS_ASKED)
     request = ingress.call_request(
         call,
         router.front,
@@ -104,20 +108,30 @@
 
 
 def _choose_other(
-    call: ingress.IngressCall, router: router_base.RouterBase
+    call: ingress.IngressCall,
+    router: router_base.RouterBase,
 ) -> _Choice:
     return routing.choose(
-        routing.AnyOwnerWanted(
-            candidates=router.table.candidates(call.service),
-            excluded=call.tried,
-            due=call.parameters.due,
-            route=call.route.name,
-        ),
+        _wanted(call, router, excluded=call.tried),
         router.chooser,
         router.clock(),
     )
 
 
+def _wanted(
+    call: ingress.IngressCall,
+    router: router_base.RouterBase,
+    *,
+    excluded: tuple[ids.InstanceId, ...],
+) -> routing.AnyOwnerWanted:
+    return routing.AnyOwnerWanted(
+        candidates=router.table.candidates(call.service),
+        excluded=excluded,
+        due=call.parameters.due,
+        route=call.route.name,
+    )
+
+
 def _decide_retry(
     call: ingress.IngressCall,
     failure: _Failure,
