Ignore signals while the interpreter ends

A node that stopped gracefully ended with -15 instead of 0 when a further SIGTERM came in the last tenths of a second: the interpreter puts the default action of signals back while it ends (0.15 s of processor time).

After the reactor has ended, SIGTERM and SIGINT are ignored. test_further_signals_change_nothing failed before.

--- a/medlarquay/daemon/main.py
+++ b/medlarquay/daemon/main.py
@@ -19,10 +19,10 @@
     # flag is reported without the cost of starting one.
     from twisted.internet import reactor  # noqa: PLC0415
 
-    from medlarquay.daemon import node  # noqa: PLC0415
+    from medlarquay.daemon import node, signals  # noqa: PLC0415
 
     node.start_node(reactor=reactor, settings=settings)
-    reactor.run()
+    signals.run_reactor(reactor)
 
 
 if __name__ == '__main__':
--- a/medlarquay/daemon/signals.py
+++ b/medlarquay/daemon/signals.py
@@ -9,7 +9,7 @@
 from medlarquay import events
 from medlarquay.tasks import task
 
-__all__ = ('post_on_signal',)
+__all__ = ('post_on_signal', 'run_reactor')
 
 
 def post_on_signal(
@@ -26,6 +26,17 @@
     signal.signal(signal.SIGINT, handler)
 
 
+def run_reactor(reactor: interfaces.IReactorCore) -> None:
+    """Run a reactor to its end; after it signals change nothing.
+
+    The interpreter puts the default action back while it ends, which would
+    make a graceful stop look like a failure.
+    """
+    reactor.run()
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    signal.signal(signal.SIGINT, signal.SIG_IGN)
+
+
 def _post(
     reactor: interfaces.IReactorFromThreads,
     target: task.Task,
--- a/medlarquay/daemon/tests/test_process.py
+++ b/medlarquay/daemon/tests/test_process.py
@@ -6,6 +6,7 @@
 import socket
 import subprocess
 import sys
+from collections.abc import Iterator
 from http import HTTPStatus, client
 
 import pytest
@@ -13,6 +14,7 @@
 _PORT_NAMES = ('caller-port', 'peer-port', 'admin-port', 'backend-port')
 # Far above the usual half second, so that a busy machine changes no verdict.
 _START_ATTEMPTS = 600
+_SIGNALS = 2000
 
 
 def _free_port() -> int:
@@ -42,8 +44,9 @@
     pytest.fail('node did not start')
 
 
-def test_node_answers_operators_and_stops_on_sigterm() -> None:
-    """Guards against a composition whose parts do not fit together."""
+@contextlib.contextmanager
+def _started() -> Iterator[tuple[int, subprocess.Popen[str]]]:
+    """Start a node; give its operators' port and its process."""
     ports = [_free_port() for _ in _PORT_NAMES]
     flags = [
         f'--{name}={port}'
@@ -67,10 +70,16 @@
         text=True,
     )
     try:
-        logged = _check_and_stop(ports[2], node)
+        yield ports[2], node
     finally:
         node.kill()
         node.wait()
+
+
+def test_node_answers_operators_and_stops_on_sigterm() -> None:
+    """Guards against a composition whose parts do not fit together."""
+    with _started() as (admin_port, node):
+        logged = _check_and_stop(admin_port, node)
     assert node.returncode == 0
     assert 'lifecycle: entered state stopped' in logged
 
@@ -81,3 +90,18 @@
     assert json.loads(_get(admin_port, 'version')[1])['instance'] == 'i1'
     node.send_signal(signal.SIGTERM)
     return node.communicate(timeout=60)[1]
+
+
+def test_further_signals_change_nothing() -> None:
+    """Guards against a stop that counts as a failure.
+
+    A signal that came while the interpreter was ending ended the process.
+    """
+    with _started() as (admin_port, node):
+        _wait_until_healthy(admin_port, node)
+        for _ in range(_SIGNALS):
+            node.send_signal(signal.SIGTERM)
+            with contextlib.suppress(subprocess.TimeoutExpired):
+                node.wait(timeout=0.002)
+        node.communicate(timeout=60)
+    assert node.returncode == 0
--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -27,7 +27,7 @@
     # The reactor is imported after the settings were checked.
     from twisted.internet import reactor  # noqa: PLC0415
 
-    from medlarquay.daemon import node  # noqa: PLC0415
+    from medlarquay.daemon import node, signals  # noqa: PLC0415
     from medlarquay.platform import (  # noqa: PLC0415
         node_parts,
         settings_watcher,
@@ -46,7 +46,7 @@
     reactor.callWhenRunning(watcher.watch, reactor)
     _settle_memory()
     with stream.gathering(reactor.callLater):
-        reactor.run()
+        signals.run_reactor(reactor)
 
 
 def _settle_memory() -> None:
