--- a/bench/soak/checks/answers.py
+++ b/bench/soak/checks/answers.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from bench.soak import soak_load, soak_record
+from bench.soak import node_life, soak_load, soak_record
 from bench.soak.checks import finding, finding_kind
 from medlarquay import testing
 
@@ -85,7 +85,7 @@
         return False
     ended_at = _ended_at(entry)
     for life in record.lives_of(record.ingress_of(entry)):
-        if entry.sent_at - _CLOCK_S <= life.killed_at <= ended_at + _CLOCK_S:
+        if _was_killed(life, entry.sent_at, ended_at):
             return False
         crossing = ended_at - entry.sent_at <= _CROSSING_S
         stopping = 0 < life.asked_at <= ended_at and (
@@ -96,6 +96,21 @@
     return True
 
 
+def _was_killed(
+    life: node_life.NodeLife,
+    sent_at: float,
+    ended_at: float,
+) -> bool:
+    """Return whether a kill ended a request.
+
+    A killed process ends when it is scheduled, up to then its connections
+    are open.
+    """
+    if not life.killed_at or ended_at + _CLOCK_S < life.killed_at:
+        return False
+    return not life.gone_at or sent_at - _CLOCK_S <= life.gone_at
+
+
 def _is_unreached(
     record: soak_record.SoakRecord,
     entry: testing.ToldEntry,
--- a/bench/soak/tests/test_checks.py
+++ b/bench/soak/tests/test_checks.py
@@ -102,6 +102,18 @@
     )
 
 
+def _killed(record: soak_record.SoakRecord) -> None:
+    record.lives_of(_DESK)[0].killed_at = _BEGAN + 11.4
+    record.lives_of(_DESK)[0].gone_at = _BEGAN + 11.5
+    _tell(record, 'bundle')
+
+
+def _killed_before(record: soak_record.SoakRecord) -> None:
+    _killed(record)
+    record.lives_of(_DESK)[0].killed_at = _BEGAN + 8
+    record.lives_of(_DESK)[0].gone_at = _BEGAN + 8.1
+
+
 def _lost(record: soak_record.SoakRecord) -> None:
     life = record.lives_of(_DESK)[0]
     life.asked_at = _BEGAN + 9
@@ -190,6 +202,7 @@
     [
         (_lost, checks.FindingKind.LOST),
         (_lost_with_a_run, checks.FindingKind.LOST),
+        (_killed_before, checks.FindingKind.LOST),
         (_unanswered, checks.FindingKind.UNANSWERED),
         (_unreached, checks.FindingKind.UNREACHED),
         (_half, checks.FindingKind.NOT_WHOLE),
@@ -216,10 +229,9 @@
     assert {found.kind for found in judge.judge(record)} == {kind}
 
 
-def _killed(record: soak_record.SoakRecord) -> None:
-    record.lives_of(_DESK)[0].killed_at = _BEGAN + 11.4
-    record.lives_of(_DESK)[0].gone_at = _BEGAN + 11.5
-    _tell(record, 'bundle')
+def _killed_late(record: soak_record.SoakRecord) -> None:
+    _killed(record)
+    record.lives_of(_DESK)[0].killed_at = _BEGAN + 9.5
 
 
 def _stopped(record: soak_record.SoakRecord) -> None:
@@ -270,6 +282,7 @@
     'allow',
     [
         _killed,
+        _killed_late,
         _stopped,
         _asked_at_start,
         _crossed,
