Read new connections too before a stop closes them

A node that was paused while it was stopping closed connections whose requests it had not read (soak on, 36 s, 7 nodes: 11 requests sent 1.0 to 1.8 s before the close, all in a pause of 1.8 s). It accepts such a connection in one turn of the reactor and reads it in the next, and waited for one. It waits for two now. The end of the callers' part is reported only after that; a request read meanwhile could have reported it early.

test_waiting_connections_are_read_before_the_end fails with one turn.

--- a/medlarquay/transport/caller_connections.py
+++ b/medlarquay/transport/caller_connections.py
@@ -10,6 +10,9 @@
 __all__ = ('CallerConnections',)
 
 _BACKLOG = 512
+# Turns of the reactor in which it accepts a connection that waits and then
+# reads the request that was sent on it.
+_READ_TURNS = 2
 
 
 class CallerConnections:
@@ -70,11 +73,17 @@
         report : callable
             Called when all connections that are open now are gone.
         """
-        self._report = report
-        self._leaving = set(self._open)
-        self._reactor.callLater(0, self._finish_open)
+        self._read_first(_READ_TURNS, report)
 
-    def _finish_open(self) -> None:
+    def _read_first(self, turns: int, report: Callable[[], None]) -> None:
+        """Let the reactor read for some turns, then close."""
+        if turns:
+            self._reactor.callLater(0, self._read_first, turns - 1, report)
+        else:
+            self._finish_open(report)
+
+    def _finish_open(self, report: Callable[[], None]) -> None:
+        self._report = report
         self._leaving = set(self._open)
         for connection in tuple(self._open.values()):
             connection.finish()
--- a/medlarquay/transport/tests/test_caller_connections.py
+++ b/medlarquay/transport/tests/test_caller_connections.py
@@ -8,11 +8,23 @@
 _GET = b'GET /x HTTP/1.1\r\nHost: a\r\n\r\n'
 
 
+class _Turns(task.Clock):
+    """Clock that leaves timers set in a turn to the next, as reactors do."""
+
+    def turn(self) -> None:
+        """Run the timers of one turn, whose time has come."""
+        due = self.calls
+        self.calls = []
+        for call in due:
+            call.called = 1
+            call.func(*call.args, **call.kw)
+
+
 class _Address:
     """A listening address and what its connections delivered."""
 
     def __init__(self) -> None:
-        self.clock = task.Clock()
+        self.clock = _Turns()
         self.delivered: list[object] = []
         self.protocols: list[protocol.Protocol] = []
         self.connections = transport.CallerConnections(
@@ -32,6 +44,11 @@
         connection.dataReceived(_GET)
         return wire
 
+    def pass_turns(self) -> None:
+        """Let the reactor run its timers a few times."""
+        for _ in range(3):
+            self.clock.turn()
+
     def answer(self, caller: ids.CallerId, body: bytes) -> None:
         """Answer the request of a connection."""
         self.connections.answer(
@@ -81,7 +98,7 @@
     reports: list[bool] = []
     address.connections.finish(lambda: reports.append(True))
     address.protocols[0].dataReceived(_GET)
-    address.clock.advance(0)
+    address.pass_turns()
     assert not wire.disconnecting
     address.answer(caller, b'second')
     assert wire.value().endswith(b'second')
@@ -95,7 +112,25 @@
     address.answer(address.delivered[0].caller, b'first')
     reports: list[bool] = []
     address.connections.finish(lambda: reports.append(True))
-    address.clock.advance(0)
+    address.pass_turns()
     assert wire.disconnecting
     address.protocols[0].connectionLost()
     assert reports
+
+
+def test_waiting_connections_are_read_before_the_end() -> None:
+    """Guards against unread requests on connections that were just accepted.
+
+    A node that was paused accepts them in one turn of the reactor and reads
+    them in the next one.
+    """
+    address = _Address()
+    reports: list[bool] = []
+    address.connections.finish(lambda: reports.append(True))
+    address.clock.turn()
+    wire = address.connect()
+    address.clock.turn()
+    assert not reports
+    assert not wire.disconnecting
+    address.answer(address.delivered[0].caller, b'refused')
+    assert wire.value().endswith(b'refused')
