--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -171,6 +171,15 @@
     return _Bench()
 
 
+def _linked(bench: _Bench) -> _Far:
+    """Send the first call over a new link; return its far side."""
+    bench.call('a1', 1)
+    bench.connect()
+    far = _Far(bench, 'a1')
+    bench.pump(far)
+    return far
+
+
 def _answered(number: int) -> messages.CallAnswered:
     return messages.CallAnswered(
         call_id=ids.CallId(number),
@@ -295,9 +304,7 @@
     closed: bool,
 ) -> None:
     """Guards against orders that vanish in a partitioned data centre."""
-    bench.call('a1', 1)
-    bench.connect()
-    bench.pump(_Far(bench, 'a1'))
+    _linked(bench)
     bench.pass_time(silent)
     _expire(bench)
     assert bench.wires[0].disconnecting is closed
@@ -321,10 +328,7 @@
     bench: _Bench,
 ) -> None:
     """Guards against calls lost because a slow link is taken for cut off."""
-    bench.call('a1', 1)
-    bench.connect()
-    far = _Far(bench, 'a1')
-    bench.pump(far)
+    far = _linked(bench)
     bench.pass_time(5)
     part = fragment.Fragment(
         stream=ids.StreamId(1),
@@ -341,10 +345,7 @@
 
 def test_a_pause_is_not_the_silence_of_a_probed_link(bench: _Bench) -> None:
     """Guards against a healthy link closed, with its calls, after a pause."""
-    bench.call('a1', 1)
-    bench.connect()
-    far = _Far(bench, 'a1')
-    bench.pump(far)
+    far = _linked(bench)
     bench.pass_time(1.6)
     assert bench.wires[0].value()
     bench.pause(4)
@@ -359,9 +360,7 @@
 
 def test_a_link_that_is_cut_off_is_closed_after_a_pause(bench: _Bench) -> None:
     """Guards against a cut-off link that a pause makes look healthy."""
-    bench.call('a1', 1)
-    bench.connect()
-    bench.pump(_Far(bench, 'a1'))
+    _linked(bench)
     bench.pass_time(1.6)
     bench.pause(4)
     bench.pass_time(1)
@@ -406,10 +405,7 @@
 
 def test_a_large_call_leaves_whole(bench: _Bench) -> None:
     """Guards against a request that is cut short, or sent twice."""
-    bench.call('a1', 1)
-    bench.connect()
-    far = _Far(bench, 'a1')
-    bench.pump(far)
+    far = _linked(bench)
     bench.call('a1', 2, _LARGE)
     bench.pass_time(1)
     bench.pump(far)
@@ -425,10 +421,7 @@
     bench: _Bench,
 ) -> None:
     """Guards against unknown told for a request that never arrived whole."""
-    bench.call('a1', 1)
-    bench.connect()
-    far = _Far(bench, 'a1')
-    bench.pump(far)
+    far = _linked(bench)
     for number in (2, 3, 4):
         bench.call('a1', number, _LARGE)
     bench.pass_time(0.1)
@@ -460,10 +453,7 @@
     bench: _Bench,
 ) -> None:
     """Guards against a request that is sent to be dropped by its owner."""
-    bench.call('a1', 1)
-    bench.connect()
-    far = _Far(bench, 'a1')
-    bench.pump(far)
+    far = _linked(bench)
     for number in range(2, 40):
         bench.call('a1', number, _LARGE)
     bench.pass_time(6)
@@ -478,9 +468,7 @@
     bench: _Bench,
 ) -> None:
     """Guards against a call that waits for an answer on another link."""
-    bench.call('a1', 1)
-    bench.connect()
-    bench.pump(_Far(bench, 'a1'))
+    _linked(bench)
     outgoing = bench.links.outgoing[ids.InstanceId('a1')]
     bench.pass_time(5)
     bench.call('a1', 2, _LARGE)
@@ -505,10 +493,7 @@
     bench: _Bench,
 ) -> None:
     """Guards against unknown told for calls that crossed a planned stop."""
-    bench.call('a1', 1)
-    bench.connect()
-    far = _Far(bench, 'a1')
-    bench.pump(far)
+    far = _linked(bench)
     far.link.finish()
     bench.pump(far)
     bench.near[0].connectionLost(_LOST)
@@ -564,10 +549,7 @@
     bench: _Bench,
 ) -> None:
     """Guards against calls sent for seconds to a machine without power."""
-    bench.call('a1', 1)
-    bench.connect()
-    far = _Far(bench, 'a1')
-    bench.pump(far)
+    far = _linked(bench)
     bench.pass_time(1)
     silent = events.PeerSilent(instance=ids.InstanceId('a1'))
     assert _signs(bench) == [silent]
@@ -589,9 +571,7 @@
 
 def test_a_silent_link_without_calls_is_closed(bench: _Bench) -> None:
     """Guards against a link that is cut off and used for the next call."""
-    bench.call('a1', 1)
-    bench.connect()
-    bench.pump(_Far(bench, 'a1'))
+    _linked(bench)
     bench.pass_time(1)
     bench.links.post(
         events.SendCancel(
@@ -608,10 +588,7 @@
     bench: _Bench,
 ) -> None:
     """Guards against large calls sent one by one into a link without end."""
-    bench.call('a1', 1)
-    bench.connect()
-    far = _Far(bench, 'a1')
-    bench.pump(far)
+    far = _linked(bench)
     far.send(_answered(1))
     bench.pump(far)
     bench.router.take()
