Spare the times of all ranks while the link is idle

Each small frame that a node sends made its uplink add up what waits for every rank, to find that nothing has changed: 15.0 us a frame, 3.8 us before the uplink told admission. An empty link whose last report has passed needs no more than one comparison: 5.1 us (20,000 frames each, one run). What is told is the same; the tests of the report check that the short cut hides nothing.

--- a/medlarquay/pacing/backlog_report.py
+++ b/medlarquay/pacing/backlog_report.py
@@ -26,6 +26,22 @@
             states.Rank,
             -math.inf,
         )
+        self._latest = -math.inf
+
+    def is_idle(self, free_at: float, now: float) -> bool:
+        """Tell whether an empty link is surely not worth a message.
+
+        It spares the times of all ranks, which each small frame would need.
+
+        Parameters
+        ----------
+        free_at : float
+            When the link will be free if no large frame waits, seconds on
+            the monotonic clock.
+        now : float
+            Seconds on the same clock.
+        """
+        return max(free_at, self._latest) < now + _LEAST_CHANGE_S
 
     def is_due(self, free_at: Mapping[states.Rank, float], now: float) -> bool:
         """Tell whether a backlog is to be told; it then counts as told.
@@ -45,4 +61,5 @@
         if max(map(abs, changes)) < _LEAST_CHANGE_S:
             return False
         self._told = free_at
+        self._latest = max(free_at.values())
         return True
--- a/medlarquay/pacing/tests/test_backlog_report.py
+++ b/medlarquay/pacing/tests/test_backlog_report.py
@@ -35,9 +35,20 @@
     report = pacing.BacklogReport()
     if told is not None:
         assert report.is_due(_of_all(told), _NOW)
+    # The short cut for an empty link never hides what is to be told.
+    assert not (due and report.is_idle(free_at, now))
     assert report.is_due(_of_all(free_at), now) is due
 
 
+def test_an_idle_link_is_seen_without_the_times_of_all_ranks() -> None:
+    """Guards against work for all ranks at each small frame."""
+    report = pacing.BacklogReport()
+    assert report.is_idle(_NOW - 1, _NOW)
+    assert report.is_due(_of_all(_NOW + 1), _NOW)
+    assert not report.is_idle(_NOW - 1, _NOW)
+    assert report.is_idle(_NOW - 1, _NOW + 1)
+
+
 def _of_all(free_at: float) -> dict[states.Rank, float]:
     return dict.fromkeys(states.Rank, free_at)
 
--- a/medlarquay/tasks/uplink.py
+++ b/medlarquay/tasks/uplink.py
@@ -98,6 +98,9 @@
     def _tell_owner(self) -> None:
         """Tell the owner when what waits has changed."""
         now = self._clock()
+        if not len(self.schedule):
+            if self._report.is_idle(self.schedule.pace.free_at(0, now), now):
+                return
         free_at = self.schedule.free_at(now)
         if self.owner is not None and self._report.is_due(free_at, now):
             self.owner.post(events.UplinkChanged(free_at=free_at))
