Build the wish for any owner in one place

The router built the same AnyOwnerWanted as ingress.wanted_owner does for a call without a key, and asked for the number of owners with a copy of it. Both use ingress.any_owner_wanted now; that tried owners count among those to ask is known in routing. Two handlers of the router that did the same are one.

--- a/medlarquay/ingress/__init__.py
+++ b/medlarquay/ingress/__init__.py
@@ -18,7 +18,7 @@
 from medlarquay.ingress.open_call import open_call
 from medlarquay.ingress.retry_after import with_return
 from medlarquay.ingress.routing_table import RoutingTable
-from medlarquay.ingress.wanted_owner import wanted_owner
+from medlarquay.ingress.wanted_owner import any_owner_wanted, wanted_owner
 
 __all__ = (
     'CallReporter',
@@ -31,6 +31,7 @@
     'KnownIncarnations',
     'RoutingTable',
     'answer',
+    'any_owner_wanted',
     'call_request',
     'open_call',
     'refusal',
--- a/medlarquay/ingress/wanted_owner.py
+++ b/medlarquay/ingress/wanted_owner.py
@@ -6,11 +6,32 @@
 from medlarquay import keys, routing
 from medlarquay.ingress import ingress_call, known_incarnations, routing_table
 
-__all__ = ('wanted_owner',)
+__all__ = ('any_owner_wanted', 'wanted_owner')
 
 _Wanted = routing.AnyOwnerWanted | routing.BoundOwnerWanted | routing.HomeWanted
 
 
+def any_owner_wanted(
+    call: ingress_call.IngressCall,
+    table: routing_table.RoutingTable,
+) -> routing.AnyOwnerWanted:
+    """Return the wish for an owner that the call has not gone to yet.
+
+    Parameters
+    ----------
+    call : IngressCall
+        Call.
+    table : RoutingTable
+        Snapshot in force, which may be newer than that of the call.
+    """
+    return routing.AnyOwnerWanted(
+        candidates=table.candidates(call.service),
+        excluded=call.tried,
+        due=call.parameters.due,
+        route=call.route.name,
+    )
+
+
 @functools.singledispatch
 def wanted_owner(
     key: object,
@@ -41,12 +62,7 @@
     table: routing_table.RoutingTable,
     incarnations: known_incarnations.KnownIncarnations,
 ) -> _Wanted:
-    return routing.AnyOwnerWanted(
-        candidates=table.candidates(call.service),
-        excluded=call.tried,
-        due=call.parameters.due,
-        route=call.route.name,
-    )
+    return any_owner_wanted(call, table)
 
 
 @wanted_owner.register
--- a/medlarquay/routing/region.py
+++ b/medlarquay/routing/region.py
@@ -1,5 +1,7 @@
 """Whether a call may leave the region of its ingress."""
 
+import dataclasses
+
 from medlarquay.routing import (
     any_owner_wanted,
     chooser,
@@ -44,12 +46,17 @@
     state: chooser.Chooser,
     now: float,
 ) -> int:
-    """Return how many owners a call may be sent to."""
-    far_too = not stays_in_region(wanted, state, now)
+    """Return how many owners a call may be sent to, tried ones included."""
+    owners = len(wanted.candidates.live)
+    if wanted.route not in state.observations.large_routes:
+        return owners
+    untried = dataclasses.replace(wanted, excluded=())
+    if not stays_in_region(untried, state, now):
+        return owners
     return sum(
         len(members)
         for distance, members in wanted.candidates.zones
-        if far_too or distance is not zone.Zone.OTHER_REGION
+        if distance is not zone.Zone.OTHER_REGION
     )
 
 
--- a/medlarquay/tasks/router_attempts.py
+++ b/medlarquay/tasks/router_attempts.py
@@ -1,6 +1,6 @@
 """Attempts of the router to have a call answered."""
 
-from medlarquay import ids, ingress, messages, replica, routing, states
+from medlarquay import ingress, messages, replica, routing, states
 from medlarquay.tasks import router_answers, router_base
 
 __all__ = ('attempt', 'fail', 'leave_silent')
@@ -46,7 +46,7 @@
     if router.alarm is not None:
         router.alarm.wake_at(call.deadline)
     owners = routing.owners_to_ask(
-        _wanted(call, router, excluded=()),
+        ingress.any_owner_wanted(call, router.table),
         router.chooser,
         now,
     )
@@ -112,26 +112,12 @@
     router: router_base.RouterBase,
 ) -> _Choice:
     return routing.choose(
-        _wanted(call, router, excluded=call.tried),
+        ingress.any_owner_wanted(call, router.table),
         router.chooser,
         router.clock(),
     )
 
 
-def _wanted(
-    call: ingress.IngressCall,
-    router: router_base.RouterBase,
-    *,
-    excluded: tuple[ids.InstanceId, ...],
-) -> routing.AnyOwnerWanted:
-    return routing.AnyOwnerWanted(
-        candidates=router.table.candidates(call.service),
-        excluded=excluded,
-        due=call.parameters.due,
-        route=call.route.name,
-    )
-
-
 def _decide_retry(
     call: ingress.IngressCall,
     failure: _Failure,
--- a/medlarquay/tasks/router_handle.py
+++ b/medlarquay/tasks/router_handle.py
@@ -184,13 +184,6 @@
             router_attempts.leave_silent(call, router)
 
 
-@handle.register
-def _peer_heard(
-    message: events.PeerHeard, router: router_base.RouterBase
-) -> None:
-    router.observe_node(message)
-
-
 @handle.register
 def _peer_lost(
     message: events.PeerLost, router: router_base.RouterBase
@@ -200,8 +193,9 @@
 
 
 @handle.register
-def _peer_drains(
-    message: messages.Draining, router: router_base.RouterBase
+def _peer_state(
+    message: events.PeerHeard | messages.Draining,
+    router: router_base.RouterBase,
 ) -> None:
     router.observe_node(message)
 
