--- a/bench/instance.py
+++ b/bench/instance.py
@@ -29,6 +29,8 @@
         Port of the backend server.
     checkout : str
         Directory of the version of the node; empty for the current one.
+    flags : list of str
+        Further flags of the node.
     backend, node : ManagedProcess or None
         Its processes, once started.
     """
@@ -43,6 +45,7 @@
     published_peer_port: int = 0
     backend_port: int = 0
     checkout: str = ''
+    flags: list[str] = dataclasses.field(default_factory=list)
     backend: managed_process.ManagedProcess | None = None
     node: managed_process.ManagedProcess | None = None
 
--- a/bench/managed_process.py
+++ b/bench/managed_process.py
@@ -61,6 +61,11 @@
         """Whether the process has not ended."""
         return self._process.poll() is None
 
+    @property
+    def exit_code(self) -> int | None:
+        """Exit code, negative for a signal; None while it runs."""
+        return self._process.poll()
+
     def port(self) -> int:
         """Return the port that a test double printed; wait for it."""
         until = time.monotonic() + _START_S
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak with real processes."""
--- /dev/null
+++ b/bench/soak/checks/answers.py
@@ -0,0 +1,140 @@
+"""Every request gets one whole answer to itself, and a true one."""
+
+from collections.abc import Iterator
+
+from bench.soak import soak_load, soak_record
+from bench.soak.checks import finding, finding_kind
+from medlarquay import testing
+
+__all__ = ('check_answers',)
+
+_MS_PER_SECOND = 1000
+_OK = 200
+# A kill and what a caller sees of it are noted by two processes.
+_CLOCK_S = 0.2
+# A request that crosses the close of a stopping node was not read.
+_CROSSING_S = 0.2
+# A node listens within seconds of its start, also on a busy machine.
+_START_S = 10
+# A caller waits 3 s longer than the deadline; a node that was paused for
+# most of that time is not late.
+_EXCUSED_PAUSE_S = 2.5
+
+_Kind = finding_kind.FindingKind
+
+
+def check_answers(
+    record: soak_record.SoakRecord,
+) -> Iterator[finding.Finding]:
+    """Return the requests whose answers break a promise."""
+    compared = testing.compare(told=record.told, ran=record.ran)
+    entries = {entry.request: entry for entry in record.told}
+    ran = {run.request for run in record.ran}
+    for request in compared.unanswered:
+        if not _paused(record, entries[request]):
+            yield _found(_Kind.UNANSWERED, record, entries[request])
+    for kind, requests in (
+        (_Kind.FOREIGN, compared.foreign),
+        (_Kind.TOLD_RUN, compared.told_run_not_run),
+        (_Kind.TOLD_NOT_RUN, compared.told_not_run_ran),
+        (_Kind.TWICE, compared.ran_twice),
+    ):
+        for found in requests:
+            yield _found(kind, record, entries[found])
+    for entry in record.told:
+        yield from _judge(record, entry, ran=entry.request in ran)
+
+
+def _judge(
+    record: soak_record.SoakRecord,
+    entry: testing.ToldEntry,
+    *,
+    ran: bool,
+) -> Iterator[finding.Finding]:
+    if _is_lost(record, entry, ran=ran):
+        yield _found(_Kind.LOST, record, entry)
+    if _is_unreached(record, entry):
+        yield _found(_Kind.UNREACHED, record, entry)
+    if not _is_whole(record, entry):
+        yield _found(_Kind.NOT_WHOLE, record, entry)
+
+
+def _is_whole(
+    record: soak_record.SoakRecord,
+    entry: testing.ToldEntry,
+) -> bool:
+    if entry.status != _OK:
+        return True
+    return entry.body_bytes == soak_load.expected_bytes(record.mix_of(entry))
+
+
+def _is_lost(
+    record: soak_record.SoakRecord,
+    entry: testing.ToldEntry,
+    *,
+    ran: bool,
+) -> bool:
+    """Return whether a connection ended though its node was not killed.
+
+    The ends of earlier attempts are not in the record of the caller.
+    """
+    if entry.outcomes != ['unknown'] or entry.status:
+        return False
+    ended_at = _ended_at(entry)
+    for life in record.lives_of(record.ingress_of(entry)):
+        if entry.sent_at - _CLOCK_S <= life.killed_at <= ended_at + _CLOCK_S:
+            return False
+        crossing = ended_at - entry.sent_at <= _CROSSING_S
+        stopping = 0 < life.asked_at <= ended_at and (
+            not life.gone_at or ended_at <= life.gone_at + _CLOCK_S
+        )
+        if crossing and stopping and not ran:
+            return False
+    return True
+
+
+def _is_unreached(
+    record: soak_record.SoakRecord,
+    entry: testing.ToldEntry,
+) -> bool:
+    """Return whether a node that was up accepted no connection."""
+    if entry.outcomes != ['not-run'] or entry.status:
+        return False
+    ended_at = _ended_at(entry) + _CLOCK_S
+    return any(
+        life.started_at + _START_S < entry.sent_at
+        and not 0 < life.ending_at < ended_at
+        for life in record.lives_of(record.ingress_of(entry))
+    )
+
+
+def _paused(
+    record: soak_record.SoakRecord,
+    entry: testing.ToldEntry,
+) -> bool:
+    lives = record.lives_of(record.ingress_of(entry))
+    paused_s = sum(
+        life.paused_s(entry.sent_at, _ended_at(entry)) for life in lives
+    )
+    return paused_s > _EXCUSED_PAUSE_S
+
+
+def _ended_at(entry: testing.ToldEntry) -> float:
+    return entry.sent_at + entry.latency_ms / _MS_PER_SECOND
+
+
+def _found(
+    kind: finding_kind.FindingKind,
+    record: soak_record.SoakRecord,
+    entry: testing.ToldEntry,
+) -> finding.Finding:
+    sent_s = entry.sent_at - record.began_at
+    return finding.Finding(
+        kind=kind,
+        detail=(
+            f'{entry.request} sent={sent_s:.2f}'
+            f' after_ms={entry.latency_ms:.0f} status={entry.status}'
+            f' outcomes={",".join(entry.outcomes)}'
+            f' ingress={record.ingress_of(entry)}'
+        ),
+    )
--- /dev/null
+++ b/bench/soak/checks/versions.py
@@ -0,0 +1,63 @@
+"""No node returns to an older version in one lifetime."""
+
+import collections
+import itertools
+from collections.abc import Iterator
+
+from bench.soak import node_life, soak_load, soak_record
+from bench.soak.checks import finding, finding_kind, served_version
+from medlarquay import testing
+
+__all__ = ('check_versions',)
+
+_MS_PER_SECOND = 1000
+_OK = 200
+
+
+def check_versions(
+    record: soak_record.SoakRecord,
+) -> Iterator[finding.Finding]:
+    """Return the requests that only an older version serves.
+
+    Each version alone has a route of its own, so a node that has served the
+    route of a version must not serve that of an older one later.
+    """
+    served = collections.defaultdict(list)
+    for entry in record.told:
+        version = soak_load.probed_version(entry.mix)
+        if version is not None and entry.status == _OK:
+            found = _served(record, entry, version)
+            served[found.life.name, found.life.started_at].append(found)
+    for answers in served.values():
+        for one, other in itertools.permutations(answers, 2):
+            if one.reverted_by(other):
+                yield finding.Finding(
+                    kind=finding_kind.FindingKind.REVERTED,
+                    detail=f'{other} after {one}',
+                )
+
+
+def _served(
+    record: soak_record.SoakRecord,
+    entry: testing.ToldEntry,
+    version: int,
+) -> served_version.ServedVersion:
+    ended_at = entry.sent_at + entry.latency_ms / _MS_PER_SECOND
+    return served_version.ServedVersion(
+        life=_life_at(record, record.ingress_of(entry), ended_at),
+        version=version,
+        sent_at=entry.sent_at,
+        ended_at=ended_at,
+    )
+
+
+def _life_at(
+    record: soak_record.SoakRecord,
+    name: str,
+    moment: float,
+) -> node_life.NodeLife:
+    """Return the lifetime of a node that answered at a time."""
+    return max(
+        (life for life in record.lives_of(name) if life.started_at <= moment),
+        key=lambda life: life.started_at,
+    )
--- /dev/null
+++ b/bench/soak/faults/backend_crash.py
@@ -0,0 +1,12 @@
+"""A backend server is killed; another one starts at its address."""
+
+import dataclasses
+
+from bench.soak.faults import fault
+
+__all__ = ('BackendCrash',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
+class BackendCrash(fault.Fault):
+    """A backend server is killed; another one starts at its address."""
--- /dev/null
+++ b/bench/soak/main.py
@@ -0,0 +1,101 @@
+"""Program of the soak."""
+
+import argparse
+import collections
+import random
+import sys
+
+from bench.soak import (
+    build_plan,
+    judge,
+    regression,
+    run_soak,
+    soak_plan,
+    soak_record,
+)
+
+__all__ = ('main',)
+
+_SECONDS = 40
+_NODES = 8
+_MAX_SEED = 1000000
+
+
+def main() -> int:
+    """Run seeds one after the other; return 1 if one broke a promise."""
+    given = _parse()
+    failed = [run.seed for run in _wanted(given) if _run(run, given)]
+    print(f'soak_failed={",".join(map(str, failed)) or "none"}')
+    return int(bool(failed))
+
+
+def _parse() -> argparse.Namespace:
+    parser = argparse.ArgumentParser(prog='bench.soak.main')
+    parser.add_argument('--seed', type=int, action='append', default=[])
+    parser.add_argument('--runs', type=int, default=1)
+    parser.add_argument('--seconds', type=float, default=_SECONDS)
+    parser.add_argument('--nodes', type=int, default=_NODES)
+    parser.add_argument('--checkout', default='')
+    parser.add_argument('--untold-rate', action='store_true')
+    parser.add_argument('--logs', default='')
+    parser.add_argument('--regressions', action='store_true')
+    return parser.parse_args()
+
+
+def _wanted(given: argparse.Namespace) -> list[regression.Regression]:
+    if given.regressions:
+        return regression.read_regressions()
+    seeds = given.seed or [
+        random.SystemRandom().randrange(_MAX_SEED) for _ in range(given.runs)
+    ]
+    return [
+        regression.Regression(
+            seed=seed,
+            seconds=given.seconds,
+            nodes=given.nodes,
+        )
+        for seed in seeds
+    ]
+
+
+def _run(run: regression.Regression, given: argparse.Namespace) -> bool:
+    plan = build_plan.build_plan(
+        seed=run.seed,
+        seconds=run.seconds,
+        nodes=run.nodes,
+    )
+    _show_plan(plan)
+    record = run_soak.run_soak(
+        plan,
+        tell_rate=not given.untold_rate,
+        checkout=given.checkout,
+        logs=given.logs and f'{given.logs}/{run.seed}',
+    )
+    findings = judge.judge(record)
+    _show(record)
+    for found in findings:
+        print(f'soak_finding={found}')
+    print(f'soak_{run.seed}={"failed" if findings else "passed"}', flush=True)
+    return bool(findings)
+
+
+def _show_plan(plan: soak_plan.SoakPlan) -> None:
+    print(f'soak_seed={plan.seed}')
+    for fault in plan.faults:
+        print(f'soak_fault={fault}')
+
+
+def _show(record: soak_record.SoakRecord) -> None:
+    statuses = collections.Counter(
+        (entry.mix, entry.status) for entry in record.told
+    )
+    for (mix, status), count in sorted(statuses.items()):
+        print(f'soak_told_{mix}_{status}={count}')
+    print(f'soak_runs={len(record.ran)}')
+    for life in record.lives:
+        if life.asked_at and life.gone_at and not life.killed_at:
+            print(f'soak_stop_s={life.gone_at - life.asked_at:.2f}')
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/medlarquay/testing/caller.py
+++ b/medlarquay/testing/caller.py
@@ -121,6 +121,7 @@
         entry.outcomes.append(outcome)
         entry.status = answer.status
         entry.reason = answer.headers.get('medlarquay-reason', '')
+        entry.body_bytes = len(answer.body)
         if outcome == 'run':
             found = answer.headers.get('x-request-id')
             entry.foreign = found not in {None, entry.request}
--- /dev/null
+++ b/medlarquay/testing/link_relay_target.py
@@ -0,0 +1,131 @@
+"""A machine behind the relay and its relayed connections."""
+
+import socket
+
+from twisted.internet import interfaces
+
+from medlarquay import transport
+from medlarquay.testing import (
+    link_conditions,
+    link_relay_end,
+    pipe,
+    shared_link,
+)
+
+__all__ = ('LinkRelayTarget',)
+
+_LOOPBACK = '127.0.0.1'
+_CONNECT_TIMEOUT_S = 1
+# A loopback socket takes 2.5 MB at once. With segments and a buffer as on
+# Ethernet the sender's socket fills as it does on a slow link.
+_SEGMENT_BYTES = 1448
+_RECEIVE_BYTES = 32768
+
+
+class LinkRelayTarget:
+    """Relays connections to one machine over its link.
+
+    Parameters
+    ----------
+    reactor : IReactorSocket
+        Runs the connections.
+    port : int
+        Port of the machine on loopback.
+    conditions : LinkConditions
+        Initial conditions of its link.
+    """
+
+    def __init__(
+        self,
+        *,
+        reactor: interfaces.IReactorSocket,
+        port: int,
+        conditions: link_conditions.LinkConditions,
+    ) -> None:
+        self.link = shared_link.SharedLink(conditions=conditions)
+        self._reactor = reactor
+        self._port = port
+        self._ends: set[link_relay_end.LinkRelayEnd] = set()
+
+    def listen(self) -> int:
+        """Listen on loopback; return the port."""
+        factory = transport.BuildingFactory(
+            build=lambda: link_relay_end.LinkRelayEnd(made=self._accept),
+        )
+        listening = self._reactor.listenTCP(0, factory, interface=_LOOPBACK)
+        return int(listening.getHost().port)
+
+    def reset(self) -> None:
+        """Reset all connections."""
+        for found in tuple(self._ends):
+            found.abort()
+
+    def _accept(self, near: link_relay_end.LinkRelayEnd) -> None:
+        far = link_relay_end.LinkRelayEnd()
+        connected = _connect(self._port)
+        if connected is None:
+            near.abort()
+            return
+        incoming = self._pipe(sender=near, receiver=far, outgoing=False)
+        outgoing = self._pipe(sender=far, receiver=near, outgoing=True)
+        self._pair(near, far, incoming)
+        self._pair(far, near, outgoing)
+        self._ends |= {near, far}
+        with connected:
+            self._reactor.adoptStreamConnection(
+                connected.fileno(),
+                socket.AF_INET,
+                transport.BuildingFactory(build=lambda: far),
+            )
+
+    def _pipe(
+        self,
+        *,
+        sender: link_relay_end.LinkRelayEnd,
+        receiver: link_relay_end.LinkRelayEnd,
+        outgoing: bool,
+    ) -> pipe.Pipe:
+        made = pipe.Pipe(
+            reactor=self._reactor,
+            link=self.link,
+            outgoing=outgoing,
+            limit=sender.limit,
+            write=receiver.write,
+        )
+        self.link.pipes.add(made)
+        return made
+
+    def _pair(
+        self,
+        sender: link_relay_end.LinkRelayEnd,
+        receiver: link_relay_end.LinkRelayEnd,
+        direction: pipe.Pipe,
+    ) -> None:
+        def take(content: bytes | None) -> None:  # noqa: WPS430
+            direction.take(content)
+            if content is None:
+                self._ends.discard(sender)
+
+        def lost() -> None:  # noqa: WPS430
+            self._ends.discard(sender)
+            self.link.pipes.discard(direction)
+            direction.close()
+            receiver.abort()
+
+        sender.take = take
+        sender.lost = lost
+
+
+def _connect(port: int) -> socket.socket | None:
+    """Connect to a port on loopback; None if nobody listens there."""
+    made = socket.socket()
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, _SEGMENT_BYTES)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _RECEIVE_BYTES)
+    made.settimeout(_CONNECT_TIMEOUT_S)
+    try:
+        made.connect((_LOOPBACK, port))
+    except OSError:
+        made.close()
+        return None
+    made.setblocking(False)  # noqa: FBT003
+    return made
--- a/medlarquay/testing/run_entry.py
+++ b/medlarquay/testing/run_entry.py
@@ -24,6 +24,8 @@
     state : str
         ``running``, ``completed``, ``cancelled`` (the connection closed) or
         ``expired`` (the deadline passed).
+    backend : str
+        Backend server; empty in its own record.
     """
 
     request: str
@@ -32,6 +34,7 @@
     started_at: float
     ended_at: float = 0
     state: str = 'running'
+    backend: str = ''
 
     def to_line(self) -> str:
         """Return the entry as one line of JSON.
@@ -46,6 +49,7 @@
             self.started_at,
             self.ended_at,
             self.state,
+            self.backend,
         ])
 
     @classmethod
--- a/medlarquay/testing/told_entry.py
+++ b/medlarquay/testing/told_entry.py
@@ -27,6 +27,8 @@
         HTTP status of the last answer; 0 when the connection was lost.
     reason : str
         ``Medlarquay-Reason`` of the last answer.
+    body_bytes : int
+        Length of its body.
     outcomes : list of str
         ``run``, ``not-run``, ``unknown`` or ``none`` for each attempt.
     foreign : bool
@@ -41,6 +43,7 @@
     latency_ms: float = 0
     status: int = 0
     reason: str = ''
+    body_bytes: int = 0
     outcomes: list[str] = dataclasses.field(default_factory=list)
     foreign: bool = False
 
