Refuse requests that wait for a service that was replaced

Cause: the owner named the present run of its backend server in the expected instance header when a request was sent. If the address had been given to another service while the request waited in the queue, or was held by the quarantine, the request named the new run and was run there. A check of the service existed on arrival only.

Requests wait on when the next run belongs to the same service.

--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -13,6 +13,7 @@
 from medlarquay.tasks import (
     local_instance,
     owner_base,
+    owner_deadlines,
     owner_results,
     owner_starts,
 )
@@ -73,11 +74,41 @@
     return record.state is states.InstanceState.LIVE
 
 
+def _is_other_service(
+    local_record: replica.InstanceRecord,
+    owner: owner_base.OwnerBase,
+) -> bool:
+    local = owner.local_instance
+    if local is None:
+        return False
+    return (local_record.team, local_record.service) != (
+        local.team,
+        local.service,
+    )
+
+
+def _refuse_waiting(owner: owner_base.OwnerBase) -> None:
+    """Refuse all unsent jobs.
+
+    They were accepted for another service, which must not run them.
+    """
+    reason = states.RefusalReason.NO_BACKEND
+    owner_starts.apply_admission_event(
+        admission.QueuesEmptied(reason=reason), owner
+    )
+    # Suspects that the quarantine holds are not queued.
+    for job in owner.jobs:
+        if not job.sent:
+            owner_deadlines.withdraw(job, owner, reason)
+
+
 def _apply_local_record(
     local_record: replica.InstanceRecord,
     service: snapshots.Service,
     owner: owner_base.OwnerBase,
 ) -> None:
+    if _is_other_service(local_record, owner):
+        _refuse_waiting(owner)
     is_new_run = (
         owner.local_instance is None
         or owner.local_instance.instance != local_record.instance
--- a/medlarquay/tasks/tests/owner_bench.py
+++ b/medlarquay/tasks/tests/owner_bench.py
@@ -86,17 +86,27 @@
         self.slots = slots
         self.configure(states.InstanceState.LIVE)
 
-    def configure(self, state: states.InstanceState) -> None:
-        """Post a snapshot that lists the owner's instance in a state."""
+    def configure(
+        self,
+        state: states.InstanceState,
+        *,
+        run: ids.InstanceId = INSTANCE,
+        service: ids.ServiceName = SERVICE,
+    ) -> None:
+        """Post a snapshot that lists the owner's instance in a state.
+
+        The backend server beside the owner may be another run than before,
+        also of another service.
+        """
         document = settings.parse_document(
             team=TEAM,
             content=json.dumps({
-                'services': {SERVICE: {}},
+                'services': {SERVICE: {}, service: {}},
                 'routes': [],
             }).encode(),
         )
         records = [
-            self._record(INSTANCE, state),
+            self._record(run, state, node=INSTANCE, service=service),
             self._record(PEER_INSTANCE, states.InstanceState.LIVE),
         ]
         snapshot = snapshots.build_snapshot(
@@ -215,12 +225,16 @@
         self,
         instance: ids.InstanceId,
         state: states.InstanceState,
+        *,
+        node: ids.InstanceId = ids.InstanceId(''),
+        service: ids.ServiceName = SERVICE,
     ) -> replica.InstanceRecord:
         return replica.InstanceRecord(
             instance=instance,
+            node=node,
             revision=ids.Revision(1),
             team=TEAM,
-            service=SERVICE,
+            service=service,
             region=ids.RegionName('r'),
             data_centre=ids.DataCentreName('d'),
             host='127.0.0.1',
