Start with a settings file whose optional fields are unusual

A field that only tunes the node stopped it like a missing address.

Change: a field reader separates required fields (addresses, ports, location, service), whose absence or error still ends the start with exit code 2, from optional ones (bounds.grace, bounds.budget_extra, limits.link_mbps), which fall back to a default with one warning that names field, value and rule. A fraction of the retry allowance is cut to its whole part. Logs are set up before the file is read, so that the warnings go to the log.

--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -16,14 +16,14 @@
 def run() -> None:
     """Run a node until it is stopped."""
     imports.block_tls_import()
+    stream = telemetry.BoundedStream(descriptor=sys.stdout.fileno())
+    telemetry.set_up_logs(stream=stream, level='info')
     path = os.environ.get(settings_file.PATH_VARIABLE, '')
     try:
         own_settings = settings_file.read_settings(path)
     except errors.SettingError as failure:
         sys.stderr.write(f'medlarquay: {failure}\n')
         sys.exit(_EXIT_BAD_SETTINGS)
-    stream = telemetry.BoundedStream(descriptor=sys.stdout.fileno())
-    telemetry.set_up_logs(stream=stream, level='info')
     # Imported only now, so that a bad setting is reported without the cost.
     from twisted.internet import reactor  # noqa: PLC0415
 
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -48,7 +48,7 @@
         source_url=f'http://{own_settings.store}',
         seed=(),
         key_retention_s=_KEY_RETENTION_S,
-        drain_timeout_s=own_settings.drain_timeout_s - _STOP_MARGIN_S,
+        drain_timeout_s=max(0, own_settings.drain_timeout_s - _STOP_MARGIN_S),
         link_bytes_per_s=own_settings.link_bytes_per_s,
         log_level='info',
     )
--- a/medlarquay/platform/settings_file.py
+++ b/medlarquay/platform/settings_file.py
@@ -2,10 +2,9 @@
 
 import math
 import pathlib
-from collections.abc import Mapping
 
 from medlarquay import addresses, errors, ids, units
-from medlarquay.platform import duration, platform_settings
+from medlarquay.platform import duration, field_reader, platform_settings
 
 __all__ = ('PATH_VARIABLE', 'parse_settings', 'read_settings')
 
@@ -14,12 +13,10 @@
 
 _STEP = 'read settings file'
 _ZONE_PREFIX = 'zones.'
-_DRAIN_TIMEOUT = 'grace'
-_RETRY_BURST = 'budget_extra'
-_LINK_RATE = 'limits.link_mbps'
-_MAX_DIGITS = 9
+_BOUNDS = 'bounds'
+_MAX_COUNT = 999_999_999
 # Used when the file states no time between SIGTERM and SIGKILL.
-_DEFAULT_DRAIN_TIMEOUT = '6s'
+_DEFAULT_DRAIN_TIMEOUT_S = 6.0
 _MS_PER_SECOND = 1000
 
 
@@ -29,7 +26,8 @@
     Raises
     ------
     SettingError
-        If the file cannot be read, or a field is missing or invalid.
+        If the file cannot be read, or a field without which the node cannot
+        run is missing or invalid.
     """
     try:
         content = pathlib.Path(path).read_text(encoding='utf-8')
@@ -48,35 +46,37 @@
     Raises
     ------
     SettingError
-        If a field is missing or invalid; the message names the field, its
-        value and the rule that it breaks.
+        If a field without which the node cannot run is missing or invalid.
     """
     fields = _parse_lines(content)
-    low, high = _ports(fields)
-    bounds = dict(
-        bound.partition('=')[::2]
-        for bound in fields.get('bounds', '').split(',')
-    )
+    reader = field_reader.FieldReader(fields=fields)
+    peer_port, admin_port = reader.require('internal_ports', _parse_ports)
     return platform_settings.PlatformSettings(
-        host=_text(fields, 'ip'),
-        data_centre=ids.DataCentreName(_text(fields, 'zone')),
-        region=ids.RegionName(_text(fields, 'region')),
+        host=reader.require_text('ip'),
+        data_centre=ids.DataCentreName(reader.require_text('zone')),
+        region=ids.RegionName(reader.require_text('region')),
         regions={
             name.removeprefix(_ZONE_PREFIX): region
             for name, region in fields.items()
             if name.startswith(_ZONE_PREFIX)
         },
-        callers=_address(fields, 'bind.outbound'),
-        readiness=_address(fields, 'bind.readiness'),
+        callers=reader.require_address('bind.outbound'),
+        readiness=reader.require_address('bind.readiness'),
         # Only processes on this machine can connect to it.
-        backend=_address(fields, 'app_addr'),
-        store=_address(fields, 'platform.address'),
-        peer_port=low,
-        admin_port=high,
-        service=ids.ServiceName(_text(fields, 'service')),
-        drain_timeout_s=_drain_timeout_s(bounds),
-        link_bytes_per_s=_link_bytes_per_s(fields),
-        fleet_burst=_fleet_burst(bounds),
+        backend=reader.require_address('app_addr'),
+        store=reader.require_address('platform.address'),
+        peer_port=peer_port,
+        admin_port=admin_port,
+        service=ids.ServiceName(reader.require_text('service')),
+        drain_timeout_s=reader.parse_or_default(
+            'bounds.grace', _parse_seconds, _DEFAULT_DRAIN_TIMEOUT_S
+        ),
+        link_bytes_per_s=reader.parse_or_default(
+            'limits.link_mbps', _parse_link_rate, math.inf
+        ),
+        fleet_burst=reader.parse_or_default(
+            'bounds.budget_extra', _parse_count, None
+        ),
     )
 
 
@@ -86,73 +86,38 @@
         name, separator, text = line.partition('=')
         if separator:
             fields[name.strip()] = text.strip()
+    for bound in fields.get(_BOUNDS, '').split(','):
+        name, _, text = bound.partition('=')
+        fields[f'{_BOUNDS}.{name.strip()}'] = text.strip()
     return fields
 
 
-def _text(fields: Mapping[str, str], name: str) -> str:
-    text = fields.get(name, '')
-    if text:
-        return text
-    raise _error(name, text, 'is required')
-
-
-def _address(
-    fields: Mapping[str, str],
-    name: str,
-) -> addresses.NodeAddress:
-    text = _text(fields, name)
-    try:
-        return addresses.parse_address(text)
-    except ValueError as cause:
-        raise _error(name, text, str(cause)) from cause
-
-
-def _ports(fields: Mapping[str, str]) -> tuple[int, int]:
-    name = 'internal_ports'
-    text = _text(fields, name)
-    rule = 'must be the first and the last of at least two ports'
-    low, _, high = text.partition(',')
-    try:
-        ports = (addresses.parse_port(low), addresses.parse_port(high))
-    except ValueError as cause:
-        raise _error(name, text, rule) from cause
+def _parse_ports(text: str) -> tuple[int, int]:
+    first, _, last = text.partition(',')
+    ports = (addresses.parse_port(first), addresses.parse_port(last))
     if ports[0] < ports[1]:
         return ports
-    raise _error(name, text, rule)
+    raise ValueError('must be the first and the last of at least two ports')
 
 
-def _drain_timeout_s(bounds: Mapping[str, str]) -> float:
-    text = bounds.get(_DRAIN_TIMEOUT, _DEFAULT_DRAIN_TIMEOUT)
+def _parse_seconds(text: str) -> float:
     try:
-        drain_timeout_ms = duration.parse_duration_ms(
-            text, field=f'bounds.{_DRAIN_TIMEOUT}'
-        )
+        time_ms = duration.parse_duration_ms(text, field='time')
     except errors.SourceError as cause:
-        raise _error(f'bounds.{_DRAIN_TIMEOUT}', text, str(cause)) from cause
-    return drain_timeout_ms / _MS_PER_SECOND
+        raise ValueError('must be a number with the unit ms or s') from cause
+    return time_ms / _MS_PER_SECOND
 
 
-def _link_bytes_per_s(fields: Mapping[str, str]) -> float:
-    text = fields.get(_LINK_RATE)
-    if text is None:
-        return math.inf
-    try:
-        megabits_per_s = float(text)
-    except ValueError as cause:
-        raise _error(_LINK_RATE, text, 'must be a number') from cause
+def _parse_link_rate(text: str) -> float:
+    megabits_per_s = float(text)
     if megabits_per_s > 0:
         return megabits_per_s * units.BYTES_PER_MEGABIT
-    raise _error(_LINK_RATE, text, 'must be above 0')
-
-
-def _fleet_burst(bounds: Mapping[str, str]) -> int | None:
-    text = bounds.get(_RETRY_BURST)
-    if text is None:
-        return None
-    if text.isascii() and text.isdigit() and len(text) <= _MAX_DIGITS:
-        return int(text)
-    raise _error(f'bounds.{_RETRY_BURST}', text, 'must be a whole number')
+    raise ValueError('must be above 0')
 
 
-def _error(name: str, text: str, rule: str) -> errors.SettingError:
-    return errors.SettingError(f'{name} is {text!r}: {rule}', step=_STEP)
+def _parse_count(text: str) -> int | None:
+    number = float(text)
+    if 0 <= number <= _MAX_COUNT:
+        # Of a fraction, only the whole part can be spent.
+        return int(number)
+    raise ValueError(f'must be from 0 to {_MAX_COUNT}')
