Answer requests that wait in the backlog when an overdue stop ends

Cause: the lifecycle stopped the reactor in the iteration in which the deadline was found to have passed; timers run before sockets. From draining it also skipped flushing, so that other nodes got no closing handshake. Beside it, the turns that a flushing node waits to read its callers were one too few when the stop is handled in a call from a signal handler, which runs before the timers of the same iteration.

Change: a stop enters flushing first, lets the reactor handle sockets for a few iterations, accepts the backlog and then closes the port. test_lifecycle asked for the stop in the same call; it now asks for none before the next turn.

--- a/medlarquay/daemon/lifecycle.py
+++ b/medlarquay/daemon/lifecycle.py
@@ -13,6 +13,10 @@
 
 # Parts that have requests in flight. The others only have bytes to send.
 _REQUEST_PARTS = frozenset((states.NodePart.OWNER, states.NodePart.ROUTER))
+# Iterations of the reactor before it stops, in which callers are accepted from
+# the backlog and their requests are read and refused. A stop that is overdue
+# after a pause of the process would cut them off.
+_LAST_TURNS = 6
 
 
 class Lifecycle(task.Task, lifecycle_effects.LifecycleEffects):
@@ -106,13 +110,19 @@
         self._alarm.wake_at(self.stop_at)
 
     def stop(self) -> None:
-        """Stop the reactor, which ends the process."""
+        """Stop the reactor after its last turns, which ends the process."""
         if self.unfinished_parts:
             unfinished = ', '.join(
                 sorted(part.value for part in self.unfinished_parts)
             )
             self._log.warning('drain deadline passed; working: {}', unfinished)
-        self._reactor.stop()
+        self._stop_after(_LAST_TURNS)
+
+    def _stop_after(self, turns: int) -> None:
+        if turns:
+            self._reactor.callLater(0, self._stop_after, turns - 1)
+        else:
+            self._reactor.stop()
 
 
 @functools.singledispatch
--- a/medlarquay/daemon/lifecycle_machine.py
+++ b/medlarquay/daemon/lifecycle_machine.py
@@ -31,8 +31,8 @@
         accepting.upon(_Inputs.drain).to(draining)(_drain)
         accepting.upon(_Inputs.finish).loop().returns(None)
     draining.upon(_Inputs.flush).to(flushing)(_flush)
-    for state in (draining, flushing):
-        state.upon(_Inputs.finish).to(stopped)(_stop)
+    draining.upon(_Inputs.finish).to(stopped)(_flush_and_stop)
+    flushing.upon(_Inputs.finish).to(stopped)(_stop)
     for state in (serving, draining, flushing, stopped):
         state.upon(_Inputs.configure).loop().returns(None)
     # A second signal does not shorten the drain, since a graceful stop must not
@@ -58,6 +58,12 @@
     effects.enter(states.NodeState.FLUSHING)
 
 
+def _flush_and_stop(inputs: _Inputs, effects: _Effects) -> None:
+    # Callers and other nodes are told that what they sent last was not run.
+    _flush(inputs, effects)
+    _stop(inputs, effects)
+
+
 def _stop(inputs: _Inputs, effects: _Effects) -> None:
     effects.enter(states.NodeState.STOPPED)
     effects.stop()
--- a/medlarquay/daemon/tests/test_lifecycle.py
+++ b/medlarquay/daemon/tests/test_lifecycle.py
@@ -88,6 +88,9 @@
     node.reactor.advance(10)
     assert node.reactor.stops == 0
     _finish(node, states.NodePart.LINKS)
+    # Requests that wait in the backlog are read before the reactor stops.
+    assert node.reactor.stops == 0
+    node.reactor.advance(0)
     assert node.reactor.stops == 1
     assert node.entered[1:] == [
         states.NodeState.DRAINING,
--- a/medlarquay/tasks/caller_listener.py
+++ b/medlarquay/tasks/caller_listener.py
@@ -91,3 +91,5 @@
 ) -> None:
     if message.state is states.NodeState.FLUSHING:
         listener.connections.close_gracefully(listener.report_finished)
+    elif message.state is states.NodeState.STOPPED:
+        listener.connections.stop_listening()
--- a/medlarquay/transport/caller_connections.py
+++ b/medlarquay/transport/caller_connections.py
@@ -1,5 +1,6 @@
 """Connections that callers opened to one listening address."""
 
+import functools
 from collections.abc import Callable
 
 from twisted.internet import interfaces
@@ -10,9 +11,11 @@
 __all__ = ('CallerConnections',)
 
 _BACKLOG = 512
-# Iterations of the reactor: one to accept a connection from the backlog, one to
-# read the request that was sent on it.
-_READ_TURNS = 2
+# Iterations of the reactor: one to accept a connection from the backlog, and one
+# to read the request that was sent on it. A timer that is set while a signal is
+# handled runs before the sockets of that iteration, so one is added.
+_READ_TURNS = 3
+_ACCEPT_TURNS = 2
 
 
 class CallerConnections:
@@ -46,6 +49,7 @@
         # Connections that must close before ``_on_closed`` is called.
         self._closing: set[ids.CallerId] = set()
         self._on_closed: Callable[[], None] | None = None
+        self._port: interfaces.IListeningPort | None = None
 
     def listen(
         self,
@@ -59,12 +63,13 @@
         The kernel chooses the port if ``port`` is 0.
         """
         factory = factories.BuildingFactory(build=self._build)
-        return reactor.listenTCP(
+        self._port = reactor.listenTCP(
             port,
             factory,
             interface=host,
             backlog=_BACKLOG,
         )
+        return self._port
 
     def answer(
         self,
@@ -89,6 +94,10 @@
         elif on_sent is not None:
             on_sent(send_report.lost_send_report(len(message.body)))
 
+    def stop_listening(self) -> None:
+        """Accept the connections in the backlog, and then no more."""
+        self._after_turns(_ACCEPT_TURNS, self._stop_listening)
+
     def close_gracefully(self, on_closed: Callable[[], None]) -> None:
         """Close each connection once its answers have been sent.
 
@@ -101,14 +110,20 @@
         on_closed : callable
             Called when all connections that were open then are closed.
         """
-        self._read_first(_READ_TURNS, on_closed)
+        self._after_turns(
+            _READ_TURNS, functools.partial(self._close_open, on_closed)
+        )
 
-    def _read_first(self, turns: int, on_closed: Callable[[], None]) -> None:
-        """Let the reactor read for some iterations, then close."""
+    def _after_turns(self, turns: int, action: Callable[[], None]) -> None:
+        """Let the reactor handle sockets for some iterations, then act."""
         if turns:
-            self._reactor.callLater(0, self._read_first, turns - 1, on_closed)
+            self._reactor.callLater(0, self._after_turns, turns - 1, action)
         else:
-            self._close_open(on_closed)
+            action()
+
+    def _stop_listening(self) -> None:
+        if self._port is not None:
+            self._port.stopListening()
 
     def _close_open(self, on_closed: Callable[[], None]) -> None:
         self._on_closed = on_closed
