Offer large requests to their owner before sending the body

Cause: in a burst of uploads each ingress sends whole bodies at its own rate.

Change: a request with a body of 16 KB or more is offered first (CallOffered). The owner refuses at once what it would refuse after the arrival, and grants bodies (CallGranted) in order of rank and due time, so that those under way fill its link for 0.15 s at most (pacing.BodyIntake, a decision without I/O). A withdrawn or dropped request is cancelled at the owner. A large request stays in its region like a large answer, and both stay in their data centre while they are expected in time there. Uploads are named in the adapter.

Tests of call links that sent large requests now grant them first; what they assert on requests is unchanged. Nodes of earlier code close a link on which a large request is offered.

--- a/medlarquay/admission/__init__.py
+++ b/medlarquay/admission/__init__.py
@@ -1,6 +1,7 @@
 """Admission control for one backend server: slots, queues and deadlines."""
 
 from medlarquay.admission.admission import Admission
+from medlarquay.admission.check_arrival import check_arrival
 from medlarquay.admission.decide import Decisions, decide
 from medlarquay.admission.inputs import (
     BackendStarted,
@@ -34,6 +35,7 @@
     'RequestFinished',
     'RequestShed',
     'Start',
+    'check_arrival',
     'decide',
     'load_state',
     'next_check',
--- a/medlarquay/admission/arrival.py
+++ b/medlarquay/admission/arrival.py
@@ -83,7 +83,7 @@
         due=due,
         route=event.route,
         transfer=transfer,
-        large=size >= messages.LARGE_ANSWER_BYTES,
+        large=size >= messages.LARGE_BODY_BYTES,
     )
 
 
--- a/medlarquay/codec/decode.py
+++ b/medlarquay/codec/decode.py
@@ -5,7 +5,12 @@
 import cbor2
 
 from medlarquay import errors
-from medlarquay.codec import call_decoders, control_decoders, field_reader
+from medlarquay.codec import (
+    call_decoders,
+    control_decoders,
+    field_reader,
+    offer_decoders,
+)
 
 __all__ = ('MAX_FRAME_BYTES', 'decode')
 
@@ -16,6 +21,7 @@
 
 _DECODERS = MappingProxyType({
     **call_decoders.DECODERS,
+    **offer_decoders.DECODERS,
     **control_decoders.DECODERS,
 })
 
--- a/medlarquay/codec/encode.py
+++ b/medlarquay/codec/encode.py
@@ -76,6 +76,28 @@
     ]
 
 
+@fields_of.register
+def _call_offered(message: messages.CallOffered, now: float) -> list[object]:
+    return [
+        int(message_type.MessageType.CALL_OFFERED),
+        message.call_id,
+        message.team,
+        message.service,
+        message.route,
+        message.rank.value,
+        int((message.deadline - now) * _MS_PER_SECOND),
+        int((min(message.due, message.deadline) - now) * _MS_PER_SECOND),
+        message.last_attempt,
+        message.body_bytes,
+        message.request_id,
+    ]
+
+
+@fields_of.register
+def _call_granted(message: messages.CallGranted, now: float) -> list[object]:
+    return [int(message_type.MessageType.CALL_GRANTED), message.call_id]
+
+
 @fields_of.register
 def _call_cancel(message: messages.CallCancel, now: float) -> list[object]:
     return [int(message_type.MessageType.CALL_CANCEL), message.call_id]
--- a/medlarquay/codec/message_type.py
+++ b/medlarquay/codec/message_type.py
@@ -17,6 +17,8 @@
     DRAINING = 7
     CRASH_SUSPECTED = 8
     SUSPICION_CLEARED = 9
+    CALL_OFFERED = 10
+    CALL_GRANTED = 11
     SUBSCRIBE = 20
     FETCH_ALL = 21
     RECORDS = 22
--- a/medlarquay/daemon/build_owner.py
+++ b/medlarquay/daemon/build_owner.py
@@ -29,7 +29,7 @@
         records=observed.records,
     )
     owner_task.local_backend = deployment.local
-    owner_task.local_backend.link_bytes_per_s = settings.link_bytes_per_s
+    owner_task.set_link_rate(settings.link_bytes_per_s)
     owner_task.ledger = ledger.Ledger(
         instance=observed.hello.instance,
         incarnation=observed.hello.incarnation,
--- a/medlarquay/daemon/lifecycle_machine.py
+++ b/medlarquay/daemon/lifecycle_machine.py
@@ -31,8 +31,8 @@
         accepting.upon(_Inputs.drain).to(draining)(_drain)
         accepting.upon(_Inputs.finish).loop().returns(None)
     draining.upon(_Inputs.flush).to(flushing)(_flush)
-    draining.upon(_Inputs.finish).to(stopped)(_flush_and_stop)
-    flushing.upon(_Inputs.finish).to(stopped)(_stop)
+    for state, stop in ((draining, _flush_and_stop), (flushing, _stop)):
+        state.upon(_Inputs.finish).to(stopped)(stop)
     for state in (serving, draining, flushing, stopped):
         state.upon(_Inputs.configure).loop().returns(None)
     # A second signal does not shorten the drain, since a graceful stop must not
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -23,6 +23,7 @@
 from medlarquay.events.heartbeat_due import HeartbeatDue
 from medlarquay.events.lifecycle_changed import LifecycleChanged
 from medlarquay.events.link_closed import LinkClosed
+from medlarquay.events.offer_call import OfferCall
 from medlarquay.events.open_link import OpenLink
 from medlarquay.events.parent_aged import ParentAged
 from medlarquay.events.parent_answered import ParentAnswered
@@ -43,6 +44,7 @@
 from medlarquay.events.run_call import RunCall
 from medlarquay.events.send_call import SendCall
 from medlarquay.events.send_cancel import SendCancel
+from medlarquay.events.send_grant import SendGrant
 from medlarquay.events.send_notice import SendNotice
 from medlarquay.events.send_reply import SendReply
 from medlarquay.events.snapshot_replaced import SnapshotReplaced
@@ -67,6 +69,7 @@
     'PeerLost',
     'PeerSilent',
     'PeerGreeted',
+    'OfferCall',
     'OpenLink',
     'CallExpired',
     'RecordsReceived',
@@ -87,6 +90,7 @@
     'WorkFinished',
     'FreshnessConfirmed',
     'BroadcastReply',
+    'SendGrant',
     'SendNotice',
     'AbortRequest',
     'AnswerReady',
--- a/medlarquay/events/send_call.py
+++ b/medlarquay/events/send_call.py
@@ -21,12 +21,15 @@
         Peer port of its node.
     request : messages.CallRequest
         Request; its call id is unique at this ingress.
+    request_id : str
+        Id that the caller gave the request, for logs; empty if it gave none.
     """
 
     instance: ids.InstanceId
     host: str
     port: int
     request: messages.CallRequest
+    request_id: str = ''
 
     @property
     def urgency(self) -> pacing.Urgency:
@@ -36,3 +39,20 @@
             due=self.request.due,
             deadline=self.request.deadline,
         )
+
+    @property
+    def offer(self) -> messages.CallOffered:
+        """Offer that precedes a large request."""
+        request = self.request
+        return messages.CallOffered(
+            call_id=request.call_id,
+            team=request.team,
+            service=request.service,
+            route=request.route,
+            rank=request.rank,
+            deadline=request.deadline,
+            due=request.due,
+            last_attempt=request.last_attempt,
+            body_bytes=len(request.body),
+            request_id=self.request_id,
+        )
--- a/medlarquay/ingress/call_sender.py
+++ b/medlarquay/ingress/call_sender.py
@@ -36,8 +36,20 @@
         self,
         backend: replica.InstanceRecord,
         request: messages.CallRequest,
+        *,
+        request_id: str = '',
     ) -> None:
-        """Send a call to the owner of a backend server."""
+        """Send a call to the owner of a backend server.
+
+        Parameters
+        ----------
+        backend : InstanceRecord
+            Backend server.
+        request : CallRequest
+            Request.
+        request_id : str
+            Id that the caller gave it, for logs.
+        """
         if backend.node_name == self._instance:
             self._owner.post(events.RunCall(link=_LOCAL, request=request))
             return
@@ -47,6 +59,7 @@
                 host=backend.host,
                 port=backend.peer_port,
                 request=request,
+                request_id=request_id,
             ),
         )
 
--- a/medlarquay/ingress/owner_query.py
+++ b/medlarquay/ingress/owner_query.py
@@ -3,7 +3,7 @@
 import functools
 import types
 
-from medlarquay import keys, routing
+from medlarquay import keys, messages, routing
 from medlarquay.ingress import ingress_call, known_incarnations, routing_table
 
 __all__ = ('any_owner_query', 'owner_query')
@@ -29,6 +29,7 @@
         excluded=call.tried,
         due=call.parameters.due,
         route=call.route.name,
+        large_request=(len(call.message.body) >= messages.LARGE_BODY_BYTES),
     )
 
 
--- a/medlarquay/messages/call_answered.py
+++ b/medlarquay/messages/call_answered.py
@@ -3,13 +3,9 @@
 import dataclasses
 
 from medlarquay import ids
-from medlarquay.messages import load_state
+from medlarquay.messages import large_body, load_state
 
-__all__ = ('LARGE_ANSWER_BYTES', 'CallAnswered')
-
-#: Answers of this size or more are sent in fragments, so that smaller ones can
-#: be sent in between.
-LARGE_ANSWER_BYTES = 16384
+__all__ = ('CallAnswered',)
 
 _FIRST_FAILURE_STATUS = 500
 _TIMED_OUT_STATUS = 504
@@ -57,4 +53,4 @@
     @property
     def large(self) -> bool:
         """Whether the answer is sent in fragments."""
-        return len(self.body) >= LARGE_ANSWER_BYTES
+        return len(self.body) >= large_body.LARGE_BODY_BYTES
--- a/medlarquay/platform/operators_document.py
+++ b/medlarquay/platform/operators_document.py
@@ -21,6 +21,7 @@
     'repeat': True,
     'download': True,
     'once': False,
+    'upload': False,
 })
 _RANKS = tuple(states.Rank)
 _METHODS = tuple(method.value for method in settings.HttpMethod)
--- a/medlarquay/routing/any_owner_query.py
+++ b/medlarquay/routing/any_owner_query.py
@@ -24,9 +24,12 @@
         monotonic clock.
     route : RouteName
         Route of the call.
+    large_request : bool
+        Whether the call has a large body.
     """
 
     candidates: candidates.Candidates
     excluded: tuple[ids.InstanceId, ...] = ()
     due: float = math.inf
     route: ids.RouteName = ids.RouteName('')
+    large_request: bool = False
--- a/medlarquay/routing/pick.py
+++ b/medlarquay/routing/pick.py
@@ -45,17 +45,20 @@
     expected when due. Otherwise the zones compete by the expected time of the
     answer, so a short queue near by is preferred to a free slot 60 ms away,
     and a slow backend server does not get calls that it would answer too late.
-    A large answer leaves the region only if no owner there accepts calls,
-    since traffic between regions is paid by volume and costs more than a late
-    answer.
+    A large body or answer stays in the data centre, even behind others, while
+    it is expected in time there. It leaves the region only if no owner there
+    accepts calls, since traffic between regions is paid by volume and costs
+    more than a late answer.
     """
+    large = region.is_large(query, state)
     best: replica.InstanceRecord | None = None
     best_cost = float('inf')
     for candidate in _zone_candidates(query, state, now):
         if candidate.cost < best_cost:
             best = candidate.backend
             best_cost = candidate.cost
-        if candidate.has_free_slot and now + candidate.cost <= query.due:
+        has_room = candidate.has_free_slot or large
+        if has_room and now + candidate.cost <= query.due:
             break
     return best
 
--- a/medlarquay/routing/region.py
+++ b/medlarquay/routing/region.py
@@ -10,7 +10,20 @@
     zone,
 )
 
-__all__ = ('accepts_calls', 'count_eligible_owners', 'stays_in_region')
+__all__ = (
+    'accepts_calls',
+    'count_eligible_owners',
+    'is_large',
+    'stays_in_region',
+)
+
+
+def is_large(
+    query: any_owner_query.AnyOwnerQuery,
+    state: routing_state.RoutingState,
+) -> bool:
+    """Return whether a call has a large body or expects a large answer."""
+    return query.large_request or query.route in state.observations.large_routes
 
 
 def stays_in_region(
@@ -32,17 +45,17 @@
     Returns
     -------
     bool
-        True if a large answer is expected and an owner in the region accepts
-        calls; an owner that was tried before counts only while it or the link
+        True if the call or its answer is large and an owner in the region
+        accepts calls; an owner that was tried before counts only while it or the link
         of its machine is full.
 
     Notes
     -----
-    Traffic between regions is paid by volume, and a large answer costs more
+    Traffic between regions is paid by volume, and a large body costs more
     than it is worth. Such a call therefore leaves the region only if no owner
     there accepts work, not because all of them are busy.
     """
-    if query.route not in state.observations.large_routes:
+    if not is_large(query, state):
         return False
     by_instance = state.observations.by_instance
     return any(
@@ -80,7 +93,7 @@
         must stay there.
     """
     owners = len(query.candidates.live)
-    if query.route not in state.observations.large_routes:
+    if not is_large(query, state):
         return owners
     untried = dataclasses.replace(query, excluded=())
     if not stays_in_region(untried, state, now):
--- a/medlarquay/routing/tests/fleet.py
+++ b/medlarquay/routing/tests/fleet.py
@@ -52,6 +52,7 @@
     excluded: tuple[ids.InstanceId, ...] = (),
     due: float = math.inf,
     route: str = '',
+    large_request: bool = False,
 ) -> str | None:
     """Return the instance of the chosen owner, or None if refused."""
     query = routing.AnyOwnerQuery(
@@ -61,6 +62,7 @@
         excluded=excluded,
         due=due,
         route=ids.RouteName(route),
+        large_request=large_request,
     )
     chosen = routing.choose(query, state, now)
     if isinstance(chosen, routing.OwnerChosen):
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -474,3 +474,27 @@
     for route, owners in ((_BUNDLE, 1), (_CHECK, 2)):
         query = routing.AnyOwnerQuery(candidates=candidates, route=route)
         assert routing.count_eligible_owners(query, state, 0) == owners
+
+
+def test_large_requests_stay_in_the_region() -> None:
+    """Guards against large bodies between regions, paid by volume."""
+    state = fleet.routing_state()
+    near, far = fleet.backend('a2'), fleet.backend('c1', region='south')
+    _send_calls(state, 'a2', 20)
+    assert fleet.pick(state, near, far, due=1) == 'c1'
+    chosen = fleet.pick(state, near, far, due=1, large_request=True)
+    assert chosen == 'a2'
+
+
+@pytest.mark.parametrize(('due', 'expected'), [(1, 'a2'), (0.01, 'b1')])
+def test_large_requests_stay_in_the_data_centre_while_in_time(
+    due: float, expected: str
+) -> None:
+    """Guards against large bodies that cross data centres to save a wait."""
+    state = fleet.routing_state()
+    near, other_centre = fleet.backend('a2'), fleet.backend('b1')
+    _send_calls(state, 'a2', near.slots + 4)
+    chosen = fleet.pick(state, near, other_centre, due=1)
+    assert chosen == 'b1'
+    chosen = fleet.pick(state, near, other_centre, due=due, large_request=True)
+    assert chosen == expected
--- a/medlarquay/tasks/outgoing_link.py
+++ b/medlarquay/tasks/outgoing_link.py
@@ -38,6 +38,8 @@
         Calls to send once the link is open.
     notices : list of object
         One-way messages to send once the link is open.
+    offered : set of CallId
+        Calls that were offered and not granted or refused yet.
     sent : dict of CallId to float
         Calls that were written completely and not answered yet, with the time
         at which the last byte was written.
@@ -62,6 +64,7 @@
     connection: transport.Link | None = None
     waiting: list[events.SendCall] = dataclasses.field(default_factory=list)
     notices: list[object] = dataclasses.field(default_factory=list)
+    offered: set[ids.CallId] = dataclasses.field(default_factory=set)
     sent: dict[ids.CallId, float] = dataclasses.field(default_factory=dict)
     data_arrived_at: float = 0
     probed_at: float = -math.inf
--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -14,6 +14,7 @@
     states,
     telemetry,
 )
+from medlarquay.pacing import body_intake, offered_body
 from medlarquay.pacing import urgency as urgencies
 from medlarquay.tasks import (
     alarm,
@@ -83,6 +84,7 @@
         self._answer_by = math.inf
         self._stopping = False
         self._links = links
+        self._intake = body_intake.BodyIntake()
         self._crashes = 0
         self._drain_reported = False
         self._alarm = alarm.Alarm(
@@ -96,6 +98,22 @@
         """Time when unfinished jobs are ended; infinity before a stop."""
         return self._answer_by
 
+    @property
+    def intake(self) -> body_intake.BodyIntake:
+        """Large bodies that other nodes offer to send."""
+        return self._intake
+
+    def set_link_rate(self, bytes_per_s: float) -> None:
+        """Set the rate of the machine's link, before any request arrives.
+
+        Parameters
+        ----------
+        bytes_per_s : float
+            Rate in bytes per second; infinite if unknown.
+        """
+        self.local_backend.link_bytes_per_s = bytes_per_s
+        self._intake = body_intake.BodyIntake(bytes_per_s=bytes_per_s)
+
     def now(self) -> float:
         """Return seconds on the monotonic clock."""
         return self.clock.monotonic()
@@ -134,6 +152,10 @@
         elif self.router is not None:
             self.router.post(message)
 
+    def grant(self, body: offered_body.OfferedBody) -> None:
+        """Let an ingress send the body of a call that it offered."""
+        self._links.post(events.SendGrant(link=body.link, call_id=body.call_id))
+
     def post_to_backend(
         self,
         message: events.StartRequest | events.AbortRequest,
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -5,27 +5,27 @@
 from medlarquay import (
     admission,
     events,
+    ids,
     ledger,
     messages,
     quarantine,
     states,
 )
 from medlarquay.tasks import (
+    owner_arrival,
     owner_base,
     owner_deadlines,
-    owner_job,
-    owner_keys,
+    owner_misdirected,
+    owner_offers,
     owner_results,
     owner_snapshot,
     owner_starts,
-    waiting_attempt,
 )
 
 __all__ = ('handle',)
 
 # A timer that fires later than this shows that the process was paused.
 _MIN_PAUSE_S = 1
-_MISDIRECTED_STATUS = 421
 
 
 @functools.singledispatch
@@ -36,45 +36,14 @@
 
 @handle.register
 def _run_call(message: events.RunCall, owner: owner_base.OwnerBase) -> None:
-    request = message.request
-    attempt = waiting_attempt.WaitingAttempt(
-        link=message.link,
-        call_id=request.call_id,
-        deadline=request.deadline,
-        request_id=owner.local_backend.names.request_id_of(request.headers),
-    )
-    reason = _refusal_on_arrival(request, owner)
-    if reason is not None:
-        owner_results.refuse_arrival(attempt, reason, owner)
-        return
-    job = owner_job.OwnerJob(
-        exchange=owner.jobs.next_exchange(),
-        request=request,
-        fingerprint=quarantine.fingerprint_of(request),
-        arrived_at=owner.now(),
-    )
-    if request.request_key is None or request.idempotent:
-        owner.jobs.add(job)
-        owner.jobs.add_attempt(job, attempt)
-        owner_starts.admit(job, owner)
-    else:
-        owner_keys.run_keyed(job, request.request_key, attempt, owner)
+    if message.request.large:
+        _release_offer(message.link, message.request.call_id, owner)
+    owner_arrival.accept(message, owner)
 
 
-def _refusal_on_arrival(
-    request: messages.CallRequest,
-    owner: owner_base.OwnerBase,
-) -> states.RefusalReason | None:
-    if request.deadline <= owner.now():
-        return states.RefusalReason.DEADLINE_PASSED
-    local = owner.local_instance
-    if local is None:
-        return states.RefusalReason.NO_CONFIGURATION
-    # An ingress with an outdated instance list may still send requests for
-    # another service.
-    if (request.team, request.service) != (local.team, local.service):
-        return states.RefusalReason.NO_BACKEND
-    return None
+@handle.register
+def _offer_call(message: events.OfferCall, owner: owner_base.OwnerBase) -> None:
+    owner_offers.handle_offer(message, owner)
 
 
 @handle.register
@@ -85,8 +54,8 @@
     job = owner.jobs.find(message.exchange)
     if job is None:
         return
-    if _is_misdirected(message, owner):
-        _end_misdirected(job, owner)
+    if owner_misdirected.is_misdirected(message, owner):
+        owner_misdirected.end_misdirected(job, owner)
         return
     if any(
         name == owner.local_backend.names.not_run for name, _ in message.headers
@@ -104,7 +73,7 @@
         finished = admission.RequestFinished(
             exchange=job.exchange,
             answer_bytes=len(message.body),
-            link_bytes=len(message.body) * _count_remote_attempts(job),
+            link_bytes=len(message.body) * job.remote_attempts,
         )
         decisions = admission.decide(finished, owner.admission, owner.now())
         owner_results.answer_job(job, message, owner)
@@ -112,33 +81,6 @@
     owner_starts.readmit_held(owner)
 
 
-def _count_remote_attempts(job: owner_job.OwnerJob) -> int:
-    """Return how many attempts of a job are answered over a call link."""
-    return sum(bool(attempt.link) for attempt in job.attempts)
-
-
-def _is_misdirected(
-    message: events.BackendAnswered,
-    owner: owner_base.OwnerBase,
-) -> bool:
-    expects = owner.local_backend.names.expected_instance is not None
-    return expects and message.status == _MISDIRECTED_STATUS
-
-
-def _end_misdirected(
-    job: owner_job.OwnerJob, owner: owner_base.OwnerBase
-) -> None:
-    """Refuse a job whose request reached the wrong backend server.
-
-    That backend server did not run it.
-    """
-    owner_results.notify_quarantine_stopped(job, owner)
-    owner_results.refuse_job(job, states.RefusalReason.BACKEND_DOWN, owner)
-    freed = admission.RequestCancelled(exchange=job.exchange)
-    owner_starts.apply_admission_event(freed, owner)
-    owner_starts.readmit_held(owner)
-
-
 @handle.register
 def _uplink_changed(
     message: events.UplinkChanged,
@@ -208,6 +150,7 @@
     owner_starts.apply_admission_event(
         admission.QueuesEmptied(reason=reason), owner
     )
+    owner_offers.refuse_offers(reason, owner)
     owner_starts.readmit_held(owner)
 
 
@@ -232,6 +175,7 @@
 def _cancel_call(
     message: events.CancelCall, owner: owner_base.OwnerBase
 ) -> None:
+    _release_offer(message.link, message.call_id, owner)
     job = owner.jobs.remove_attempt(message.link, message.call_id)
     if job is None or job.attempts:
         return
@@ -246,6 +190,8 @@
     message: events.LinkClosed,
     owner: owner_base.OwnerBase,
 ) -> None:
+    owner.intake.release_link(message.link)
+    owner_offers.advance_offers(owner)
     abandoned = owner.jobs.remove_attempts_on(message.link)
     # Queued requests are withdrawn first: an abort frees a slot, and a queued
     # request would be started in it.
@@ -263,6 +209,8 @@
     owner: owner_base.OwnerBase,
 ) -> None:
     owner_snapshot.apply_snapshot(message.snapshot, owner)
+    if owner.draining:
+        owner_offers.refuse_offers(states.RefusalReason.DRAINING, owner)
 
 
 @handle.register
@@ -279,6 +227,7 @@
     owner: owner_base.OwnerBase,
 ) -> None:
     owner.stop(message.answer_by)
+    owner_offers.refuse_offers(states.RefusalReason.DRAINING, owner)
 
 
 @handle.register
@@ -293,9 +242,19 @@
             owner_deadlines.check_deadlines(job, owner, now)
     if now >= owner.answer_by:
         owner_deadlines.end_all_jobs(owner)
+    owner_offers.advance_offers(owner)
     owner_deadlines.schedule_next_tick(owner, now)
 
 
+def _release_offer(
+    link: ids.LinkId,
+    call_id: ids.CallId,
+    owner: owner_base.OwnerBase,
+) -> None:
+    owner.intake.release((link, call_id))
+    owner_offers.advance_offers(owner)
+
+
 def _apply_quarantine_event(event: object, owner: owner_base.OwnerBase) -> None:
     decisions = quarantine.decide(event, owner.quarantine, owner.now())
     for decision in decisions:
--- a/medlarquay/tasks/owner_job.py
+++ b/medlarquay/tasks/owner_job.py
@@ -45,3 +45,8 @@
     arrived_at: float = 0
     sent_at: float = 0
     recorded: bool = False
+
+    @property
+    def remote_attempts(self) -> int:
+        """Number of attempts that are answered over a call link."""
+        return sum(bool(attempt.link) for attempt in self.attempts)
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -14,6 +14,7 @@
     local_instance,
     owner_base,
     owner_deadlines,
+    owner_offers,
     owner_results,
     owner_starts,
 )
@@ -96,6 +97,7 @@
     owner_starts.apply_admission_event(
         admission.QueuesEmptied(reason=reason), owner
     )
+    owner_offers.refuse_offers(reason, owner)
     # Suspects that the quarantine holds are not queued.
     for job in owner.jobs:
         if not job.sent:
--- a/medlarquay/tasks/peer_links_base.py
+++ b/medlarquay/tasks/peer_links_base.py
@@ -86,7 +86,7 @@
             clock=clock,
             link_bytes_per_s=link_bytes_per_s,
         )
-        self.unsent = unsent_calls.UnsentCalls()
+        self.unsent = unsent_calls.UnsentCalls(writer=self.writer)
         self._silence = silence_watch.SilenceWatch(
             unsent=self.unsent,
             clock=running_clock or clock,
@@ -164,13 +164,10 @@
         elif outgoing.link is not None:
             self.unsent.add(outgoing.number, call, self._silence.now())
             self._alarm.wake_at(now + _CHECK_S)
-            is_queued = self.writer.send_call(
-                outgoing.number,
-                call.request,
-                urgency=call.urgency,
-            )
-            if not is_queued:
-                self.note_sent(outgoing.number, call.request.call_id)
+            if call.request.large:
+                self.unsent.offer(outgoing, call)
+            else:
+                _write_request(outgoing, call, self)
 
     def note_sent(self, number: ids.LinkId, call_id: ids.CallId) -> None:
         """Record that the last byte of a call was written."""
@@ -264,6 +261,21 @@
         )
         return outgoing
 
+    def _handle_granted(
+        self,
+        outgoing: outgoing_link.OutgoingLink,
+        message: messages.CallGranted,
+    ) -> None:
+        call = self.unsent.take_granted(outgoing, message.call_id)
+        if call is None:
+            return
+        if call.request.deadline <= self._clock():
+            self.unsent.pop(outgoing.number, message.call_id)
+            self.unsent.withdraw(outgoing, call)
+            self.refuse(call, states.RefusalReason.DEADLINE_PASSED)
+        else:
+            _write_request(outgoing, call, self)
+
     def _handle_hello(
         self,
         outgoing: outgoing_link.OutgoingLink,
@@ -307,6 +319,8 @@
             self._handle_hello(outgoing, link, message)
         elif isinstance(message, messages.Draining):
             self.router.post(messages.Draining(instance=outgoing.instance))
+        elif isinstance(message, messages.CallGranted):
+            self._handle_granted(outgoing, message)
         elif isinstance(message, _Result):
             self._take_result(outgoing, message)
 
@@ -317,7 +331,8 @@
     ) -> None:
         # A result that matches no open call of this link is dropped here, so
         # that it can never reach another caller.
-        if outgoing.sent.pop(message.call_id, None) is None:
+        sent_at = outgoing.sent.pop(message.call_id, None)
+        if sent_at is None and not self.unsent.end_refused(outgoing, message):
             self._counters.increment(states.DroppedMessage.NO_CALL_ON_LINK)
         elif self.router is not None:
             self.router.post(message)
@@ -339,6 +354,7 @@
         for call_id in outgoing.sent:
             self.router.post(_result_of_closed_link(call_id, link))
         outgoing.waiting = []
+        outgoing.offered.clear()
         outgoing.sent.clear()
         self.router.post(events.PeerLost(instance=outgoing.instance))
 
@@ -351,6 +367,20 @@
             return None
 
 
+def _write_request(
+    outgoing: outgoing_link.OutgoingLink,
+    call: events.SendCall,
+    links: PeerLinksBase,
+) -> None:
+    is_queued = links.writer.send_call(
+        outgoing.number,
+        call.request,
+        urgency=call.urgency,
+    )
+    if not is_queued:
+        links.note_sent(outgoing.number, call.request.call_id)
+
+
 def _result_of_closed_link(
     call_id: ids.CallId, link: transport.Link
 ) -> _Result:
@@ -391,6 +421,15 @@
     _post(links.owner, events.RunCall(link=number, request=message))
 
 
+@_handle_incoming.register
+def _accept_offer(
+    message: messages.CallOffered,
+    links: PeerLinksBase,
+    number: ids.LinkId,
+) -> None:
+    _post(links.owner, events.OfferCall(link=number, offer=message))
+
+
 @_handle_incoming.register
 def _accept_cancel(
     message: messages.CallCancel,
--- a/medlarquay/tasks/peer_links_handle.py
+++ b/medlarquay/tasks/peer_links_handle.py
@@ -65,7 +65,7 @@
         reason = states.RefusalReason.OWNER_UNREACHABLE
         call = outgoing.pop_waiting(message.call_id)
     else:
-        links.writer.withdraw(outgoing.number, message.call_id)
+        links.unsent.withdraw(outgoing, call)
     if call is not None and message.expired:
         links.refuse(call, reason)
         links.abort_if_cut_off(outgoing)
@@ -91,6 +91,14 @@
     links.reply(message)
 
 
+@handle.register
+def _send_grant(
+    message: events.SendGrant, links: peer_links_base.PeerLinksBase
+) -> None:
+    granted = messages.CallGranted(call_id=message.call_id)
+    links.writer.send(message.link, granted)
+
+
 @handle.register
 def _write_fragment(
     message: events.WriteFragment, links: peer_links_base.PeerLinksBase
@@ -115,8 +123,12 @@
         links.closing.close_if_sent(message.link)
         return
     call = links.unsent.pop(message.link, message.call_id)
-    if call is not None:
-        links.refuse(call, reason)
+    if call is None:
+        return
+    outgoing = links.outgoing.get(call.instance)
+    if outgoing is not None and outgoing.number == message.link:
+        links.unsent.withdraw(outgoing, call)
+    links.refuse(call, reason)
 
 
 @handle.register
--- a/medlarquay/tasks/router_attempts.py
+++ b/medlarquay/tasks/router_attempts.py
@@ -58,7 +58,7 @@
         last_attempt=last_attempt,
         round_trip_s=routing.ROUND_TRIP_S[router.table.zone_of(backend)],
     )
-    router.sender.send(backend, request)
+    router.sender.send(backend, request, request_id=call.request_id)
     router.calls.pending_request = None
 
 
--- a/medlarquay/tasks/tests/owner_bench.py
+++ b/medlarquay/tasks/tests/owner_bench.py
@@ -106,8 +106,12 @@
             }).encode(),
         )
         records = [
-            self._record(run, state, node=INSTANCE, service=service),
-            self._record(PEER_INSTANCE, states.InstanceState.LIVE),
+            self._record(run, state, service=service),
+            self._record(
+                PEER_INSTANCE,
+                states.InstanceState.LIVE,
+                node=PEER_INSTANCE,
+            ),
         ]
         snapshot = snapshots.build_snapshot(
             documents=[document],
@@ -226,7 +230,7 @@
         instance: ids.InstanceId,
         state: states.InstanceState,
         *,
-        node: ids.InstanceId = ids.InstanceId(''),
+        node: ids.InstanceId = INSTANCE,
         service: ids.ServiceName = SERVICE,
     ) -> replica.InstanceRecord:
         return replica.InstanceRecord(
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -67,6 +67,34 @@
         """Send one message to the connecting side."""
         self.link.send(codec.encode(message, now=self._bench.now))
 
+    def grant(self, number: int) -> None:
+        """Let the connecting side send a call that it offered."""
+        self.send(messages.CallGranted(call_id=ids.CallId(number)))
+
+    def requests(self) -> list[messages.CallRequest]:
+        """Return the requests that arrived whole."""
+        return [
+            message
+            for message in self.received
+            if isinstance(message, messages.CallRequest)
+        ]
+
+    def offers(self) -> list[messages.CallOffered]:
+        """Return the offers that arrived."""
+        return [
+            message
+            for message in self.received
+            if isinstance(message, messages.CallOffered)
+        ]
+
+    def cancelled(self) -> list[ids.CallId]:
+        """Return the calls that the connecting side cancelled."""
+        return [
+            message.call_id
+            for message in self.received
+            if isinstance(message, messages.CallCancel)
+        ]
+
     def _receive(self, link: transport.Link, frame: bytes) -> None:
         self.received.append(
             codec.decode(frame, now=self._bench.now, peer='test'),
@@ -180,6 +208,15 @@
     return accepting
 
 
+def _call_granted(
+    bench: _Bench, accepting: _AcceptingSide, number: int
+) -> None:
+    """Send a large call, which the owner grants at once."""
+    bench.call('a1', number, _LARGE)
+    accepting.grant(number)
+    bench.pump(accepting)
+
+
 def _answered(number: int) -> messages.CallAnswered:
     return messages.CallAnswered(
         call_id=ids.CallId(number),
@@ -426,10 +463,10 @@
 def test_large_call_is_sent_once_and_complete(bench: _Bench) -> None:
     """Guards against a large request that is truncated or sent twice."""
     accepting = _linked(bench)
-    bench.call('a1', 2, _LARGE)
+    _call_granted(bench, accepting, 2)
     bench.pass_time(1)
     bench.pump(accepting)
-    sent = accepting.received[1:]
+    sent = accepting.requests()
     assert [call.call_id for call in sent] == [1, 2]
     assert sent[-1].body == _LARGE
     accepting.send(_answered(2))
@@ -446,7 +483,7 @@
     """
     accepting = _linked(bench)
     for number in (2, 3, 4):
-        bench.call('a1', number, _LARGE)
+        _call_granted(bench, accepting, number)
     bench.pass_time(0.1)
     for number, expired in ((2, True), (3, False)):
         bench.links.post(
@@ -469,7 +506,7 @@
     assert lost.call_id == 4
     # The first call had been sent completely.
     assert isinstance(unknown, messages.CallUnknown)
-    assert [call.call_id for call in accepting.received[1:]] == [1]
+    assert [call.call_id for call in accepting.requests()] == [1]
 
 
 def test_large_call_that_cannot_meet_deadline_is_refused(
@@ -481,13 +518,103 @@
     """
     accepting = _linked(bench)
     for number in range(2, 40):
-        bench.call('a1', number, _LARGE)
+        _call_granted(bench, accepting, number)
     bench.pass_time(6)
     bench.pump(accepting)
-    arrived = {call.call_id for call in accepting.received[1:]}
+    arrived = {call.call_id for call in accepting.requests()[1:]}
     refused = {result.call_id for result in bench.results()}
     assert len(arrived) >= 20
     assert refused == set(range(2, 40)) - arrived
+    assert set(accepting.cancelled()) == refused
+
+
+def test_body_of_large_call_waits_for_the_grant(bench: _Bench) -> None:
+    """Guards against bodies from many nodes that fill the owner's link."""
+    accepting = _linked(bench)
+    bench.call('a1', 2, _LARGE)
+    bench.pass_time(1)
+    bench.pump(accepting)
+    assert [offer.body_bytes for offer in accepting.offers()] == [len(_LARGE)]
+    assert len(accepting.requests()) == 1
+    accepting.grant(2)
+    bench.pump(accepting)
+    bench.pass_time(1)
+    bench.pump(accepting)
+    assert accepting.requests()[-1].body == _LARGE
+
+
+def test_refused_offer_is_reported_as_not_run(bench: _Bench) -> None:
+    """Guards against a refused offer that leaves its call waiting."""
+    accepting = _linked(bench)
+    bench.call('a1', 2, _LARGE)
+    refused = messages.CallRefused(
+        call_id=ids.CallId(2),
+        reason=states.RefusalReason.LINK_FULL,
+    )
+    accepting.send(refused)
+    accepting.grant(2)
+    bench.pump(accepting)
+    bench.pass_time(1)
+    bench.pump(accepting)
+    assert bench.results() == [refused]
+    assert len(accepting.requests()) == 1
+
+
+def test_other_results_of_an_offered_call_are_dropped(bench: _Bench) -> None:
+    """Guards against an answer to a call whose request was never sent."""
+    accepting = _linked(bench)
+    bench.call('a1', 2, _LARGE)
+    accepting.send(_answered(2))
+    bench.pump(accepting)
+    assert not bench.results()
+    dropped = states.DroppedMessage.NO_CALL_ON_LINK
+    assert bench.counters.counts[dropped] == 1
+
+
+@pytest.mark.parametrize('expired', [True, False])
+def test_cancelled_offer_frees_its_place(bench: _Bench, expired: bool) -> None:
+    """Guards against an owner that keeps room for a body that never comes."""
+    accepting = _linked(bench)
+    bench.call('a1', 2, _LARGE)
+    cancel = events.SendCancel(
+        instance=ids.InstanceId('a1'),
+        call_id=ids.CallId(2),
+        expired=expired,
+    )
+    bench.links.post(cancel)
+    accepting.grant(2)
+    bench.pump(accepting)
+    bench.pass_time(1)
+    bench.pump(accepting)
+    assert accepting.cancelled() == [2]
+    assert len(accepting.requests()) == 1
+    assert len(bench.results()) == expired
+
+
+def test_grant_after_the_deadline_sends_nothing(bench: _Bench) -> None:
+    """Guards against a body that is sent when nobody waits for its answer."""
+    accepting = _linked(bench)
+    bench.call('a1', 2, _LARGE)
+    bench.pause(6)
+    accepting.grant(2)
+    bench.pump(accepting)
+    bench.pass_time(1)
+    bench.pump(accepting)
+    refused = bench.results()[-1]
+    assert refused.reason is states.RefusalReason.DEADLINE_PASSED
+    assert accepting.cancelled() == [2]
+    assert len(accepting.requests()) == 1
+
+
+def test_offered_call_of_a_lost_link_was_not_run(bench: _Bench) -> None:
+    """Guards against an unknown outcome of a call that was only offered."""
+    accepting = _linked(bench)
+    bench.call('a1', 2, _LARGE)
+    bench.pump(accepting)
+    bench.connecting[0].connectionLost(_LOST)
+    refused = bench.results()[0]
+    assert isinstance(refused, messages.CallRefused)
+    assert refused.call_id == 2
 
 
 def test_fragment_for_aborted_link_is_not_sent(
--- a/medlarquay/tasks/unsent_calls.py
+++ b/medlarquay/tasks/unsent_calls.py
@@ -2,7 +2,8 @@
 
 import math
 
-from medlarquay import events, ids
+from medlarquay import events, ids, messages
+from medlarquay.tasks import link_writer, outgoing_link
 
 __all__ = ('UnsentCalls',)
 
@@ -11,10 +12,17 @@
     """Calls to other nodes whose last byte was not written yet.
 
     If their link is lost, they were not run, because no owner has received
-    the whole request.
+    the whole request. A large call is offered first, and its request is sent
+    when the owner grants it.
+
+    Parameters
+    ----------
+    writer : LinkWriter
+        Sends the offers.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, writer: link_writer.LinkWriter) -> None:
+        self._writer = writer
         self._calls: dict[tuple[ids.LinkId, ids.CallId], events.SendCall] = {}
         # Time at which each link last got a call while it had none.
         self._unsent_since: dict[ids.LinkId, float] = {}
@@ -60,3 +68,55 @@
         self._unsent_since.pop(link, None)
         keys = [key for key in self._calls if key[0] == link]
         return [self._calls.pop(key) for key in keys]
+
+    def offer(
+        self,
+        outgoing: outgoing_link.OutgoingLink,
+        call: events.SendCall,
+    ) -> None:
+        """Offer a call; its request is sent when the owner grants it."""
+        outgoing.offered.add(call.request.call_id)
+        self._writer.send(outgoing.number, call.offer)
+
+    def take_granted(
+        self,
+        outgoing: outgoing_link.OutgoingLink,
+        call_id: ids.CallId,
+    ) -> events.SendCall | None:
+        """Return the call that was granted; None if it was withdrawn."""
+        if call_id not in outgoing.offered:
+            return None
+        outgoing.offered.discard(call_id)
+        return self.find(outgoing.number, call_id)
+
+    def end_refused(
+        self,
+        outgoing: outgoing_link.OutgoingLink,
+        message: object,
+    ) -> bool:
+        """Forget a call that was refused; return whether it was offered.
+
+        An owner can only refuse an offered call: it has no request to run.
+        """
+        if not isinstance(message, messages.CallRefused):
+            return False
+        if message.call_id not in outgoing.offered:
+            return False
+        outgoing.offered.discard(message.call_id)
+        return self.pop(outgoing.number, message.call_id) is not None
+
+    def withdraw(
+        self,
+        outgoing: outgoing_link.OutgoingLink,
+        call: events.SendCall,
+    ) -> None:
+        """Withdraw a call that was not sent completely.
+
+        The owner of a large call must not keep room for its body.
+        """
+        call_id = call.request.call_id
+        self._writer.withdraw(outgoing.number, call_id)
+        outgoing.offered.discard(call_id)
+        if call.request.large:
+            cancel = messages.CallCancel(call_id=call_id)
+            self._writer.send(outgoing.number, cancel)
