Leave out modules, docstrings and positions that a node never uses

Cause: a node held 44.0 MB before its first request. Twisted and logbook import asyncio, ssl, http.cookiejar and with them http.client, email, urllib.request and the shared libraries of OpenSSL; websockets imports importlib.metadata; all modules kept docstrings and tables of positions; and the archive was read and unmarshalled whole.

Change: skip_unused_modules (startup, was platform.imports) defers modules until they are used, before any library is imported. Code in the archive is compiled without docstrings and assertions, and that of libraries without positions, so that a traceback in them names functions and where they are defined. Modules are read one by one from an archive with an index. The import cycle between platform.main and platform.imports is gone.

--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -6,7 +6,7 @@
 import time
 
 from medlarquay import errors, telemetry
-from medlarquay.platform import imports, settings_file
+from medlarquay.platform import settings_file
 
 __all__ = ('run',)
 
@@ -15,7 +15,6 @@
 
 def run() -> None:
     """Run a node until it is stopped."""
-    imports.block_tls_import()
     stream = telemetry.BoundedStream(descriptor=sys.stdout.fileno())
     telemetry.set_up_logs(stream=stream, level='info')
     path = os.environ.get(settings_file.PATH_VARIABLE, '')
--- a/medlarquay/startup/__main__.py
+++ b/medlarquay/startup/__main__.py
@@ -6,7 +6,7 @@
 import gc
 import sys
 
-from medlarquay.startup import archive
+from medlarquay.startup import archive, unused_modules
 
 
 def run() -> None:
@@ -14,6 +14,7 @@
     # Modules are never freed, so collections during their import are wasted.
     gc.disable()
     archive.install_archive(sys.argv[1])
+    unused_modules.skip_unused_modules()
     from medlarquay.platform import main  # noqa: PLC0415
 
     main.run()
--- a/medlarquay/startup/archive.py
+++ b/medlarquay/startup/archive.py
@@ -1,17 +1,19 @@
 """Archive of compiled modules and its import finder."""
 
 import marshal
+import os
 import sys
 import types
-from collections.abc import Iterable, Sequence
+from collections.abc import Mapping, Sequence
 from importlib import machinery
 from importlib import util as importlib_util
 
-__all__ = ('ArchiveFinder', 'install_archive', 'pack_modules')
+from medlarquay.startup import archive_entry
 
-# Module name, source file, directory of submodules (empty for a plain module)
-# and compiled code.
-_Entry = tuple[str, str, str, types.CodeType]
+__all__ = ('HEADER_BYTES', 'ArchiveFinder', 'install_archive')
+
+#: Length of the field with the length of the index, in bytes.
+HEADER_BYTES = 4
 
 
 class ArchiveFinder:
@@ -19,18 +21,31 @@
 
     Parameters
     ----------
-    entries : iterable of (str, str, str, CodeType)
-        Name, source file, directory of submodules (empty for a plain module)
-        and compiled code of each module of the archive.
+    descriptor : int
+        Open file of the archive.
+    start : int
+        Position of the first module in the file, in bytes.
+    entries : mapping of str to ArchiveEntry
+        Places of the modules by their names.
 
     Notes
     -----
     A node imports 800 modules at its start. Each costs about twenty system
-    calls with the default finders, and none with this one.
+    calls with the default finders, and one with this one. Each module is read
+    by itself, since the buffer for all of them would be the peak of the memory
+    of a process that has just started.
     """
 
-    def __init__(self, *, entries: Iterable[_Entry]) -> None:
-        self._entries = {entry[0]: entry for entry in entries}
+    def __init__(
+        self,
+        *,
+        descriptor: int,
+        start: int,
+        entries: Mapping[str, archive_entry.ArchiveEntry],
+    ) -> None:
+        self._descriptor = descriptor
+        self._start = start
+        self._entries = dict(entries)
 
     def find_spec(
         self,
@@ -42,17 +57,16 @@
         entry = self._entries.get(name)
         if entry is None:
             return None
-        _, origin, directory, _ = entry
         spec = machinery.ModuleSpec(
             name,
             self,  # type: ignore[arg-type]
-            origin=origin,
-            is_package=bool(directory),
+            origin=entry.origin,
+            is_package=bool(entry.directory),
         )
         spec.has_location = True
-        if directory:
+        if entry.directory:
             # Lets the default finders find submodules that are not archived.
-            spec.submodule_search_locations = [directory]
+            spec.submodule_search_locations = [entry.directory]
         return spec
 
     def create_module(self, spec: machinery.ModuleSpec) -> None:
@@ -60,25 +74,14 @@
 
     def exec_module(self, module: types.ModuleType) -> None:
         """Execute the code of a module and drop it from the archive."""
-        _, _, _, code = self._entries.pop(module.__name__)
+        entry = self._entries.pop(module.__name__)
+        content = os.pread(
+            self._descriptor, entry.length, self._start + entry.offset
+        )
+        code = marshal.loads(content)  # noqa: S302
         exec(code, module.__dict__)  # noqa: S102, WPS421
 
 
-def pack_modules(modules: Iterable[types.ModuleType]) -> bytes:
-    """Return an archive of the modules that have a source file.
-
-    Returns
-    -------
-    bytes
-        Magic number of the bytecode of this release of Python, followed by
-        the marshalled entries.
-    """
-    entries = [
-        entry for module in modules if (entry := _entry_for(module)) is not None
-    ]
-    return importlib_util.MAGIC_NUMBER + marshal.dumps(entries)
-
-
 def install_archive(path: str) -> bool:
     """Import modules from an archive from now on.
 
@@ -88,7 +91,7 @@
     Parameters
     ----------
     path : str
-        File that ``pack_modules`` filled.
+        File that ``pack.pack_modules`` filled.
 
     Returns
     -------
@@ -96,33 +99,23 @@
         Whether the archive is in use.
     """
     try:
-        with open(path, 'rb') as archive:  # noqa: PTH123, WPS515
-            content = archive.read()
+        descriptor = os.open(path, os.O_RDONLY | os.O_CLOEXEC)
     except OSError:
         return False
     magic = importlib_util.MAGIC_NUMBER
-    if not content.startswith(magic):
+    header = os.read(descriptor, len(magic) + HEADER_BYTES)
+    if not header.startswith(magic) or len(header) < len(magic) + HEADER_BYTES:
+        os.close(descriptor)
         return False
-    entries = marshal.loads(content[len(magic) :])  # noqa: S302
-    finder = ArchiveFinder(entries=entries)
+    index_bytes = int.from_bytes(header[len(magic) :], 'big')
+    index = marshal.loads(os.read(descriptor, index_bytes))  # noqa: S302
+    finder = ArchiveFinder(
+        descriptor=descriptor,
+        start=len(header) + index_bytes,
+        entries={
+            name: archive_entry.ArchiveEntry(*fields)
+            for name, fields in index.items()
+        },
+    )
     sys.meta_path.insert(0, finder)
     return True
-
-
-def _entry_for(module: types.ModuleType) -> _Entry | None:
-    spec = module.__spec__
-    origin = None if spec is None else spec.origin
-    if spec is None or origin is None or not origin.endswith('.py'):
-        return None
-    if not isinstance(spec.loader, machinery.SourceFileLoader):
-        return None
-    code = spec.loader.get_code(spec.name)
-    if code is None:
-        return None
-    search_locations = spec.submodule_search_locations
-    return (
-        spec.name,
-        origin,
-        search_locations[0] if search_locations else '',
-        code,
-    )
--- a/medlarquay/startup/build.py
+++ b/medlarquay/startup/build.py
@@ -7,8 +7,7 @@
 import sys
 import types
 
-from medlarquay.platform import imports
-from medlarquay.startup import archive
+from medlarquay.startup import pack, unused_modules
 
 __all__ = ('run',)
 
@@ -18,7 +17,7 @@
 
 def run() -> None:
     """Import all modules of a node and write them to the archive."""
-    imports.import_node()
+    _import_node()
     modules = [
         module
         for name, module in sorted(sys.modules.items())
@@ -26,7 +25,20 @@
     ]
     target = pathlib.Path(sys.argv[1])
     target.parent.mkdir(parents=True, exist_ok=True)
-    target.write_bytes(archive.pack_modules(modules))
+    target.write_bytes(pack.pack_modules(modules))
+
+
+def _import_node() -> None:
+    """Import all modules that a node needs before its first request."""
+    unused_modules.skip_unused_modules()
+    from twisted.internet import reactor  # noqa: F401, PLC0415
+
+    from medlarquay.daemon import node  # noqa: F401, PLC0415
+    from medlarquay.platform import (  # noqa: F401, PLC0415
+        main,
+        node_parts,
+        settings_watcher,
+    )
 
 
 def _is_packed(name: str, module: object) -> bool:
--- a/medlarquay/startup/tests/test_archive.py
+++ b/medlarquay/startup/tests/test_archive.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from medlarquay.startup import archive
+from medlarquay.startup import archive, pack
 
 
 @pytest.fixture(name='package')
@@ -40,7 +40,7 @@
         if 'packed_for_test' in name
     ]
     target = package.parent / 'archive'
-    target.write_bytes(archive.pack_modules(packed))
+    target.write_bytes(pack.pack_modules(packed))
     _unload_package()
     return target
 
