Find the first parent with one cheap read instead of reading the source

Change: a discovery task reads the first page of the instance list, stale, one call that costs a tenth. It serves only to find a parent and never enters the replica, so an old page brings back no entry that was withdrawn. The first three listed nodes of each region may read the source; the others follow discovered nodes and get configuration and list from there. A node that follows nobody 2 to 4 s after its first page reads by itself, and one that finds an empty page three times. Parents that refuse are tried again after 0.1 to 0.5 s, and a node that holds nothing asks its parent for confirmations every 0.1 s.

--- a/medlarquay/daemon/deployment.py
+++ b/medlarquay/daemon/deployment.py
@@ -4,7 +4,7 @@
 
 from medlarquay import addresses, ingress
 from medlarquay.daemon import stop_timing
-from medlarquay.tasks import local_backend, source_fetcher
+from medlarquay.tasks import local_backend, peer_discovery, source_fetcher
 
 __all__ = ('Deployment',)
 
@@ -17,6 +17,8 @@
     ----------
     fetcher : SourceFetcher
         Reads the configuration service.
+    discovery : PeerDiscovery or None
+        Finds some other nodes for a node without seeds.
     ingress_settings : IngressSettings
         Names of header fields, and the platform's rules for callers.
     local : LocalBackend
@@ -29,6 +31,7 @@
     """
 
     fetcher: source_fetcher.SourceFetcher
+    discovery: peer_discovery.PeerDiscovery | None = None
     ingress_settings: ingress.IngressSettings = dataclasses.field(
         default_factory=ingress.IngressSettings
     )
--- a/medlarquay/daemon/distribution.py
+++ b/medlarquay/daemon/distribution.py
@@ -6,6 +6,7 @@
 from medlarquay.daemon import distribution_runtime
 from medlarquay.tasks import (
     configuration,
+    discovery,
     follower,
     membership,
     relay,
@@ -39,6 +40,8 @@
         Chooses the parent.
     survey : Survey
         Asks peers for their versions at start.
+    discovery : Discovery or None
+        Finds a first parent for a node without seeds.
     peers : tuple of Peer
         Seeds that the survey asks.
     """
@@ -49,6 +52,7 @@
     reader: source_reader.SourceReader
     membership: membership.Membership
     survey: survey.Survey
+    discovery: discovery.Discovery | None
     peers: tuple[topology.Peer, ...]
 
     def start(self) -> None:
@@ -126,7 +130,9 @@
             randomness=runtime.randomness,
             reactor=runtime.reactor,
             clock=runtime.clock,
+            can_discover=runtime.discovery is not None,
         ),
+        discovery=_build_discovery(runtime),
         survey=survey.Survey(
             reactor=runtime.reactor,
             links=runtime.links,
@@ -139,6 +145,19 @@
     return distribution
 
 
+def _build_discovery(
+    runtime: distribution_runtime.DistributionRuntime,
+) -> discovery.Discovery | None:
+    if runtime.discovery is None:
+        return None
+    return discovery.Discovery(
+        reactor=runtime.reactor,
+        source=runtime.discovery,
+        randomness=runtime.randomness,
+        clock=runtime.clock,
+    )
+
+
 def _connect(built: Distribution) -> None:
     built.follower.configuration = built.configuration
     built.follower.membership = built.membership
@@ -148,6 +167,9 @@
     built.reader.membership = built.membership
     built.membership.follower = built.follower
     built.membership.reader = built.reader
+    built.membership.discovery = built.discovery
+    if built.discovery is not None:
+        built.discovery.membership = built.membership
     built.survey.configuration = built.configuration
     built.configuration.relay = built.relay
     # The relay forwards a change to the children before this node applies it.
--- a/medlarquay/daemon/distribution_runtime.py
+++ b/medlarquay/daemon/distribution_runtime.py
@@ -7,7 +7,7 @@
 from twisted.internet import interfaces
 
 from medlarquay import telemetry
-from medlarquay.tasks import connector, source_fetcher
+from medlarquay.tasks import connector, peer_discovery, source_fetcher
 
 __all__ = ('DistributionRuntime',)
 
@@ -30,6 +30,8 @@
         Draws seeds, phases and jitter.
     counters : Counters
         Counters of the node.
+    discovery : PeerDiscovery or None
+        Finds some other nodes in the source; None if only the seeds are asked.
     running_clock : callable or None
         Returns seconds for which the process has run, without its pauses;
         used for inactivity timeouts of links. None for the clock.
@@ -41,4 +43,5 @@
     fetcher: source_fetcher.SourceFetcher
     randomness: random.Random
     counters: telemetry.Counters
+    discovery: peer_discovery.PeerDiscovery | None = None
     running_clock: Callable[[], float] | None = None
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -101,6 +101,7 @@
             clock=clock,
             links=connector.TcpConnector(reactor=reactor),
             fetcher=deployment.fetcher,
+            discovery=deployment.discovery,
             randomness=random.SystemRandom(),
             counters=observed.counters,
             running_clock=running_clock.RUNNING_CLOCK.seconds,
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -34,6 +34,7 @@
 from medlarquay.events.peer_lost import PeerLost
 from medlarquay.events.peer_silent import PeerSilent
 from medlarquay.events.peer_version import PeerVersion
+from medlarquay.events.peers_discovered import PeersDiscovered
 from medlarquay.events.queue_frame import QueueFrame
 from medlarquay.events.reading_chosen import ReadingChosen
 from medlarquay.events.records_received import RecordsReceived
@@ -64,6 +65,7 @@
     'WriteFragment',
     'BytesSent',
     'WithdrawFrame',
+    'PeersDiscovered',
     'QueueFrame',
     'PeerHeard',
     'PeerLost',
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -67,10 +67,12 @@
         clock=clock,
         running_clock=running_clock.RUNNING_CLOCK.seconds,
     )
+    fetcher = store_fetcher.StoreFetcher(
+        client=client, own_settings=own_settings
+    )
     return deployment.Deployment(
-        fetcher=store_fetcher.StoreFetcher(
-            client=client, own_settings=own_settings
-        ),
+        fetcher=fetcher,
+        discovery=fetcher,
         ingress_settings=ingress.IngressSettings(
             names=header_names.HEADER_NAMES,
             service=own_settings.service.encode(),
--- a/medlarquay/platform/store_fetcher.py
+++ b/medlarquay/platform/store_fetcher.py
@@ -29,6 +29,7 @@
 # The store answers within milliseconds; after this the answer was lost.
 _ANSWER_TIMEOUT_S = 1.0
 _MS_PER_SECOND = 1000
+_REVISION = 'revision'
 _HISTORY_GONE = 410
 # A page holds 1 MB of values; more pages than this would not fit into the
 # memory of a node.
@@ -100,6 +101,32 @@
             answer = await self._fetch_changes(tree, after, wait_ms)
         return json.dumps(answer).encode()
 
+    async def discover(self) -> bytes:
+        """Read the first page of the instance list, possibly an old one.
+
+        Returns
+        -------
+        bytes
+            Answer in the format of the product's source (JSON).
+
+        Raises
+        ------
+        SourceError
+            As in ``fetch``.
+        """
+        tree = replica.SourceTree.INSTANCES
+        page = await self._client.get(
+            '/kv-range',
+            # A stale read costs a tenth and is not counted in the rate limit.
+            {'path_prefix': _PREFIXES[tree], 'after': '', 'is_stale': 1},
+            timeout_s=_ANSWER_TIMEOUT_S,
+        )
+        answer = {
+            _REVISION: page['at'],
+            'entries': list(self._translate_items(tree, page['items'])),
+        }
+        return json.dumps(answer).encode()
+
     async def _fetch_documents(
         self, after: ids.Revision, wait_ms: int
     ) -> _Answer:
@@ -118,7 +145,7 @@
             self._behind = listed or not failure.status
             raise
         if listed:
-            revisions = [entry['revision'] for entry in answer['entries']]
+            revisions = [entry[_REVISION] for entry in answer['entries']]
             self._behind = any(revision > after for revision in revisions)
         return answer
 
@@ -158,7 +185,7 @@
         if tree is replica.SourceTree.TEAMS:
             self._behind = len(newest) < len(answer['events'])
         return {
-            'revision': answer['at'],
+            _REVISION: answer['at'],
             'entries': list(self._translate_items(tree, newest)),
         }
 
@@ -180,7 +207,7 @@
             entries.extend(self._translate_items(tree, page['items']))
             if not page['has_more']:
                 return {
-                    'revision': revision,
+                    _REVISION: revision,
                     'entries': entries,
                     'whole': True,
                 }
@@ -206,7 +233,7 @@
                 continue
             yield {
                 'key': name,
-                'revision': item['revision'],
+                _REVISION: item[_REVISION],
                 'value': self._translate_value(tree, name, item),
             }
 
@@ -221,7 +248,7 @@
         try:
             return self._translate_content(tree, name, item).decode()
         except errors.SourceError as failure:
-            _LOG.warning('revision {}: {}', item['revision'], failure)
+            _LOG.warning('revision {}: {}', item[_REVISION], failure)
         # An unreadable configuration is rejected and changes nothing; an
         # unreadable entry counts as deleted and names no backend server.
         return _UNREADABLE if tree is replica.SourceTree.TEAMS else None
--- a/medlarquay/replica/__init__.py
+++ b/medlarquay/replica/__init__.py
@@ -5,7 +5,11 @@
 from medlarquay.replica.apply_source import apply_source
 from medlarquay.replica.content_edit import ContentEdit
 from medlarquay.replica.delta import Delta
-from medlarquay.replica.documents import digest_of, parse_instance
+from medlarquay.replica.documents import (
+    digest_of,
+    parse_instance,
+    parse_listed,
+)
 from medlarquay.replica.floor import FRESH_S, STARTUP_S, Floor
 from medlarquay.replica.freshness import Freshness
 from medlarquay.replica.instance_record import InstanceRecord, tombstone
@@ -40,6 +44,7 @@
     'digest_of',
     'join_records',
     'parse_instance',
+    'parse_listed',
     'build_team_record',
     'split_delta',
     'tombstone',
--- a/medlarquay/replica/documents.py
+++ b/medlarquay/replica/documents.py
@@ -5,9 +5,9 @@
 import sys
 
 from medlarquay import ids, states
-from medlarquay.replica import instance_record
+from medlarquay.replica import instance_record, source_value
 
-__all__ = ('digest_of', 'parse_instance')
+__all__ = ('digest_of', 'parse_instance', 'parse_listed')
 
 
 def digest_of(content: bytes) -> ids.Digest:
@@ -15,6 +15,24 @@
     return ids.Digest(hashlib.sha256(content).digest())
 
 
+def parse_listed(
+    entry: source_value.SourceValue,
+) -> instance_record.InstanceRecord | None:
+    """Parse an entry of the instance list; None if it names no instance.
+
+    Parameters
+    ----------
+    entry : SourceValue
+        Entry as read from the source, possibly removed or malformed.
+    """
+    if entry.content is None:
+        return None
+    try:
+        return parse_instance(content=entry.content, revision=entry.revision)
+    except (KeyError, TypeError, ValueError):
+        return None
+
+
 def parse_instance(
     *,
     content: bytes,
--- a/medlarquay/states/reading_mode.py
+++ b/medlarquay/states/reading_mode.py
@@ -12,5 +12,7 @@
     #: Reads only the instance list, rarely and at a random phase, to find
     #: peers.
     ISOLATED = 'isolated'
+    #: Reads some entries of the instance list, to find a first parent.
+    DISCOVERING = 'discovering'
     #: Watches both trees on behalf of a region.
     READER = 'reader'
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -32,6 +32,9 @@
 
 #: Interval between the probes of a parent, in seconds.
 PROBE_INTERVAL_S = 0.5
+# A node that holds nothing yet serves as soon as its parent confirms what it
+# has received, so it asks more often.
+_START_PROBE_INTERVAL_S = 0.1
 _MS_PER_SECOND = 1000
 
 
@@ -110,7 +113,7 @@
                 _check_link(link, tick, self.running_clock())
         self.report_staleness(tick.now)
         if self.current is not None or self.candidate is not None:
-            self._alarm.wake_at(tick.now + PROBE_INTERVAL_S)
+            self._alarm.wake_at(tick.now + self._probe_interval_s)
 
     def report_staleness(self, now: float) -> None:
         """Report to the membership that the parent became stale or fresh."""
@@ -174,6 +177,12 @@
                 ),
             )
 
+    @property
+    def _probe_interval_s(self) -> float:
+        if self.current is None and self.vector == replica.VersionVector():
+            return _START_PROBE_INTERVAL_S
+        return PROBE_INTERVAL_S
+
     def _abandon(self, link: parent_link.ParentLink | None) -> None:
         if link is None:
             return
@@ -195,7 +204,7 @@
         state.must_be_fresh = message.must_be_fresh
         link = parent_link.ParentLink(state=state, owner=self)
         self.candidate = link
-        self._alarm.wake_at(now + PROBE_INTERVAL_S)
+        self._alarm.wake_at(now + self._probe_interval_s)
         self._links.open(
             message.parent,
             link_callbacks.LinkCallbacks(
--- a/medlarquay/tasks/membership.py
+++ b/medlarquay/tasks/membership.py
@@ -2,16 +2,25 @@
 
 import dataclasses
 import functools
+import math
 import random
 from collections.abc import Callable
 
 from twisted.internet import interfaces
 
-from medlarquay import events, states, topology
+from medlarquay import events, replica, states, topology
 from medlarquay.tasks import alarm, task
 
 __all__ = ('Membership',)
 
+# A node waits this long for a discovered node that it can follow, and up to as
+# long again at random, so that not all nodes read the source at the same time.
+_DISCOVERY_S = 2
+_FIRST_RETRY_S = 0.1
+_LONGEST_RETRY_S = 0.5
+# Without any instance in the list, nobody can be followed.
+_MAX_EMPTY_DISCOVERIES = 3
+
 
 class Membership(task.Task):
     """Chooses the parent of this node, and whether it reads the source.
@@ -31,6 +40,8 @@
         Schedules the suspicion timeouts.
     clock : callable
         Returns seconds on the monotonic clock.
+    can_discover : bool
+        Whether a discovery task finds the first parent.
     """
 
     def __init__(
@@ -41,17 +52,29 @@
         randomness: random.Random,
         reactor: interfaces.IReactorTime,
         clock: Callable[[], float],
+        can_discover: bool = False,
     ) -> None:
         super().__init__(name='membership')
         self.follower: task.Task | None = None
         self.reader: task.Task | None = None
+        self.discovery: task.Task | None = None
         self.state = topology.TopologyState(
             local_peer=local_peer,
             seeds=seeds,
             members=topology.Members(()),
             suspects=frozenset(),
+            can_discover=can_discover,
         )
         self._suspects = topology.Suspects(randomness=randomness)
+        # A first parent that refuses is most likely still starting.
+        self._start_suspects = topology.Suspects(
+            randomness=randomness,
+            first_s=_FIRST_RETRY_S,
+            longest_s=_LONGEST_RETRY_S,
+        )
+        self._randomness = randomness
+        self._discover_until = math.inf
+        self._empty_discoveries = 0
         self._clock = clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
         self._chosen: topology.UpstreamChoice | None = None
@@ -66,7 +89,7 @@
 
     def suspect_parent(self, message: events.ParentLost) -> None:
         """Exclude a lost parent from the choice for some time."""
-        deadline = self._suspects.mark(
+        deadline = self._current_suspects.mark(
             message.parent.address,
             now=self._clock(),
         )
@@ -83,7 +106,7 @@
         """Record a new parent; suspect the previous one if it was stale."""
         state = self.state
         if state.parent_stale and state.parent is not None:
-            self._suspects.mark(state.parent.address, now=self._clock())
+            self._current_suspects.mark(state.parent.address, now=self._clock())
         self.update(
             dataclasses.replace(state, parent=parent, parent_stale=False),
         )
@@ -93,7 +116,8 @@
         now = self._clock()
         self.state = dataclasses.replace(
             state,
-            suspects=self._suspects.current(now=now),
+            suspects=self._current_suspects.current(now=now),
+            discovery_over=self._is_discovery_over(now),
         )
         choice = topology.choose_upstream(self.state)
         self.state = dataclasses.replace(
@@ -108,10 +132,37 @@
         if choice != self._chosen:
             self._chosen = choice
             self._announce(choice)
-        deadline = self._suspects.next_deadline(now=now)
+        deadline = self._current_suspects.next_deadline(now=now)
         if deadline is not None:
             self._alarm.wake_at(deadline)
 
+    def discover(self, instances: tuple[replica.InstanceRecord, ...]) -> None:
+        """Choose a first parent among the nodes of discovered instances."""
+        if self.state.members:
+            return
+        now = self._clock()
+        if not instances:
+            self._empty_discoveries += 1
+        elif math.isinf(self._discover_until):
+            jitter_s = self._randomness.uniform(0, _DISCOVERY_S)
+            self._discover_until = now + _DISCOVERY_S + jitter_s
+            self._alarm.wake_at(self._discover_until)
+        self.update(
+            dataclasses.replace(
+                self.state, discovered=topology.Members(instances)
+            ),
+        )
+
+    @property
+    def _current_suspects(self) -> topology.Suspects:
+        return self._suspects if self.state.members else self._start_suspects
+
+    def _is_discovery_over(self, now: float) -> bool:
+        return (
+            now >= self._discover_until
+            or self._empty_discoveries >= _MAX_EMPTY_DISCOVERIES
+        )
+
     def _announce(self, choice: topology.UpstreamChoice) -> None:
         if choice.parent is None:
             self.state = dataclasses.replace(self.state, parent=None)
@@ -122,8 +173,9 @@
                     must_be_fresh=choice.must_be_fresh,
                 ),
             )
-        if self.reader is not None:
-            self.reader.post(events.ReadingChosen(mode=choice.mode))
+        for reader in (self.reader, self.discovery):
+            if reader is not None:
+                reader.post(events.ReadingChosen(mode=choice.mode))
 
 
 @functools.singledispatch
@@ -136,6 +188,13 @@
     membership.update(membership.state)
 
 
+@_handle.register
+def _discovered(
+    message: events.PeersDiscovered, membership: Membership
+) -> None:
+    membership.discover(message.instances)
+
+
 @_handle.register
 def _changed(message: events.ReplicaChanged, membership: Membership) -> None:
     if message.instances is not None:
--- a/medlarquay/testing/memory_source.py
+++ b/medlarquay/testing/memory_source.py
@@ -48,6 +48,24 @@
             tree: dict(values) for tree, values in self._trees.items()
         }
 
+    def read_page(self, entries: int) -> bytes:
+        """Return the first entries of the instance list by key.
+
+        Raises
+        ------
+        SourceError
+            If the source is down.
+        """
+        if self.down:
+            raise errors.SourceError('source is down', step='read source')
+        tree = self._trees[replica.SourceTree.INSTANCES.value]
+        page = [
+            {'key': key, 'revision': revision, 'value': content}
+            for key, (revision, content) in sorted(tree.items())[:entries]
+        ]
+        answer = {'revision': self.revision_of(tree), 'entries': page}
+        return json.dumps(answer).encode()
+
     async def fetch(
         self,
         tree: replica.SourceTree,
--- a/medlarquay/testing/simulated_mesh.py
+++ b/medlarquay/testing/simulated_mesh.py
@@ -60,6 +60,20 @@
             raise errors.SourceError('unreachable', step='read source')
         return answer
 
+    async def discover(self) -> bytes:
+        """Read a part of the instance list.
+
+        Raises
+        ------
+        SourceError
+            As in ``fetch``.
+        """
+        mesh = self._mesh
+        mesh.discoveries += 1
+        if mesh.is_partitioned_from_source(self._peer.address):
+            raise errors.SourceError('unreachable', step='read source')
+        return mesh.source.read_page(mesh.page_entries)
+
 
 class SimulatedMesh:
     """Nodes, links and a source on simulated clocks.
@@ -68,9 +82,15 @@
     ----------
     seed : int
         Seed of all random choices; makes runs repeatable.
+    page_entries : int
+        Number of entries of the instance list that a node without seeds
+        finds with one read; 0 if it cannot search for others.
     """
 
-    def __init__(self, *, seed: int) -> None:
+    def __init__(self, *, seed: int, page_entries: int = 0) -> None:
+        self.page_entries = page_entries
+        #: Number of reads by nodes that searched for others.
+        self.discoveries = 0
         self.clock = task.Clock()
         self.source = memory_source.MemorySource(clock=self.clock)
         #: Addresses of nodes that reach all other nodes but not the source.
@@ -102,8 +122,8 @@
         node = simulated_node.SimulatedNode(
             peer=peer,
             seeds=seeds,
-            links=access,
-            fetcher=access,
+            access=access,
+            discovers=bool(self.page_entries),
             now=self.clock.seconds(),
             randomness=random.Random(self._randomness.random()),
         )
--- a/medlarquay/testing/simulated_node.py
+++ b/medlarquay/testing/simulated_node.py
@@ -14,8 +14,8 @@
     topology,
 )
 from medlarquay.daemon import distribution, distribution_runtime
-from medlarquay.tasks import connector, source_fetcher
 from medlarquay.tasks import task as tasks
+from medlarquay.testing import node_access
 
 __all__ = ('SimulatedNode',)
 
@@ -48,8 +48,10 @@
         Identity and address of the node.
     seeds : tuple of Peer
         Seed nodes from its settings.
-    links, fetcher : Connector, SourceFetcher
-        Open links to other nodes, and read the source.
+    access : NodeAccess
+        Opens links to other nodes, and reads the source.
+    discovers : bool
+        Whether it searches the source for a first parent.
     now : float
         Time at which the node starts, in seconds.
     randomness : random.Random
@@ -61,9 +63,9 @@
         *,
         peer: topology.Peer,
         seeds: tuple[topology.Peer, ...],
-        links: connector.Connector,
-        fetcher: source_fetcher.SourceFetcher,
+        access: node_access.NodeAccess,
         now: float,
+        discovers: bool,
         randomness: random.Random,
     ) -> None:
         self.peer = peer
@@ -85,8 +87,9 @@
             runtime=distribution_runtime.DistributionRuntime(
                 reactor=self.clock,
                 clock=self.clock.seconds,
-                links=links,
-                fetcher=fetcher,
+                links=access,
+                fetcher=access,
+                discovery=access if discovers else None,
                 randomness=randomness,
                 counters=telemetry.Counters(),
             ),
--- a/medlarquay/topology/choose_upstream.py
+++ b/medlarquay/topology/choose_upstream.py
@@ -4,16 +4,17 @@
 from collections.abc import Iterable
 
 from medlarquay import states
-from medlarquay.topology import members, peer, topology_state, upstream_choice
+from medlarquay.topology import (
+    choose_discovered,
+    members,
+    parent_position,
+    peer,
+    topology_state,
+    upstream_choice,
+)
 
-__all__ = ('FAN_OUT', 'choose_upstream')
+__all__ = ('choose_upstream',)
 
-#: Children of a node when the instance lists of all nodes agree.
-FAN_OUT = 8
-# A parent is kept while its position differs from the computed one by at most
-# this many places, so that one change of the instance list does not move most
-# links of a data centre.
-_POSITION_TOLERANCE = 1
 # A node without children that suspects more predecessors than this is more
 # likely partitioned itself than the next reader of its region. It then reads
 # the source at the low rate of isolated nodes, which bounds the calls when
@@ -96,7 +97,9 @@
         state,
     )
     if in_centre:
-        return _follow(_parent_by_position(in_centre, state.parent))
+        return _follow(
+            parent_position.parent_by_position(in_centre, state.parent)
+        )
     preceding = state.members.preceding_in_region(state.local_peer)
     usable = _not_suspected(preceding, state)
     if usable:
@@ -122,18 +125,6 @@
     )
 
 
-def _parent_by_position(
-    in_centre: list[peer.Peer],
-    current: peer.Peer | None,
-) -> peer.Peer:
-    exact = (len(in_centre) - 1) // FAN_OUT
-    lowest = max(0, exact - _POSITION_TOLERANCE)
-    near = in_centre[lowest : exact + _POSITION_TOLERANCE + 1]
-    if current is not None and current in near:
-        return current
-    return in_centre[exact]
-
-
 def _read_as_reader(
     state: topology_state.TopologyState,
 ) -> upstream_choice.UpstreamChoice:
@@ -192,6 +183,8 @@
     state: topology_state.TopologyState,
 ) -> upstream_choice.UpstreamChoice:
     addresses = {seed.address for seed in state.seeds}
+    if state.can_discover and not addresses:
+        return choose_discovered.choose_discovered(state)
     # Seeds are few and named by the operators, so they may read at once. A
     # node without seeds has no other node to follow, so it may as well.
     may_read = not addresses or state.local_peer.address in addresses
--- a/medlarquay/topology/members.py
+++ b/medlarquay/topology/members.py
@@ -45,6 +45,10 @@
         """Nodes of each region, in the distribution order."""
         return self._regions
 
+    def includes(self, node: peer.Peer) -> bool:
+        """Return whether a node is listed in its region."""
+        return node in self._regions.get(node.region, [])
+
     def preceding_in_region(self, node: peer.Peer) -> list[peer.Peer]:
         """Return the nodes of its region that precede a node."""
         return _preceding(self._regions.get(node.region, []), node)
--- a/medlarquay/topology/suspects.py
+++ b/medlarquay/topology/suspects.py
@@ -28,15 +28,25 @@
     randomness : random.Random
         Jitters the deadlines, so that the children of one parent do not
         return to it at the same moment.
+    first_s, longest_s : float
+        Time after the first fault, and longest time, in seconds.
 
     Notes
     -----
-    The time doubles with each fault up to one minute. It is bounded, so that
+    The time doubles with each fault up to a bound, so that
     a peer is tried again after a partition has healed.
     """
 
-    def __init__(self, *, randomness: random.Random) -> None:
+    def __init__(
+        self,
+        *,
+        randomness: random.Random,
+        first_s: float = _FIRST_SUSPICION_S,
+        longest_s: float = _LONGEST_SUSPICION_S,
+    ) -> None:
         self._randomness = randomness
+        self._first_s = first_s
+        self._longest_s = longest_s
         self._suspicions: dict[str, _Suspicion] = {}
 
     def mark(self, address: str, *, now: float) -> float:
@@ -44,8 +54,8 @@
         previous = self._suspicions.get(address)
         if previous is None or now - previous.marked_at > _FORGET_AFTER_S:
             delay_backoff = backoff.Backoff(
-                first=_FIRST_SUSPICION_S,
-                longest=_LONGEST_SUSPICION_S,
+                first=self._first_s,
+                longest=self._longest_s,
                 randomness=self._randomness,
             )
         else:
--- a/medlarquay/topology/topology_state.py
+++ b/medlarquay/topology/topology_state.py
@@ -2,10 +2,13 @@
 
 import dataclasses
 
-from medlarquay.topology import members, peer
+from medlarquay.topology import members as node_lists
+from medlarquay.topology import peer
 
 __all__ = ('TopologyState',)
 
+_NOBODY = node_lists.Members(())
+
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class TopologyState:
@@ -33,14 +36,23 @@
     backup_reader : bool
         Whether this node reads the source although other nodes of its region
         precede it.
+    can_discover : bool
+        Whether the source can be asked for some other nodes at little cost.
+    discovered : Members
+        Nodes that were found so; used while ``members`` is empty.
+    discovery_over : bool
+        Whether the time to find a first parent among them is over.
     """
 
     local_peer: peer.Peer
     seeds: tuple[peer.Peer, ...]
-    members: members.Members
+    members: node_lists.Members
     suspects: frozenset[str]
     parent: peer.Peer | None = None
     source_reachable: bool = True
     child_count: int = 0
     parent_stale: bool = False
     backup_reader: bool = False
+    can_discover: bool = False
+    discovered: node_lists.Members = _NOBODY
+    discovery_over: bool = False
