Keep the local backend server in use while its machine is cut off

Callers of machines that were cut off from the store crowded the few backend servers that were still listed.

Cause: a lapsed entry and one of a backend server that left look alike in the list. A node that the source answers can tell; one that gets no answer is cut off itself, and so was the heartbeat of the backend server beside it.

Change: when the own entry goes missing, the node asks the source for it. An answer without the entry ends its use, as before. Without an answer the callers of this machine go on using the backend server, until the source answers or the entry returns. Other nodes are not affected. One call per lost entry, one a second while cut off.

--- a/medlarquay/daemon/deployment.py
+++ b/medlarquay/daemon/deployment.py
@@ -4,7 +4,12 @@
 
 from medlarquay import addresses, ingress
 from medlarquay.daemon import stop_timing
-from medlarquay.tasks import local_backend, peer_discovery, source_fetcher
+from medlarquay.tasks import (
+    listing_check,
+    local_backend,
+    peer_discovery,
+    source_fetcher,
+)
 
 __all__ = ('Deployment',)
 
@@ -19,6 +24,9 @@
         Reads the configuration service.
     discovery : PeerDiscovery or None
         Finds some other nodes for a node without seeds.
+    listing : ListingCheck or None
+        Answers whether the local backend server is listed; None if a backend
+        server that is not listed is never used.
     ingress_settings : IngressSettings
         Names of header fields, and the platform's rules for callers.
     local : LocalBackend
@@ -32,6 +40,7 @@
 
     fetcher: source_fetcher.SourceFetcher
     discovery: peer_discovery.PeerDiscovery | None = None
+    listing: listing_check.ListingCheck | None = None
     ingress_settings: ingress.IngressSettings = dataclasses.field(
         default_factory=ingress.IngressSettings
     )
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -7,6 +7,7 @@
 
 from medlarquay import admin
 from medlarquay.daemon import (
+    build_listing,
     build_observed_node,
     call_path,
     distribution,
@@ -94,7 +95,18 @@
         seeds=known_peers.seed_peers(settings),
         # The lifecycle is last: the others must have the configuration before
         # it announces that the node is serving.
-        subscribers=(calls.router, calls.owner, admin_task, lifecycle_task),
+        subscribers=(
+            calls.router,
+            calls.owner,
+            *build_listing.build_listing(
+                reactor=reactor,
+                hello=observed.hello,
+                router=calls.router,
+                deployment=deployment,
+            ),
+            admin_task,
+            lifecycle_task,
+        ),
         freshness_subscribers=(calls.router, calls.owner, admin_task),
         runtime=distribution_runtime.DistributionRuntime(
             reactor=reactor,
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -23,6 +23,7 @@
 from medlarquay.events.heartbeat_due import HeartbeatDue
 from medlarquay.events.lifecycle_changed import LifecycleChanged
 from medlarquay.events.link_closed import LinkClosed
+from medlarquay.events.local_backend_kept import LocalBackendKept
 from medlarquay.events.offer_call import OfferCall
 from medlarquay.events.open_link import OpenLink
 from medlarquay.events.parent_aged import ParentAged
@@ -71,6 +72,7 @@
     'PeerLost',
     'PeerSilent',
     'PeerGreeted',
+    'LocalBackendKept',
     'OfferCall',
     'OpenLink',
     'CallExpired',
--- a/medlarquay/ingress/routing_table.py
+++ b/medlarquay/ingress/routing_table.py
@@ -29,6 +29,7 @@
         self.confirmed_at = -math.inf
         self._location = location
         self._snapshot: snapshots.Snapshot | None = None
+        self._kept: replica.InstanceRecord | None = None
         self._generation = 0
         self._candidates: dict[
             tuple[ids.TeamName, ids.ServiceName],
@@ -55,6 +56,12 @@
         self._candidates = {}
         self._instances_by_node = None
 
+    def keep(self, record: replica.InstanceRecord | None) -> None:
+        """Use a backend server although it is not listed; None to end that."""
+        self._kept = record
+        self._candidates = {}
+        self._instances_by_node = None
+
     def current_service(self, service: snapshots.Service) -> snapshots.Service:
         """Return a service from the snapshot in force.
 
@@ -71,7 +78,7 @@
         candidates = self._candidates.get(key)
         if candidates is None:
             candidates = routing.group_candidates(
-                self.current_service(service).backends,
+                (*self.current_service(service).backends, *self._unlisted(key)),
                 ingress_location=self._location,
             )
             self._candidates[key] = candidates
@@ -102,8 +109,19 @@
         """Return all instances of the snapshot in force."""
         return frozenset(backend.instance for backend in self._backends())
 
+    def _unlisted(
+        self,
+        key: tuple[ids.TeamName, ids.ServiceName],
+    ) -> tuple[replica.InstanceRecord, ...]:
+        kept = self._kept
+        if kept is None or (kept.team, kept.service) != key:
+            return ()
+        return (kept,)
+
     def _backends(self) -> Iterator[replica.InstanceRecord]:
         if self._snapshot is None:
             return
         for service in self._snapshot.services.values():
             yield from service.backends
+        if self._kept is not None:
+            yield self._kept
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -73,6 +73,7 @@
     return deployment.Deployment(
         fetcher=fetcher,
         discovery=fetcher,
+        listing=fetcher,
         ingress_settings=ingress.IngressSettings(
             names=header_names.HEADER_NAMES,
             service=own_settings.service.encode(),
--- a/medlarquay/platform/store_fetcher.py
+++ b/medlarquay/platform/store_fetcher.py
@@ -30,6 +30,7 @@
 _ANSWER_TIMEOUT_S = 1.0
 _MS_PER_SECOND = 1000
 _REVISION = 'revision'
+_NOT_FOUND = 404
 _HISTORY_GONE = 410
 # A page holds 1 MB of values; more pages than this would not fit into the
 # memory of a node.
@@ -127,6 +128,27 @@
         }
         return json.dumps(answer).encode()
 
+    async def is_listed(self, instance: ids.InstanceId) -> bool:
+        """Return whether the store holds the entry of a backend server.
+
+        Raises
+        ------
+        SourceError
+            As in ``fetch``.
+        """
+        prefix = _PREFIXES[replica.SourceTree.INSTANCES]
+        try:
+            await self._client.get(
+                '/kv-key',
+                {'key': f'{prefix}{instance}'},
+                timeout_s=_ANSWER_TIMEOUT_S,
+            )
+        except errors.SourceError as failure:
+            if failure.status == _NOT_FOUND:
+                return False
+            raise
+        return True
+
     async def _fetch_documents(
         self, after: ids.Revision, wait_ms: int
     ) -> _Answer:
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -9,6 +9,7 @@
 from medlarquay.states.dropped_message import DroppedMessage
 from medlarquay.states.fragment_kind import FragmentKind
 from medlarquay.states.instance_state import InstanceState
+from medlarquay.states.listing_state import ListingState
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
 from medlarquay.states.outcome import Outcome
@@ -30,6 +31,7 @@
     'ReadingMode',
     'ReplicaEvent',
     'RecordSide',
+    'ListingState',
     'NodePart',
     'BackendState',
     'InstanceState',
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -2,7 +2,6 @@
 
 from medlarquay import (
     admission,
-    ids,
     ledger,
     pacing,
     quarantine,
@@ -12,6 +11,7 @@
 )
 from medlarquay.tasks import (
     local_instance,
+    local_record,
     owner_base,
     owner_deadlines,
     owner_offers,
@@ -29,11 +29,11 @@
     owner: owner_base.OwnerBase,
 ) -> None:
     """Apply limits and peers of a snapshot, and its endpoints in the ledger."""
-    local_record = _find_local_record(snapshot, owner.hello.instance)
-    if local_record is not None:
+    record = local_record.find_local_record(snapshot, owner.hello.instance)
+    if record is not None:
         _apply_local_record(
-            local_record,
-            snapshot.services[local_record.team, local_record.service],
+            record,
+            snapshot.services[record.team, record.service],
             owner,
         )
     local = owner.local_instance
@@ -46,43 +46,14 @@
     owner_results.apply_ledger_event(replaced, owner)
 
 
-def _find_local_record(
-    snapshot: snapshots.Snapshot,
-    instance: ids.InstanceId,
-) -> replica.InstanceRecord | None:
-    best = None
-    for service in snapshot.services.values():
-        for record in service.backends:
-            if record.node_name == instance and _supersedes(record, best):
-                best = record
-    return best
-
-
-def _supersedes(
-    record: replica.InstanceRecord,
-    best: replica.InstanceRecord | None,
-) -> bool:
-    # The record of an earlier run of the backend server may still be listed.
-    if best is None:
-        return True
-    return (_is_live(record), record.revision) > (
-        _is_live(best),
-        best.revision,
-    )
-
-
-def _is_live(record: replica.InstanceRecord) -> bool:
-    return record.state is states.InstanceState.LIVE
-
-
 def _is_other_service(
-    local_record: replica.InstanceRecord,
+    record: replica.InstanceRecord,
     owner: owner_base.OwnerBase,
 ) -> bool:
     local = owner.local_instance
     if local is None:
         return False
-    return (local_record.team, local_record.service) != (
+    return (record.team, record.service) != (
         local.team,
         local.service,
     )
@@ -105,29 +76,29 @@
 
 
 def _apply_local_record(
-    local_record: replica.InstanceRecord,
+    record: replica.InstanceRecord,
     service: snapshots.Service,
     owner: owner_base.OwnerBase,
 ) -> None:
-    if _is_other_service(local_record, owner):
+    if _is_other_service(record, owner):
         _refuse_waiting(owner)
     is_new_run = (
         owner.local_instance is None
-        or owner.local_instance.instance != local_record.instance
+        or owner.local_instance.instance != record.instance
     )
     owner.local_instance = local_instance.LocalInstance(
-        instance=local_record.instance,
-        team=local_record.team,
-        service=local_record.service,
+        instance=record.instance,
+        team=record.team,
+        service=record.service,
         peers=tuple(
             record
             for record in service.backends
-            if record.node_name != local_record.node_name
+            if record.node_name != record.node_name
         ),
     )
     parameters = service.parameters
     limits = admission.Limits(
-        slots=local_record.slots,
+        slots=record.slots,
         floors=dict(parameters.floors),
         queue_limit=parameters.queue_limit,
         exclusive=owner.local_backend.exclusive,
@@ -142,6 +113,6 @@
         # The backend server has started together with the node, or has just
         # been replaced, so it is cold.
         owner_starts.apply_admission_event(admission.BackendStarted(), owner)
-    if owner.quarantine.service != local_record.service:
-        owner.quarantine = quarantine.Quarantine(service=local_record.service)
-    owner.apply_instance_state(local_record.state)
+    if owner.quarantine.service != record.service:
+        owner.quarantine = quarantine.Quarantine(service=record.service)
+    owner.apply_instance_state(record.state)
--- a/medlarquay/tasks/router_handle.py
+++ b/medlarquay/tasks/router_handle.py
@@ -38,6 +38,13 @@
     router.schedule_tick()
 
 
+@handle.register
+def _kept(
+    message: events.LocalBackendKept, router: router_base.RouterBase
+) -> None:
+    router.table.keep(message.record)
+
+
 @handle.register
 def _confirmed(
     message: events.FreshnessConfirmed,
