Give each rank a floor where a service states none

The platform's configuration states no floors, and without them an overload of one rank stops those after it.

Change: a service that states no floors gets 0.1 of the slot time for normal and 0.1 for bulk, if they have work. A stated floor is used as it is.

--- a/medlarquay/admission/tests/test_replays.py
+++ b/medlarquay/admission/tests/test_replays.py
@@ -7,6 +7,7 @@
 import pytest
 
 from medlarquay import admission, states
+from medlarquay.settings import limits
 from medlarquay.testing import replay
 
 _TRACES = pathlib.Path(__file__).parent / 'traces'
@@ -83,6 +84,34 @@
         assert share >= _FLOORS[rank], rank
 
 
+def test_overload_without_stated_floors_starves_no_rank() -> None:
+    """Guards against reservations that stop while pages are browsed.
+
+    The service states no floors. Two of its eight backend servers were left
+    for the browsing of all, as in a replayed day.
+    """
+    floors = dict(limits.DEFAULT_FLOORS)
+    requests = replay.make_flood(
+        [
+            replay.Demand(
+                rank=states.Rank.URGENT, load=1.7, service_s=0.16, timeout_s=2.5
+            ),
+            replay.Demand(
+                rank=states.Rank.NORMAL, load=0.7, service_s=0.21, timeout_s=3
+            ),
+        ],
+        slots=9,
+        seconds=20,
+        seed=7,
+    )
+    bounds = admission.Limits(slots=9, floors=floors, queue_limit=64)
+    served = replay.replay(requests, admission.Admission(bounds=bounds))
+    share = _useful_slot_time(served, states.Rank.NORMAL) / (9 * 20)
+    assert share >= floors[states.Rank.NORMAL]
+    urgent = _useful_slot_time(served, states.Rank.URGENT) / (9 * 20)
+    assert urgent >= 1 - sum(floors.values())
+
+
 def test_glossary_lookups_pass_dashboards() -> None:
     """Guards against head-of-line blocking of lookups by dashboard requests."""
     requests = replay.read_trace(_TRACES / 'glossary_behind_dashboards.json')
--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -6,7 +6,12 @@
 from twisted.internet import interfaces
 
 from medlarquay import admin
-from medlarquay.daemon import build_owner, build_router, node_settings
+from medlarquay.daemon import (
+    build_listing,
+    build_owner,
+    build_router,
+    node_settings,
+)
 from medlarquay.daemon import deployment as deployments
 from medlarquay.tasks import (
     caller_listener,
@@ -14,6 +19,7 @@
     peer_links,
     router,
     running_clock,
+    task,
     uplink,
 )
 
@@ -36,6 +42,9 @@
         Routes the requests of callers.
     callers : CallerListener
         Accepts the connections of callers.
+    listing : tuple of Task
+        Watches the entry of the local backend server, if the source can be
+        asked about it.
     """
 
     uplink: uplink.Uplink
@@ -43,6 +52,7 @@
     owner: owner.Owner
     router: router.Router
     callers: caller_listener.CallerListener
+    listing: tuple[task.Task, ...]
 
 
 def build_call_path(
@@ -92,4 +102,10 @@
         owner=owner_task,
         router=router_task,
         callers=callers,
+        listing=build_listing.build_listing(
+            reactor=reactor,
+            hello=observed.hello,
+            router=router_task,
+            deployment=deployment,
+        ),
     )
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -7,7 +7,6 @@
 
 from medlarquay import admin
 from medlarquay.daemon import (
-    build_listing,
     build_observed_node,
     call_path,
     distribution,
@@ -98,12 +97,7 @@
         subscribers=(
             calls.router,
             calls.owner,
-            *build_listing.build_listing(
-                reactor=reactor,
-                hello=observed.hello,
-                router=calls.router,
-                deployment=deployment,
-            ),
+            *calls.listing,
             admin_task,
             lifecycle_task,
         ),
--- a/medlarquay/settings/limits.py
+++ b/medlarquay/settings/limits.py
@@ -1,10 +1,15 @@
 """Defaults and ranges of the fields of team documents."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
+from medlarquay import states
 from medlarquay.settings import http_method
 
 __all__ = (
     'DEFAULT_ATTEMPTS',
     'DEFAULT_COLD_START_MS',
+    'DEFAULT_FLOORS',
     'DEFAULT_IDEMPOTENT_METHODS',
     'DEFAULT_PATH_PREFIX',
     'DEFAULT_QUEUE_LIMIT',
@@ -55,6 +60,13 @@
 DEFAULT_TIMEOUT_MS = 2000
 MAX_TIMEOUT_MS = 600_000
 
+#: Share of slot time of each rank of a service that states no floors. Without
+#: them a lasting overload of urgent requests would stop all other work.
+DEFAULT_FLOORS: Mapping[states.Rank, float] = MappingProxyType({
+    states.Rank.URGENT: 0,
+    states.Rank.NORMAL: 0.1,
+    states.Rank.BULK: 0.1,
+})
 # A tenth of the slot time is not guaranteed to any rank, so that the most
 # urgent requests always have slots in which they are served first.
 MAX_FLOOR_SUM = 0.9
--- a/medlarquay/settings/parse_service.py
+++ b/medlarquay/settings/parse_service.py
@@ -74,7 +74,7 @@
 def _parse_floors(
     entry: document_value.DocumentValue | None,
 ) -> tuple[tuple[states.Rank, float], ...]:
-    shares: dict[states.Rank, float] = {}
+    shares = dict(limits.DEFAULT_FLOORS)
     if entry is not None:
         shares = {
             rank: share.share()
