Keep a short docstring of each class in the archive

A dataclass without a docstring gets its signature as one, which the archive without docstrings made all 231 classes of a node compute at the start.

--- a/medlarquay/startup/pack.py
+++ b/medlarquay/startup/pack.py
@@ -6,7 +6,12 @@
 from importlib import machinery
 from importlib import util as importlib_util
 
-from medlarquay.startup import archive, archive_entry, compact_code
+from medlarquay.startup import (
+    archive,
+    archive_entry,
+    compact_code,
+    short_docs,
+)
 
 __all__ = ('pack_modules',)
 
@@ -53,10 +58,10 @@
     if not isinstance(loader, machinery.SourceFileLoader):
         return None
     source = loader.get_data(origin)
+    if spec.name.partition('.')[0] == _OWN_PACKAGE:
+        # Tracebacks of our own code state exact lines.
+        return short_docs.compile_source(source, origin)
     code = compile(  # noqa: WPS421
         source, origin, 'exec', dont_inherit=True, optimize=_OPTIMIZATION
     )
-    if spec.name.partition('.')[0] == _OWN_PACKAGE:
-        # Tracebacks of our own code state exact lines.
-        return code
     return compact_code.without_positions(code)
