Refuse message fields that are out of range with a typed error

A deadline of 4,000 bits from a peer raised OverflowError in the decoder instead of DecodeError, so the link ended with a traceback in place of a line with step and peer. NaN and infinite times of a load report, and negative lengths of an offer, were accepted: no comparison orders the first, and the second would free room on the link that is not there.

Change: integers are limited to 2**53, numbers to finite ones of that size, lengths to those of a frame.

--- a/medlarquay/codec/field_reader.py
+++ b/medlarquay/codec/field_reader.py
@@ -11,6 +11,8 @@
 _Kind = TypeVar('_Kind')
 _Choice = TypeVar('_Choice', bound=enum.Enum)
 
+# Integers up to this are exact as floats, also in milliseconds.
+_MAX_INTEGER = 1 << 53
 _STEP = 'decode message'
 
 
@@ -54,8 +56,23 @@
         # bool is a subclass of int, so isinstance would accept it for int.
         if type(field) is not kind:
             raise self.error(f'is {type(field).__name__}, not {kind.__name__}')
+        if isinstance(field, int) and abs(field) > _MAX_INTEGER:
+            raise self.error('is out of range')
         return field
 
+    def take_length(self, limit: int) -> int:
+        """Return the next field, an integer from 0 to a limit.
+
+        Raises
+        ------
+        DecodeError
+            If the field is missing, of another type or out of range.
+        """
+        length = self.take(int)
+        if 0 <= length <= limit:
+            return length
+        raise self.error(f'is not 0 to {limit}')
+
     def take_optional(self, kind: type[_Kind]) -> _Kind | None:
         """Return the next field, of the given type or null."""
         if self._position < len(self._fields):
@@ -73,10 +90,12 @@
             raise self.error(f'is not a {choices.__name__}') from cause
 
     def take_number(self) -> float:
-        """Return the next field, an integer or a float, as a float."""
+        """Return the next field, an integer or a finite float, as a float."""
         field = self._next()
         if type(field) is float or type(field) is int:
-            return float(field)
+            if abs(field) <= _MAX_INTEGER:
+                return float(field)
+            raise self.error('is out of range')
         raise self.error(f'is {type(field).__name__}, not a number')
 
     def take_headers(self) -> tuple[tuple[bytes, bytes], ...]:
--- a/medlarquay/codec/offer_decoders.py
+++ b/medlarquay/codec/offer_decoders.py
@@ -9,6 +9,8 @@
 __all__ = ('DECODERS',)
 
 _MS_PER_SECOND = 1000
+# A frame holds the body and the header of a request.
+_MAX_BODY_BYTES = 1 << 21
 
 
 def _call_offered(
@@ -23,7 +25,7 @@
         deadline=now + reader.take(int) / _MS_PER_SECOND,
         due=now + reader.take(int) / _MS_PER_SECOND,
         last_attempt=reader.take(bool),
-        body_bytes=reader.take(int),
+        body_bytes=reader.take_length(_MAX_BODY_BYTES),
         request_id=reader.take(str),
     )
 
