Offer bodies that leave the data centre before they are sent

Cause: an owner that refuses a request has received its body in vain.

Change: routing.offers_first lets an ingress offer a request first if its body has 1 KB or more and the owner is in another data centre; within the data centre from 16 KB on, as before.

--- a/medlarquay/events/send_call.py
+++ b/medlarquay/events/send_call.py
@@ -21,6 +21,8 @@
         Peer port of its node.
     request : messages.CallRequest
         Request; its call id is unique at this ingress.
+    offered_first : bool
+        Whether it is offered before its body is sent.
     request_id : str
         Id that the caller gave the request, for logs; empty if it gave none.
     """
@@ -29,6 +31,7 @@
     host: str
     port: int
     request: messages.CallRequest
+    offered_first: bool = False
     request_id: str = ''
 
     @property
@@ -42,7 +45,7 @@
 
     @property
     def offer(self) -> messages.CallOffered:
-        """Offer that precedes a large request."""
+        """Offer that precedes the request."""
         request = self.request
         return messages.CallOffered(
             call_id=request.call_id,
--- a/medlarquay/ingress/call_sender.py
+++ b/medlarquay/ingress/call_sender.py
@@ -37,6 +37,7 @@
         backend: replica.InstanceRecord,
         request: messages.CallRequest,
         *,
+        offered_first: bool = False,
         request_id: str = '',
     ) -> None:
         """Send a call to the owner of a backend server.
@@ -47,6 +48,8 @@
             Backend server.
         request : CallRequest
             Request.
+        offered_first : bool
+            Whether it is offered to another node before its body is sent.
         request_id : str
             Id that the caller gave it, for logs.
         """
@@ -59,6 +62,7 @@
                 host=backend.host,
                 port=backend.peer_port,
                 request=request,
+                offered_first=offered_first,
                 request_id=request_id,
             ),
         )
--- a/medlarquay/messages/call_request.py
+++ b/medlarquay/messages/call_request.py
@@ -4,7 +4,6 @@
 import math
 
 from medlarquay import ids, states
-from medlarquay.messages import large_body
 
 __all__ = ('CallRequest',)
 
@@ -61,8 +60,3 @@
     due: float = math.inf
     last_attempt: bool = True
     request_key: ids.RequestKey | None = None
-
-    @property
-    def large(self) -> bool:
-        """Whether the body waits for the links of the machines."""
-        return len(self.body) >= large_body.LARGE_BODY_BYTES
--- a/medlarquay/pacing/body_intake.py
+++ b/medlarquay/pacing/body_intake.py
@@ -109,10 +109,17 @@
         self._waiting.clear()
         return waiting
 
-    def release(self, key: _Key) -> None:
-        """Forget a body that has arrived or will not be sent."""
-        self._waiting.pop(key, None)
-        self._granted.pop(key, None)
+    def release(self, key: _Key) -> bool:
+        """Forget a body that has arrived or will not be sent.
+
+        Returns
+        -------
+        bool
+            Whether it was offered.
+        """
+        waiting = self._waiting.pop(key, None)
+        granted = self._granted.pop(key, None)
+        return waiting is not None or granted is not None
 
     def release_link(self, link: ids.LinkId) -> None:
         """Forget all bodies of a link that is closed."""
--- a/medlarquay/routing/__init__.py
+++ b/medlarquay/routing/__init__.py
@@ -19,6 +19,7 @@
 from medlarquay.routing.loss_observed import LossObserved
 from medlarquay.routing.observations import Observations
 from medlarquay.routing.observe import observe
+from medlarquay.routing.offers_first import offers_first
 from medlarquay.routing.owner_chosen import OwnerChosen
 from medlarquay.routing.plain_key_query import PlainKeyQuery
 from medlarquay.routing.proves_not_sent import proves_not_sent
@@ -68,5 +69,6 @@
     'choose',
     'group_candidates',
     'observe',
+    'offers_first',
     'count_eligible_owners',
 )
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -498,3 +498,24 @@
     assert chosen == 'b1'
     chosen = fleet.pick(state, near, other_centre, due=due, large_request=True)
     assert chosen == expected
+
+
+@pytest.mark.parametrize(
+    ('body_bytes', 'distance', 'expected'),
+    [
+        (4_000, routing.Zone.DATA_CENTRE, False),
+        (60_000, routing.Zone.DATA_CENTRE, True),
+        (300, routing.Zone.OTHER_REGION, False),
+        (4_000, routing.Zone.REGION, True),
+        (4_000, routing.Zone.OTHER_REGION, True),
+    ],
+)
+def test_bodies_that_cost_are_offered_first(
+    body_bytes: int, distance: routing.Zone, expected: bool
+) -> None:
+    """Guards against bodies sent between regions only to be refused.
+
+    In an overload 8,000 of 12,000 attempts in other regions were refused, each
+    with a body of 4 KB.
+    """
+    assert routing.offers_first(body_bytes, distance) is expected
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -36,8 +36,7 @@
 
 @handle.register
 def _run_call(message: events.RunCall, owner: owner_base.OwnerBase) -> None:
-    if message.request.large:
-        _release_offer(message.link, message.request.call_id, owner)
+    _release_offer(message.link, message.request.call_id, owner)
     owner_arrival.accept(message, owner)
 
 
@@ -251,8 +250,8 @@
     call_id: ids.CallId,
     owner: owner_base.OwnerBase,
 ) -> None:
-    owner.intake.release((link, call_id))
-    owner_offers.advance_offers(owner)
+    if owner.intake.release((link, call_id)):
+        owner_offers.advance_offers(owner)
 
 
 def _apply_quarantine_event(event: object, owner: owner_base.OwnerBase) -> None:
--- a/medlarquay/tasks/peer_links_base.py
+++ b/medlarquay/tasks/peer_links_base.py
@@ -164,7 +164,7 @@
         elif outgoing.link is not None:
             self.unsent.add(outgoing.number, call, self._silence.now())
             self._alarm.wake_at(now + _CHECK_S)
-            if call.request.large:
+            if call.offered_first:
                 self.unsent.offer(outgoing, call)
             else:
                 _write_request(outgoing, call, self)
--- a/medlarquay/tasks/router_attempts.py
+++ b/medlarquay/tasks/router_attempts.py
@@ -52,13 +52,19 @@
         now,
     )
     last_attempt = len(call.tried) >= min(owners, _MAX_OWNERS)
+    distance = router.table.zone_of(backend)
     request = ingress.call_request(
         call,
         router.settings,
         last_attempt=last_attempt,
-        round_trip_s=routing.ROUND_TRIP_S[router.table.zone_of(backend)],
+        round_trip_s=routing.ROUND_TRIP_S[distance],
+    )
+    router.sender.send(
+        backend,
+        request,
+        offered_first=routing.offers_first(len(request.body), distance),
+        request_id=call.request_id,
     )
-    router.sender.send(backend, request, request_id=call.request_id)
     router.calls.pending_request = None
 
 
--- a/medlarquay/tasks/tests/test_peer_links.py
+++ b/medlarquay/tasks/tests/test_peer_links.py
@@ -143,6 +143,7 @@
                 host='127.0.0.1',
                 port=1,
                 request=request,
+                offered_first=len(body) >= messages.LARGE_BODY_BYTES,
             ),
         )
 
--- a/medlarquay/tasks/unsent_calls.py
+++ b/medlarquay/tasks/unsent_calls.py
@@ -12,8 +12,8 @@
     """Calls to other nodes whose last byte was not written yet.
 
     If their link is lost, they were not run, because no owner has received
-    the whole request. A large call is offered first, and its request is sent
-    when the owner grants it.
+    the whole request. Some calls are offered first; their requests are sent
+    when the owner grants them.
 
     Parameters
     ----------
@@ -112,11 +112,11 @@
     ) -> None:
         """Withdraw a call that was not sent completely.
 
-        The owner of a large call must not keep room for its body.
+        The owner of an offered call must not keep room for its body.
         """
         call_id = call.request.call_id
         self._writer.withdraw(outgoing.number, call_id)
         outgoing.offered.discard(call_id)
-        if call.request.large:
+        if call.offered_first:
             cancel = messages.CallCancel(call_id=call_id)
             self._writer.send(outgoing.number, cancel)
