--- a/bench/owner_choice_replay.py
+++ b/bench/owner_choice_replay.py
@@ -15,7 +15,7 @@
 from collections.abc import Callable
 
 from bench import routing_fixture
-from medlarquay import ids, messages, replica, routing, snapshots
+from medlarquay import ids, messages, replica, routing
 
 __all__ = ('main',)
 
@@ -152,12 +152,9 @@
 
 
 def _backends() -> tuple[replica.InstanceRecord, ...]:
-    return _service().backends
-
-
-def _service() -> snapshots.Service:
     snapshot = routing_fixture.build_snapshot(_SERVERS)
-    return snapshot.services[routing_fixture.TEAM, routing_fixture.SERVICE]
+    key = (routing_fixture.TEAM, routing_fixture.SERVICE)
+    return snapshot.backends(snapshot.services[key])
 
 
 _INGRESS_LOCATION = routing.Location(
--- a/bench/routing_cost.py
+++ b/bench/routing_cost.py
@@ -85,7 +85,7 @@
         if route is None:
             return
         self._last_number += 1
-        backends = route.service.backends
+        backends = self._snapshot.backends(route.service)
         backend = backends[self._last_number % len(backends)]
         call_id = ids.CallId(self._last_number)
         self._callers[call_id] = message.caller
--- a/medlarquay/admin/describe.py
+++ b/medlarquay/admin/describe.py
@@ -55,7 +55,8 @@
     if node.snapshot is None:
         return
     for _, routes in sorted(node.snapshot.routes.items()):
-        yield from map(_describe_route, routes)
+        for route in routes:
+            yield _describe_route(node.snapshot, route)
 
 
 def describe_members(
@@ -83,11 +84,12 @@
 
 
 def count_backends(
+    snapshot: snapshots.Snapshot,
     service: snapshots.Service,
     state: states.InstanceState,
 ) -> int:
-    """Return the number of backend servers in one state."""
-    return sum(record.state is state for record in service.backends)
+    """Return the number of backend servers of a service in one state."""
+    return sum(record.state is state for record in snapshot.backends(service))
 
 
 def _confirmed_ms_ago(node: observed_node.ObservedNode) -> int | None:
@@ -98,7 +100,10 @@
     return int((node.clock() - node.confirmed_at) * _MS_PER_SECOND)
 
 
-def _describe_route(route: snapshots.Route) -> views.RouteView:
+def _describe_route(
+    snapshot: snapshots.Snapshot,
+    route: snapshots.Route,
+) -> views.RouteView:
     return views.RouteView(
         host=route.parameters.host,
         path_prefix=route.parameters.path_prefix,
@@ -107,8 +112,10 @@
         rank=route.parameters.rank.value,
         timeout_ms=route.parameters.timeout_ms,
         idempotent_methods=route.parameters.idempotent_methods,
-        live=count_backends(route.service, states.InstanceState.LIVE),
-        leaving=count_backends(route.service, states.InstanceState.LEAVING),
+        live=count_backends(snapshot, route.service, states.InstanceState.LIVE),
+        leaving=count_backends(
+            snapshot, route.service, states.InstanceState.LEAVING
+        ),
     )
 
 
--- a/medlarquay/admin/explain_routing.py
+++ b/medlarquay/admin/explain_routing.py
@@ -42,14 +42,19 @@
         tree_revision=node.snapshot.tree_revision,
         refusal=states.RefusalReason.NO_ROUTE.value,
     )
-    return explained if route is None else _explain_match(explained, route)
+    if route is None:
+        return explained
+    return _explain_match(explained, node.snapshot, route)
 
 
 def _explain_match(
     explained: views.ExplainView,
+    snapshot: snapshots.Snapshot,
     route: snapshots.Route,
 ) -> views.ExplainView:
-    live = describe.count_backends(route.service, states.InstanceState.LIVE)
+    live = describe.count_backends(
+        snapshot, route.service, states.InstanceState.LIVE
+    )
     refusal = None if live else states.RefusalReason.NO_BACKEND.value
     return dataclasses.replace(
         explained,
@@ -62,7 +67,6 @@
         idempotent=explained.method in route.parameters.idempotent_methods,
         live=live,
         leaving=describe.count_backends(
-            route.service,
-            states.InstanceState.LEAVING,
+            snapshot, route.service, states.InstanceState.LEAVING
         ),
     )
--- a/medlarquay/ingress/owner_query.py
+++ b/medlarquay/ingress/owner_query.py
@@ -84,7 +84,7 @@
 ) -> _Query:
     return routing.BoundKeyQuery(
         key=key,
-        backends=table.current_service(call.service).backends,
+        backends=table.backends(call.service),
         incarnation=incarnations.incarnation_of(key.instance),
     )
 
@@ -98,5 +98,5 @@
 ) -> _Query:
     return routing.PlainKeyQuery(
         key=key,
-        backends=table.current_service(call.service).backends,
+        backends=table.backends(call.service),
     )
--- a/medlarquay/ingress/routing_table.py
+++ b/medlarquay/ingress/routing_table.py
@@ -62,23 +62,21 @@
         self._candidates = {}
         self._instances_by_node = None
 
-    def current_service(self, service: snapshots.Service) -> snapshots.Service:
-        """Return a service from the snapshot in force.
-
-        Returns the given one if the snapshot does not contain it.
-        """
+    def backends(
+        self, service: snapshots.Service
+    ) -> tuple[replica.InstanceRecord, ...]:
+        """Return the listed backend servers of a service."""
         if self._snapshot is None:
-            return service
-        key = (service.team, service.parameters.name)
-        return self._snapshot.services.get(key, service)
+            return ()
+        return self._snapshot.backends(service)
 
     def candidates(self, service: snapshots.Service) -> routing.Candidates:
         """Return the live backend servers of a service, grouped by zone."""
-        key = (service.team, service.parameters.name)
+        key = service.key
         candidates = self._candidates.get(key)
         if candidates is None:
             candidates = routing.group_candidates(
-                (*self.current_service(service).backends, *self._unlisted(key)),
+                (*self.backends(service), *self._unlisted(key)),
                 ingress_location=self._location,
             )
             self._candidates[key] = candidates
@@ -122,6 +120,6 @@
         if self._snapshot is None:
             return
         for service in self._snapshot.services.values():
-            yield from service.backends
+            yield from self._snapshot.backends(service)
         if self._kept is not None:
             yield self._kept
--- a/medlarquay/routing/retry_budgets.py
+++ b/medlarquay/routing/retry_budgets.py
@@ -37,7 +37,7 @@
         self, service: snapshots.Service
     ) -> retry_budget.RetryBudget:
         """Return the budget of a service; create it if missing."""
-        key = (service.team, service.parameters.name)
+        key = service.key
         budget = self._budgets.get(key)
         if budget is None:
             budget = retry_budget.RetryBudget()
@@ -55,7 +55,7 @@
         nodes = {
             backend.node_name
             for service in current.services.values()
-            for backend in service.backends
+            for backend in current.backends(service)
         }
         self._nodes = max(1, len(nodes))
         for budget in self._budgets.values():
--- a/medlarquay/routing/tests/test_retries.py
+++ b/medlarquay/routing/tests/test_retries.py
@@ -193,10 +193,10 @@
     Ten at each of 18 nodes are 180, three times what the users allow.
     """
     budgets = routing.RetryBudgets(fleet_burst=58)
-    service = _service('desk', backends=18)
+    service = _service('desk')
     for _ in range(100):
         budgets.for_service(service).count_first_attempt()
-    budgets.apply_snapshot(_snapshot(service))
+    budgets.apply_snapshot(_snapshot(service, backends=18))
     assert [budgets.for_service(service).take() for _ in range(4)].count(
         True
     ) == 3
@@ -207,16 +207,20 @@
     ) == 3
 
 
-def _snapshot(service: snapshots.Service) -> snapshots.Snapshot:
+def _snapshot(
+    service: snapshots.Service, *, backends: int
+) -> snapshots.Snapshot:
+    listed = tuple(fleet.backend(f'a{number}') for number in range(backends))
     return snapshots.Snapshot(
         tree_revision=ids.Revision(1),
         list_revision=ids.Revision(1),
         routes={},
-        services={(service.team, service.parameters.name): service},
+        services={service.key: service},
+        instances=snapshots.InstanceList(by_service={service.key: listed}),
     )
 
 
-def _service(name: str, *, backends: int = 0) -> snapshots.Service:
+def _service(name: str) -> snapshots.Service:
     return snapshots.Service(
         team=ids.TeamName('team'),
         parameters=service_settings.ServiceSettings(
@@ -225,7 +229,4 @@
             queue_limit=1,
             cold_start_ms=0,
         ),
-        backends=tuple(
-            fleet.backend(f'a{number}') for number in range(backends)
-        ),
     )
--- a/medlarquay/routing/tests/test_split_round_robin.py
+++ b/medlarquay/routing/tests/test_split_round_robin.py
@@ -18,7 +18,6 @@
             queue_limit=1,
             cold_start_ms=0,
         ),
-        backends=(),
     )
 
 
--- a/medlarquay/snapshots/apply.py
+++ b/medlarquay/snapshots/apply.py
@@ -4,7 +4,6 @@
 from medlarquay.snapshots import (
     bind_team,
     change_instance_list,
-    instance_list_change,
     snapshot,
     snapshot_change,
 )
@@ -37,9 +36,10 @@
     Notes
     -----
     Apart from copying the mappings, the cost depends on the size of the
-    affected teams and not on the size of the fleet.
+    changed documents and services, and not on the size of the fleet. A change
+    of instances does not depend on the number of routes.
     """
-    instance_change = change_instance_list.change_instance_list(
+    instances = change_instance_list.change_instance_list(
         previous.instances,
         changed=change.instances,
         removed=change.removed_instances,
@@ -47,7 +47,7 @@
     documents = _change_documents(previous, change)
     services = dict(previous.services)
     routes = dict(previous.routes)
-    for team in _affected_teams(change, instance_change):
+    for team in _affected_teams(change):
         earlier = bind_team.binding_of(previous, team)
         for key in earlier.services:
             services.pop(key)
@@ -57,7 +57,6 @@
         if document is not None:
             binding = bind_team.bind_team(
                 document,
-                backends=instance_change.instance_list.by_service,
                 earlier=earlier,
             )
             services.update(binding.services)
@@ -68,7 +67,7 @@
         routes=routes,
         services=services,
         documents=documents,
-        instances=instance_change.instance_list,
+        instances=instances,
     )
 
 
@@ -86,10 +85,8 @@
 
 def _affected_teams(
     change: snapshot_change.SnapshotChange,
-    instance_change: instance_list_change.InstanceListChange,
 ) -> frozenset[ids.TeamName]:
     return frozenset((
         *(document.team for document in change.documents),
         *change.removed_teams,
-        *(team for team, _ in instance_change.affected_services),
     ))
--- a/medlarquay/snapshots/bind_team.py
+++ b/medlarquay/snapshots/bind_team.py
@@ -1,10 +1,9 @@
-"""Binding of a team's routes to services, and of these to backend servers."""
+"""Binding of a team's routes to its services."""
 
 import dataclasses
 import functools
-from collections.abc import Mapping
 
-from medlarquay import ids, replica, settings
+from medlarquay import ids, settings
 from medlarquay.snapshots import (
     route,
     route_group,
@@ -16,7 +15,6 @@
 
 __all__ = ('bind_team', 'binding_of')
 
-_Backends = Mapping[service_key.ServiceKey, tuple[replica.InstanceRecord, ...]]
 _Split = tuple[tuple[service.Service, int], ...]
 _Services = dict[service_key.ServiceKey, service.Service]
 
@@ -56,17 +54,14 @@
 def bind_team(
     document: settings.TeamDocument,
     *,
-    backends: _Backends,
     earlier: team_binding.TeamBinding,
 ) -> team_binding.TeamBinding:
-    """Bind the routes of a document to services, and these to backend servers.
+    """Bind the routes of a document to its services.
 
     Parameters
     ----------
     document : TeamDocument
         Valid document of the team.
-    backends : Mapping
-        Backend servers by service, for all teams.
     earlier : TeamBinding
         Binding of the team before the change; unchanged services, routes
         and route groups are reused from it.
@@ -75,7 +70,6 @@
         (document.team, parameters.name): _bind_service(
             document.team,
             parameters,
-            backends.get((document.team, parameters.name), ()),
             earlier,
         )
         for parameters in document.services
@@ -89,14 +83,12 @@
 def _bind_service(
     team: ids.TeamName,
     parameters: settings.ServiceSettings,
-    backends: tuple[replica.InstanceRecord, ...],
     earlier: team_binding.TeamBinding,
 ) -> service.Service:
     earlier_service = earlier.services.get((team, parameters.name))
-    if earlier_service is not None and earlier_service.backends is backends:
-        if earlier_service.parameters == parameters:
-            return earlier_service
-    return service.Service(team=team, parameters=parameters, backends=backends)
+    if earlier_service is not None and earlier_service.parameters == parameters:
+        return earlier_service
+    return service.Service(team=team, parameters=parameters)
 
 
 def _bind_routes(
--- a/medlarquay/snapshots/change_instance_list.py
+++ b/medlarquay/snapshots/change_instance_list.py
@@ -3,11 +3,7 @@
 from collections.abc import Iterable
 
 from medlarquay import ids, replica
-from medlarquay.snapshots import (
-    instance_list,
-    instance_list_change,
-    service_key,
-)
+from medlarquay.snapshots import instance_list, service_key
 
 __all__ = ('change_instance_list',)
 
@@ -20,7 +16,7 @@
     *,
     changed: Iterable[replica.InstanceRecord],
     removed: Iterable[ids.InstanceId],
-) -> instance_list_change.InstanceListChange:
+) -> instance_list.InstanceList:
     """Apply changed and removed instances to an instance list.
 
     The tuples of services that the change does not affect are reused.
@@ -47,12 +43,9 @@
         if not record.deleted:
             by_instance[record.instance] = record
             _mutable_group(record, current, groups)[record.instance] = record
-    return instance_list_change.InstanceListChange(
-        instance_list=instance_list.InstanceList(
-            by_instance=by_instance,
-            by_service=_updated_by_service(current, groups),
-        ),
-        affected_services=frozenset(groups),
+    return instance_list.InstanceList(
+        by_instance=by_instance,
+        by_service=_updated_by_service(current, groups),
     )
 
 
--- a/medlarquay/snapshots/snapshot.py
+++ b/medlarquay/snapshots/snapshot.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Mapping
 
-from medlarquay import ids, settings
+from medlarquay import ids, replica, settings
 from medlarquay.snapshots import (
     instance_list,
     route_group,
@@ -18,8 +18,8 @@
 class Snapshot:
     """A self-contained version of the whole configuration.
 
-    Routes refer only to services, and services only to backend servers, of the
-    same snapshot.
+    Routes refer only to services of the same snapshot, and the backend servers
+    of a service are those of its instance list.
 
     Attributes
     ----------
@@ -47,3 +47,12 @@
     instances: instance_list.InstanceList = dataclasses.field(
         default_factory=instance_list.InstanceList
     )
+
+    def backends(
+        self, target: service.Service
+    ) -> tuple[replica.InstanceRecord, ...]:
+        """Return the backend servers of a service, sorted by instance.
+
+        They may be live or leaving; there are none if no instance is listed.
+        """
+        return self.instances.by_service.get(target.key, ())
--- a/medlarquay/snapshots/tests/test_snapshots.py
+++ b/medlarquay/snapshots/tests/test_snapshots.py
@@ -146,12 +146,17 @@
         ),
     )
     changed = {
-        key
-        for key, service in after.services.items()
-        if service is not before.services[key]
+        service.key
+        for service in after.services.values()
+        if after.backends(service) is not before.backends(service)
     }
     assert changed == {('agency', 'a')}
-    assert after.routes[b'x.coop'] is before.routes[b'x.coop']
+    assert not after.backends(after.services['agency', 'a'])
+    # A change of the instance list replaces no service and no route.
+    for key, service in after.services.items():
+        assert service is before.services[key]
+    for host, routes in after.routes.items():
+        assert routes is before.routes[host]
 
 
 def _two_hosts(timeout_ms: int) -> settings.TeamDocument:
--- a/medlarquay/tasks/local_record.py
+++ b/medlarquay/tasks/local_record.py
@@ -20,7 +20,7 @@
     """
     best = None
     for service in snapshot.services.values():
-        for record in service.backends:
+        for record in snapshot.backends(service):
             if record.node_name == node and _supersedes(record, best):
                 best = record
     return best
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -31,17 +31,13 @@
     """Apply limits and peers of a snapshot, and its endpoints in the ledger."""
     record = local_record.find_local_record(snapshot, owner.hello.instance)
     if record is not None:
-        _apply_local_record(
-            record,
-            snapshot.services[record.team, record.service],
-            owner,
-        )
+        _apply_local_record(record, snapshot, owner)
     local = owner.local_instance
     if local is None:
         return
     service = snapshot.services.get((local.team, local.service))
-    backends = () if service is None else service.backends
-    listed = frozenset(record.instance for record in backends)
+    backends = () if service is None else snapshot.backends(service)
+    listed = frozenset(backend.instance for backend in backends)
     replaced = ledger.BackendsReplaced(instances=listed)
     owner_results.apply_ledger_event(replaced, owner)
 
@@ -77,9 +73,10 @@
 
 def _apply_local_record(
     record: replica.InstanceRecord,
-    service: snapshots.Service,
+    snapshot: snapshots.Snapshot,
     owner: owner_base.OwnerBase,
 ) -> None:
+    service = snapshot.services[record.team, record.service]
     if _is_other_service(record, owner):
         _refuse_waiting(owner)
     is_new_run = (
@@ -91,9 +88,9 @@
         team=record.team,
         service=record.service,
         peers=tuple(
-            record
-            for record in service.backends
-            if record.node_name != record.node_name
+            peer
+            for peer in snapshot.backends(service)
+            if peer.node_name != record.node_name
         ),
     )
     parameters = service.parameters
--- a/medlarquay/tasks/tests/test_discovery.py
+++ b/medlarquay/tasks/tests/test_discovery.py
@@ -52,7 +52,7 @@
         """Return the number of nodes with the whole list in force."""
         return sum(
             node.snapshot is not None
-            and len(node.snapshot.services['team', 'desk'].backends)
+            and len(node.snapshot.instances.by_service['team', 'desk'])
             == _ALL_NODES
             for node in self.mesh.nodes.values()
         )
@@ -179,5 +179,5 @@
     fleet.start(others, within_s=_START_SPREAD_S)
     fleet.mesh.advance(_START_S)
     for node in fleet.mesh.nodes.values():
-        backends = node.snapshot.services['team', 'desk'].backends
+        backends = node.snapshot.instances.by_service['team', 'desk']
         assert gone.instance not in {entry.instance for entry in backends}
