Keep the compiled methods of dataclasses in the archive

Change: the build records the compiled code of what dataclasses generates, with the number of its uses, and the node executes that; text that is not known is compiled as before. Code is dropped at its last use.

--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -7,6 +7,7 @@
 
 from medlarquay import errors, telemetry
 from medlarquay.platform import settings_file
+from medlarquay.startup import generated_code
 
 __all__ = ('run',)
 
@@ -50,6 +51,7 @@
 
 
 def _freeze_loaded_objects() -> None:
+    generated_code.forget()
     # Objects loaded so far live as long as the process; frozen, they are left
     # out of later garbage collections.
     gc.freeze()
--- a/medlarquay/startup/archive.py
+++ b/medlarquay/startup/archive.py
@@ -8,7 +8,7 @@
 from importlib import machinery
 from importlib import util as importlib_util
 
-from medlarquay.startup import archive_entry
+from medlarquay.startup import archive_entry, generated_code
 
 __all__ = ('HEADER_BYTES', 'ArchiveFinder', 'install_archive')
 
@@ -108,7 +108,10 @@
         os.close(descriptor)
         return False
     index_bytes = int.from_bytes(header[len(magic) :], 'big')
-    index = marshal.loads(os.read(descriptor, index_bytes))  # noqa: S302
+    index, generated = marshal.loads(  # noqa: S302
+        os.read(descriptor, index_bytes)
+    )
+    generated_code.install(generated)
     finder = ArchiveFinder(
         descriptor=descriptor,
         start=len(header) + index_bytes,
--- a/medlarquay/startup/build.py
+++ b/medlarquay/startup/build.py
@@ -7,7 +7,7 @@
 import sys
 import types
 
-from medlarquay.startup import pack, unused_modules
+from medlarquay.startup import generated_code, pack, unused_modules
 
 __all__ = ('run',)
 
@@ -17,6 +17,8 @@
 
 def run() -> None:
     """Import all modules of a node and write them to the archive."""
+    compiler = generated_code.RecordingCompiler()
+    generated_code.install(compiler)
     _import_node()
     modules = [
         module
@@ -25,7 +27,7 @@
     ]
     target = pathlib.Path(sys.argv[1])
     target.parent.mkdir(parents=True, exist_ok=True)
-    target.write_bytes(pack.pack_modules(modules))
+    target.write_bytes(pack.pack_modules(modules, generated=compiler.codes))
 
 
 def _import_node() -> None:
--- a/medlarquay/startup/pack.py
+++ b/medlarquay/startup/pack.py
@@ -2,7 +2,7 @@
 
 import marshal
 import types
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from importlib import machinery
 from importlib import util as importlib_util
 
@@ -20,14 +20,26 @@
 _OWN_PACKAGE = 'medlarquay'
 
 
-def pack_modules(modules: Iterable[types.ModuleType]) -> bytes:
+def pack_modules(
+    modules: Iterable[types.ModuleType],
+    *,
+    generated: Mapping[int, tuple[types.CodeType, int]],
+) -> bytes:
     """Return an archive of the modules that have a source file.
 
+    Parameters
+    ----------
+    modules : iterable of ModuleType
+        Imported modules.
+    generated : Mapping
+        Code of the generated methods of dataclasses, as recorded.
+
     Returns
     -------
     bytes
         Magic number of the bytecode of this release of Python, the length of
-        the index, the index and the marshalled code of each module.
+        the index, the index with the generated code, and the marshalled code
+        of each module.
     """
     index: dict[str, tuple[object, ...]] = {}
     packed = bytearray()
@@ -45,7 +57,7 @@
         )
         index[spec.name] = tuple(entry)
         packed += marshalled
-    packed_index = marshal.dumps(index)
+    packed_index = marshal.dumps((index, dict(generated)))
     length = len(packed_index).to_bytes(archive.HEADER_BYTES, 'big')
     return b''.join((importlib_util.MAGIC_NUMBER, length, packed_index, packed))
 
--- a/medlarquay/startup/tests/test_archive.py
+++ b/medlarquay/startup/tests/test_archive.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from medlarquay.startup import archive, pack
+from medlarquay.startup import archive, generated_code, pack
 
 
 @pytest.fixture(name='package')
@@ -23,6 +23,7 @@
     if len(sys.meta_path) > finders:
         sys.meta_path.pop(0)
     sys.path.remove(str(tmp_path))
+    generated_code.forget()
     _unload_package()
 
 
@@ -40,7 +41,7 @@
         if 'packed_for_test' in name
     ]
     target = package.parent / 'archive'
-    target.write_bytes(pack.pack_modules(packed))
+    target.write_bytes(pack.pack_modules(packed, generated={}))
     _unload_package()
     return target
 
