--- a/medlarquay/admission/tests/test_replays.py
+++ b/medlarquay/admission/tests/test_replays.py
@@ -87,8 +87,8 @@
 def test_overload_without_stated_floors_starves_no_rank() -> None:
     """Guards against reservations that stop while pages are browsed.
 
-    The service states no floors. Two of its eight backend servers were left
-    for the browsing of all, as in a replayed day.
+    The service states no floors. Two of its eight backend servers are left for
+    the requests of all.
     """
     floors = dict(limits.DEFAULT_FLOORS)
     requests = replay.make_flood(
@@ -139,8 +139,7 @@
 def test_sustained_overload_is_answered_when_due(load: float) -> None:
     """Guards against slots spent on requests that are already late.
 
-    Other owners refused every second request before, which cost it 60 ms, as
-    in the portal's peak of a replayed day.
+    Other owners refused every second request before, which cost it 60 ms.
     """
     requests = replay.make_flood(
         [
--- a/medlarquay/daemon/signals.py
+++ b/medlarquay/daemon/signals.py
@@ -46,7 +46,7 @@
     """End the process without the end of its interpreter.
 
     That frees each object in turn, which a busy machine may not finish before
-    the platform kills the process. Nothing is left to save.
+    the process is killed. Nothing is left to save.
     """
     sys.stdout.flush()
     sys.stderr.flush()
--- a/medlarquay/daemon/tests/test_process.py
+++ b/medlarquay/daemon/tests/test_process.py
@@ -111,10 +111,10 @@
 
 
 def test_stopped_node_ends_at_once() -> None:
-    """Guards against a stopped process that the platform has to kill.
+    """Guards against a stopped process that has to be killed.
 
     The end of the interpreter takes a fifth of a second of processor time, and
-    a busy machine may not give it that before the end of the grace time.
+    a busy machine may not give it that before it is killed.
     """
     with _started(run=_RUN_WITH_MARK) as (admin_port, node):
         logged = _check_and_stop(admin_port, node)
--- a/medlarquay/routing/tests/test_choose.py
+++ b/medlarquay/routing/tests/test_choose.py
@@ -515,7 +515,7 @@
 ) -> None:
     """Guards against bodies sent between regions only to be refused.
 
-    In an overload 8,000 of 12,000 attempts in other regions were refused, each
-    with a body of 4 KB.
+    In an overload owners in other regions refuse most of the attempts, and what
+    was sent to them is paid by volume.
     """
     assert routing.offers_first(body_bytes, distance) is expected
--- a/medlarquay/settings/limits.py
+++ b/medlarquay/settings/limits.py
@@ -61,7 +61,8 @@
 MAX_TIMEOUT_MS = 600_000
 
 #: Share of slot time of each rank of a service that states no floors. Without
-#: them a lasting overload of urgent requests would stop all other work.
+#: them a lasting overload of urgent requests would stop all other work. The
+#: shares are small, so that urgent requests keep four fifths of the slot time.
 DEFAULT_FLOORS: Mapping[states.Rank, float] = MappingProxyType({
     states.Rank.URGENT: 0,
     states.Rank.NORMAL: 0.1,
