Log the version of each decision and ticks without a wait

Change: ingress lines carry the route, the tree revision and the age of the last confirmation when the request was decided, refusals too. An alarm counts ticks that a task requests for a time that has passed; the loop watch logs ten or more of one task in a period.

--- a/medlarquay/ingress/call_reporter.py
+++ b/medlarquay/ingress/call_reporter.py
@@ -2,13 +2,14 @@
 
 import enum
 import functools
+import math
 import time
 from collections.abc import Callable
 
 import logbook
 
 from medlarquay import events, ids, states, telemetry
-from medlarquay.ingress import answers, ingress_call
+from medlarquay.ingress import answers, ingress_call, routing_table
 
 __all__ = ('CallReporter',)
 
@@ -133,9 +134,24 @@
         message: events.RequestReceived | events.RequestRejected,
         answer: events.AnswerReady,
         reason: states.RefusalReason,
+        table: routing_table.RoutingTable,
         request_id: str = '',
     ) -> None:
-        """Record the refusal of a request that has no call in progress."""
+        """Record the refusal of a request that has no call in progress.
+
+        Parameters
+        ----------
+        message : RequestReceived or RequestRejected
+            Request.
+        answer : AnswerReady
+            Answer that refuses it.
+        reason : RefusalReason
+            Reason of the refusal.
+        table : RoutingTable
+            Snapshot by which it was refused.
+        request_id : str
+            Id that the caller gave the request; empty if it gave none.
+        """
         self.count(reason)
         method, target = _request_line(message)
         _LOG.info(
@@ -145,6 +161,8 @@
                 outcome=answers.refusal_outcome(reason).value,
                 reason=reason.value,
                 target=target.decode('ascii', 'replace'),
+                revision=table.revision,
+                confirmed_ms=self._confirmed_ms(table.confirmed_at),
             ),
         )
         self._records.append(
@@ -165,6 +183,9 @@
     def _age_ms(self, moment: float) -> int:
         return int((self._clock() - moment) * _MS_PER_SECOND)
 
+    def _confirmed_ms(self, confirmed_at: float) -> int | None:
+        return _milliseconds(self._clock(), confirmed_at)
+
     def _log_end(
         self,
         call: ingress_call.IngressCall,
@@ -187,6 +208,9 @@
                 instance=call.instance or None,
                 attempts=len(call.tried),
                 snapshot=call.generation,
+                route=call.route.name,
+                revision=call.revision,
+                confirmed_ms=_milliseconds(call.received_at, call.confirmed_at),
                 after_ms=self._age_ms(call.received_at),
                 sent_ms=self._age_ms(call.sent_at) if call.tried else None,
                 left_ms=-self._age_ms(call.parameters.deadline),
@@ -194,6 +218,13 @@
         )
 
 
+def _milliseconds(now: float, moment: float) -> int | None:
+    """Return the age of a moment; None if the moment is unknown."""
+    if math.isinf(moment):
+        return None
+    return int((now - moment) * _MS_PER_SECOND)
+
+
 @functools.singledispatch
 def _request_line(message: object) -> tuple[bytes, bytes]:
     return b'', b''
--- a/medlarquay/ingress/ingress_call.py
+++ b/medlarquay/ingress/ingress_call.py
@@ -1,6 +1,7 @@
 """A call in progress at the ingress."""
 
 import dataclasses
+import math
 
 from medlarquay import events, ids, routing, snapshots
 
@@ -43,6 +44,11 @@
         Start of the current attempt, seconds on the monotonic clock.
     generation : int
         Number of the snapshot from which the owner was chosen.
+    revision : Revision
+        Tree revision of the snapshot from which the route was chosen.
+    confirmed_at : float
+        When the source had confirmed that snapshot, seconds on the monotonic
+        clock; -inf if unknown.
     sent_attempts : int
         Number of attempts that a backend server may have received.
     may_have_run : bool
@@ -63,6 +69,8 @@
     node: ids.InstanceId = ids.InstanceId('')
     sent_at: float = 0
     generation: int = 0
+    revision: ids.Revision = ids.Revision(0)
+    confirmed_at: float = -math.inf
     sent_attempts: int = 0
     may_have_run: bool = False
     tried: tuple[ids.InstanceId, ...] = ()
--- a/medlarquay/ingress/key_issuer.py
+++ b/medlarquay/ingress/key_issuer.py
@@ -153,5 +153,5 @@
         reason: states.RefusalReason,
     ) -> None:
         answer = answers.refusal(caller=message.caller, reason=reason)
-        self._reporter.record_refusal(message, answer, reason)
+        self._reporter.record_refusal(message, answer, reason, self._table)
         self._answer(answer)
--- a/medlarquay/ingress/open_call.py
+++ b/medlarquay/ingress/open_call.py
@@ -49,16 +49,19 @@
     if message.target.partition(b'?')[0] == routing.KEY_PATH:
         opened = _open_key(message, snapshot, _host(message))
     else:
-        opened = _open_route(message, snapshot, round_robin, now)
+        opened = _open_route(message, table, round_robin, now)
     return _no_route(table, now) if opened is None else opened
 
 
 def _open_route(
     message: events.RequestReceived,
-    snapshot: snapshots.Snapshot,
+    table: routing_table.RoutingTable,
     round_robin: routing.SplitRoundRobin,
     now: float,
 ) -> _Opened | None:
+    snapshot = table.snapshot
+    if snapshot is None:
+        return None
     host = _host(message)
     route = snapshots.match_route(snapshot, host=host, target=message.target)
     if route is None:
@@ -75,6 +78,8 @@
         parameters=parameters,
         deadline=parameters.deadline + ingress_call.OWNER_DEADLINE_MARGIN_S,
         received_at=now,
+        revision=snapshot.tree_revision,
+        confirmed_at=table.confirmed_at,
     )
 
 
--- a/medlarquay/ingress/routing_table.py
+++ b/medlarquay/ingress/routing_table.py
@@ -44,6 +44,11 @@
         """Snapshot in force; None before the first one arrives."""
         return self._snapshot
 
+    @property
+    def revision(self) -> ids.Revision | None:
+        """Tree revision of the snapshot in force; None before the first."""
+        return None if self._snapshot is None else self._snapshot.tree_revision
+
     @property
     def generation(self) -> int:
         """Sequence number of the snapshot in this process, from 1."""
--- a/medlarquay/tasks/alarm.py
+++ b/medlarquay/tasks/alarm.py
@@ -55,10 +55,10 @@
                 return
             self._call.cancel()
         self._deadline = deadline
-        self._call = self._reactor.callLater(
-            max(0, deadline - self._clock()),
-            self._fire,
-        )
+        delay = deadline - self._clock()
+        if delay <= 0:
+            task.HANDLER_TIMES.overdue.count(self._target.name)
+        self._call = self._reactor.callLater(max(0, delay), self._fire)
 
     def _fire(self) -> None:
         self._call = None
--- a/medlarquay/tasks/handler_times.py
+++ b/medlarquay/tasks/handler_times.py
@@ -3,7 +3,7 @@
 import time
 from collections.abc import Callable
 
-from medlarquay.tasks import longest_handler
+from medlarquay.tasks import longest_handler, overdue_ticks
 
 __all__ = ('HandlerTimes',)
 
@@ -16,6 +16,11 @@
     clock : callable
         Returns seconds on a monotonic clock.
 
+    Attributes
+    ----------
+    overdue : OverdueTicks
+        Counts the ticks that tasks requested for a time that had passed.
+
     Notes
     -----
     A handler that posts to an idle task runs that task's handler nested in its
@@ -28,6 +33,7 @@
         *,
         clock: Callable[[], float] = time.perf_counter,
     ) -> None:
+        self.overdue = overdue_ticks.OverdueTicks()
         self._clock = clock
         # Seconds of handlers nested in the current one.
         self._nested_s: float = 0
--- a/medlarquay/tasks/loop_watch.py
+++ b/medlarquay/tasks/loop_watch.py
@@ -14,6 +14,8 @@
 # if it lasts longer than the period and the least logged lag together.
 _PERIOD_S = 0.1
 _LOGGED_LAG_S = 0.1
+# Overdue ticks of one task in a period from which they are logged.
+_LOGGED_OVERDUE_TICKS = 10
 _MS_PER_SECOND = 1000
 
 
@@ -42,6 +44,7 @@
     A log line with much less processor time than lag means that the process
     was not scheduled. One whose longest handler is much shorter than the
     processor time means work outside handlers, such as reading from sockets.
+    A line with ``overdue`` means that a task requests ticks without a wait.
     """
 
     def __init__(
@@ -72,6 +75,7 @@
         if isinstance(message, events.Tick):
             self._polled_clock.seconds()
             self._measure(message)
+            self._report_overdue_ticks()
             self._begin_period()
 
     def _begin_period(self) -> None:
@@ -95,6 +99,13 @@
             ),
         )
 
+    def _report_overdue_ticks(self) -> None:
+        name, ticks = self._handlers.overdue.take()
+        if ticks >= _LOGGED_OVERDUE_TICKS:
+            self._log.warning(
+                telemetry.format_fields(overdue=ticks, task=name),
+            )
+
 
 def _ms(seconds: float) -> int:
     return round(seconds * _MS_PER_SECOND)
--- a/medlarquay/tasks/router_answers.py
+++ b/medlarquay/tasks/router_answers.py
@@ -29,7 +29,9 @@
     request_id = ''
     if isinstance(message, events.RequestReceived):
         request_id = router.request_id(message)
-    router.reporter.record_refusal(message, answer, reason, request_id)
+    router.reporter.record_refusal(
+        message, answer, reason, router.table, request_id
+    )
     router.answer(answer, request_id)
 
 
--- a/medlarquay/tasks/tests/test_loop_watch.py
+++ b/medlarquay/tasks/tests/test_loop_watch.py
@@ -7,7 +7,7 @@
 from twisted.internet import task as twisted_task
 
 from medlarquay import events, ids, telemetry
-from medlarquay.tasks import handler_times, loop_watch, task
+from medlarquay.tasks import alarm, handler_times, loop_watch, task
 
 
 class _Worker(task.Task):
@@ -137,3 +137,39 @@
     assert bench.times.take().seconds == pytest.approx(0.2)
     bench.times.run(lambda message: bench.elapse(0.1), object(), 'owner')
     assert bench.times.take().seconds == pytest.approx(0.1)
+
+
+@pytest.mark.parametrize(('ticks', 'lines'), [(9, 0), (10, 1)])
+def test_task_that_requests_ticks_without_a_wait_is_logged(
+    bench: LoopBench,
+    logged: logbook.TestHandler,
+    ticks: int,
+    lines: int,
+) -> None:
+    """Guards against many short handler runs that no log line names."""
+    for _ in range(ticks):
+        bench.times.overdue.count('owner')
+    bench.times.overdue.count('router')
+    bench.reactor.advance(0.1)
+    bench.reactor.advance(0.1)
+    named = [record.message for record in logged.records]
+    assert named == [f'overdue={ticks} task=owner'] * lines
+
+
+@pytest.mark.parametrize(('delay', 'counted'), [(-0.5, 1), (0, 1), (0.5, 0)])
+def test_tick_requested_for_the_past_is_counted(
+    bench: LoopBench,
+    delay: float,
+    counted: int,
+) -> None:
+    """Guards against overdue ticks that are not told from others."""
+    overdue = task.HANDLER_TIMES.overdue
+    overdue.take()
+    timer = alarm.Alarm(
+        reactor=bench.reactor,
+        clock=bench.reactor.seconds,
+        target=_Worker(name='worker', bench=bench),
+    )
+    timer.wake_at(bench.reactor.seconds() + delay)
+    _, ticks = overdue.take()
+    assert ticks == counted
--- a/medlarquay/tasks/tests/test_router_log.py
+++ b/medlarquay/tasks/tests/test_router_log.py
@@ -128,3 +128,36 @@
     fields = _logged_fields(logged, 'first')
     assert fields['told'] == '502'
     assert fields['outcome'] == 'unknown'
+
+
+def test_decision_names_its_version_and_the_age_of_its_confirmation(
+    bench: ingress_bench.IngressBench,
+    logged: logbook.TestHandler,
+) -> None:
+    """Guards against a stale decision that looks like a fresh one in the log."""
+    confirmed_at = bench.clock.seconds()
+    bench.router.post(
+        events.FreshnessConfirmed(
+            confirmed_at=confirmed_at, list_confirmed_at=confirmed_at
+        ),
+    )
+    bench.clock.advance(1.25)
+    sent = bench.send(1, request_id='routed')
+    bench.clock.advance(0.5)
+    bench.answer(sent.request.call_id)
+    bench.request(2, target=b'x', request_id='refused')
+    fields = _logged_fields(logged, 'routed')
+    assert (fields['revision'], fields['confirmed_ms']) == ('1', '1250')
+    assert fields['route']
+    fields = _logged_fields(logged, 'refused')
+    assert (fields['revision'], fields['confirmed_ms']) == ('1', '1750')
+
+
+def test_decision_without_confirmation_says_so(
+    bench: ingress_bench.IngressBench,
+    logged: logbook.TestHandler,
+) -> None:
+    """Guards against an age of a confirmation that never happened."""
+    sent = bench.send(1, request_id='routed')
+    bench.answer(sent.request.call_id)
+    assert _logged_fields(logged, 'routed')['confirmed_ms'] == '-'
