Keep two ticks of a task at least 4 ms apart

Cause: an alarm that is requested for a time that has passed fires at once. A task whose tick leaves its earliest deadline in place requests it again, so it ticks without a wait and the process takes its whole core.

Change: the alarm itself bounds the rate, so no task can do this. The first tick after a wait is not delayed.

--- a/medlarquay/tasks/alarm.py
+++ b/medlarquay/tasks/alarm.py
@@ -1,5 +1,6 @@
 """Timer that wakes a task at the earliest requested time."""
 
+import math
 from collections.abc import Callable
 
 from twisted.internet import interfaces
@@ -9,6 +10,10 @@
 
 __all__ = ('Alarm',)
 
+# Least time between two ticks of a task, in seconds. A task whose tick leaves
+# its earliest deadline in place would otherwise take the whole processor.
+_LEAST_INTERVAL_S = 0.004
+
 
 class Alarm:
     """Timer that posts a ``Tick`` to a task at the earliest requested time.
@@ -25,7 +30,8 @@
     Notes
     -----
     Only the earliest requested time is kept. After each ``Tick`` the task has
-    to request the earliest of its remaining deadlines again.
+    to request the earliest of its remaining deadlines again. Two ticks of a
+    task are at least 4 ms apart, whatever it requests.
     """
 
     def __init__(
@@ -40,6 +46,7 @@
         self._target = target
         self._call: interfaces.IDelayedCall | None = None
         self._deadline: float = 0
+        self._next_tick_at = -math.inf
 
     def wake_at(self, deadline: float) -> None:
         """Request a ``Tick``.
@@ -55,12 +62,14 @@
                 return
             self._call.cancel()
         self._deadline = deadline
-        delay = deadline - self._clock()
-        if delay <= 0:
+        now = self._clock()
+        if deadline <= now:
             task.HANDLER_TIMES.overdue.count(self._target.name)
-        self._call = self._reactor.callLater(max(0, delay), self._fire)
+        fire_at = max(deadline, self._next_tick_at, now)
+        self._call = self._reactor.callLater(fire_at - now, self._fire)
 
     def _fire(self) -> None:
         self._call = None
         now = self._clock()
+        self._next_tick_at = now + _LEAST_INTERVAL_S
         self._target.post(events.Tick(now=now, lag_s=now - self._deadline))
