Bound the time until a node stops waiting for what carries its changes

Cause: the times until a node gave up a silent parent (1.5 s), a connection attempt (1 s), a read of the source (2 s) or an aged parent (3.5 s) follow one another and were not derived from the bound. With several parents paused or without power, a healthy node tried them one by one; the last node of a region then read the source once in 75 s.

Change: a parent that owes the answer to a probe for 0.5 s is doubted as an aged one is, so another is tried beside it; a candidate has 0.6 s for its first bytes; after the first silent candidate the node reads the source until a parent answers; a read that is overdue by 0.6 s makes its node follow another region's reader while the read goes on; children of a reader doubt it at an age of 3 s; in fleets of up to 100 nodes an isolated node reads as a reader does.

--- a/medlarquay/events/parent_aged.py
+++ b/medlarquay/events/parent_aged.py
@@ -1,4 +1,4 @@
-"""The records of the parent became stale, or are fresh again."""
+"""The parent may lack changes, or holds fresh data again."""
 
 import dataclasses
 
@@ -9,14 +9,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True, kw_only=True)
 class ParentAged:
-    """The records of the parent became stale, or are fresh again.
+    """The parent may lack changes, or holds fresh data again.
 
     Attributes
     ----------
     parent : topology.Peer
         Parent.
     stale : bool
-        Whether the last confirmation by the source is too long ago.
+        Whether the parent doesn't answer, or the last confirmation of its
+        data by the source is too long ago.
     """
 
     parent: topology.Peer
--- a/medlarquay/events/parent_chosen.py
+++ b/medlarquay/events/parent_chosen.py
@@ -18,7 +18,10 @@
     must_be_fresh : bool
         Whether to give up a parent without a recent confirmation by the
         source, as for the reader of another region.
+    parent_reads_source : bool
+        Whether the parent is the node that reads the source for its region.
     """
 
     parent: topology.Peer | None
     must_be_fresh: bool
+    parent_reads_source: bool = False
--- a/medlarquay/tasks/connector.py
+++ b/medlarquay/tasks/connector.py
@@ -7,12 +7,17 @@
 from medlarquay import topology, transport
 from medlarquay.tasks import link_callbacks
 
-__all__ = ('CONTROL_PATH', 'Connector', 'TcpConnector')
+__all__ = (
+    'CONNECT_TIMEOUT_S',
+    'CONTROL_PATH',
+    'Connector',
+    'TcpConnector',
+)
 
 #: Path at which a node accepts control links.
 CONTROL_PATH = '/control'
-
-_CONNECT_TIMEOUT_S = 1
+#: Longest time until a control link is open, in seconds.
+CONNECT_TIMEOUT_S = 1
 
 
 class Connector(Protocol):
@@ -55,7 +60,7 @@
             self._reactor,
             target.host,
             target.port,
-            timeout=_CONNECT_TIMEOUT_S,
+            timeout=CONNECT_TIMEOUT_S,
         )
         connecting = endpoints.connectProtocol(endpoint, link)
         connecting.addErrback(lambda failure: callbacks.closed())
--- a/medlarquay/tasks/discovery.py
+++ b/medlarquay/tasks/discovery.py
@@ -1,6 +1,7 @@
 """Task that finds other nodes when a node knows none."""
 
 import functools
+import math
 import random
 from collections.abc import Callable, Iterator
 
@@ -75,11 +76,9 @@
 
     def check_time(self, tick: events.Tick) -> None:
         """Send the read if it is due."""
-        if self.reader.due_at is None:
-            return
-        if tick.now >= self.reader.due_at:
+        if self.reader.due_at <= tick.now:
             self.reader.machine.due()
-        else:
+        elif self.reader.due_at < math.inf:
             self._alarm.wake_at(self.reader.due_at)
 
     async def _read(self) -> None:
--- a/medlarquay/tasks/follower.py
+++ b/medlarquay/tasks/follower.py
@@ -83,6 +83,7 @@
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
         self._nonces = itertools.count(1)
         self._stale = False
+        self._probe_at = math.inf
 
     def receive(self, message: object) -> None:
         """Handle one message."""
@@ -97,6 +98,7 @@
         for link in (self.current, self.candidate):
             if link is not None and link.state.parent == message.parent:
                 link.state.must_be_fresh = message.must_be_fresh
+                link.state.reads_source = message.parent_reads_source
         if message.parent is None:
             self._abandon(self.current)
             self._abandon(self.candidate)
@@ -108,19 +110,28 @@
 
     def check_time(self, tick: events.Tick) -> None:
         """Send the probes and give up parents that are silent or unusable."""
+        probe_due = tick.now >= self._probe_at
+        if probe_due:
+            self._probe_at = tick.now + self._probe_interval_s
         for link in (self.current, self.candidate):
             if link is not None:
-                _check_link(link, tick, self.running_clock())
+                _check_link(
+                    link, tick, self.running_clock(), probe_due=probe_due
+                )
         self.report_staleness(tick.now)
-        if self.current is not None or self.candidate is not None:
-            self._alarm.wake_at(tick.now + self._probe_interval_s)
+        self._schedule_check(tick.now)
 
     def report_staleness(self, now: float) -> None:
-        """Report to the membership that the parent became stale or fresh."""
+        """Report whether the parent may lack changes to the membership.
+
+        It may if it doesn't answer, or if its data was confirmed by the source
+        too long ago.
+        """
         link = self.current
         if link is None or self.membership is None:
             return
-        stale = link.state.is_stale(now=now)
+        unanswered = link.state.is_unanswered(running_now=self.running_clock())
+        stale = unanswered or link.state.is_stale(now=now)
         if stale is not self._stale:
             self._stale = stale
             self.membership.post(
@@ -202,9 +213,11 @@
             running_now=self.running_clock(),
         )
         state.must_be_fresh = message.must_be_fresh
+        state.reads_source = message.parent_reads_source
         link = parent_link.ParentLink(state=state, owner=self)
         self.candidate = link
-        self._alarm.wake_at(now + self._probe_interval_s)
+        self._probe_at = min(self._probe_at, now + self._probe_interval_s)
+        self._schedule_check(now)
         self._links.open(
             message.parent,
             link_callbacks.LinkCallbacks(
@@ -217,12 +230,30 @@
             ),
         )
 
+    def _schedule_check(self, now: float) -> None:
+        """Request a tick for the next probe or the next timeout of a link."""
+        running_now = self.running_clock()
+        timeouts = [
+            min(link.state.silent_at, link.state.answer_due_at) - running_now
+            for link in (self.current, self.candidate)
+            if link is not None
+        ]
+        if not timeouts:
+            self._probe_at = math.inf
+            return
+        waits = [wait for wait in timeouts if wait > 0]
+        self._alarm.wake_at(
+            min(self._probe_at, now + min(waits, default=math.inf)),
+        )
+
     def _opened(
         self,
         link: parent_link.ParentLink,
         opened_link: control_link.ControlLink,
     ) -> None:
         if link in {self.current, self.candidate}:
+            # The peer has answered the handshake.
+            link.state.record_bytes(running_now=self.running_clock())
             link.machine.opened(opened_link)
         else:
             # Another parent was chosen while the link was being opened.
@@ -269,6 +300,8 @@
     link: parent_link.ParentLink,
     tick: events.Tick,
     running_now: float,
+    *,
+    probe_due: bool,
 ) -> None:
     if tick.lag_s > configuration.PAUSE_THRESHOLD_S:
         link.state.reset_after_pause(now=tick.now, running_now=running_now)
@@ -277,7 +310,7 @@
         link.machine.ended()
     elif running_now >= link.state.unusable_at:
         link.machine.ended()
-    else:
+    elif probe_due:
         link.machine.probe_due(tick.now)
 
 
--- a/medlarquay/tasks/membership.py
+++ b/medlarquay/tasks/membership.py
@@ -97,6 +97,10 @@
         state = self.state
         if state.parent == message.parent:
             state = dataclasses.replace(state, parent=None, parent_stale=False)
+        elif message.reason is states.ParentFault.SILENT:
+            state = dataclasses.replace(
+                state, silent_candidates=state.silent_candidates + 1
+            )
         # The choice is announced again even if it is the same peer, because the
         # follower has closed the link.
         self._chosen = None
@@ -108,7 +112,9 @@
         if state.parent_stale and state.parent is not None:
             self._current_suspects.mark(state.parent.address, now=self._clock())
         self.update(
-            dataclasses.replace(state, parent=parent, parent_stale=False),
+            dataclasses.replace(
+                state, parent=parent, parent_stale=False, silent_candidates=0
+            ),
         )
 
     def update(self, state: topology.TopologyState) -> None:
@@ -171,6 +177,7 @@
                 events.ParentChosen(
                     parent=choice.parent,
                     must_be_fresh=choice.must_be_fresh,
+                    parent_reads_source=choice.parent_reads_source,
                 ),
             )
         for reader in (self.reader, self.discovery):
@@ -212,12 +219,12 @@
 @_handle.register
 def _aged(message: events.ParentAged, membership: Membership) -> None:
     if message.parent == membership.state.parent:
-        membership.update(
-            dataclasses.replace(
-                membership.state,
-                parent_stale=message.stale,
-            ),
+        state = dataclasses.replace(
+            membership.state, parent_stale=message.stale
         )
+        if not message.stale:
+            state = dataclasses.replace(state, silent_candidates=0)
+        membership.update(state)
 
 
 @_handle.register
--- a/medlarquay/tasks/parent_link.py
+++ b/medlarquay/tasks/parent_link.py
@@ -19,6 +19,9 @@
     def next_nonce(self) -> int:
         """Return an unused nonce."""
 
+    def running_clock(self) -> float:
+        """Return seconds without the pauses of this process."""
+
     def promote(self, link: 'ParentLink') -> None:
         """Follow this parent instead of the previous one."""
 
@@ -61,6 +64,12 @@
         """Return an unused nonce."""
         return self._owner.next_nonce()
 
+    def record_probe(self, nonce: int, now: float) -> None:
+        """Record when a probe was sent."""
+        self.state.record_probe(
+            nonce, now=now, running_now=self._owner.running_clock()
+        )
+
     def promote(self) -> None:
         """Follow this parent instead of the previous one."""
         self._owner.promote(self)
--- a/medlarquay/tasks/parent_link_machine.py
+++ b/medlarquay/tasks/parent_link_machine.py
@@ -31,6 +31,9 @@
 
     state: parent_link_state.ParentLinkState
 
+    def record_probe(self, nonce: int, now: float) -> None:
+        """Record when a probe was sent."""
+
     def send(self, message: object) -> None:
         """Send a message on the link."""
 
@@ -72,7 +75,7 @@
     now: float,
 ) -> None:
     nonce = actions.next_nonce()
-    actions.state.record_probe(nonce, now=now)
+    actions.record_probe(nonce, now)
     actions.send(messages.Probe(nonce=nonce))
 
 
--- a/medlarquay/tasks/parent_link_state.py
+++ b/medlarquay/tasks/parent_link_state.py
@@ -1,6 +1,7 @@
 """State of the control link to one parent."""
 
 import dataclasses
+import math
 
 from medlarquay import messages, replica, states, topology
 from medlarquay.tasks import control_link
@@ -13,6 +14,15 @@
 #: seconds. At a reader the age rises to 2 s between two reads, and each level
 #: of the distribution tree adds up to 0.5 s.
 STALE_AFTER_S = 3.5
+#: The same for a parent that reads the source itself, below which there is only
+#: one level.
+STALE_READER_AFTER_S = 3.0
+# Longest time until a parent answers a probe, in seconds, before another one is
+# looked for beside it.
+_ANSWER_TIMEOUT_S = 0.5
+# Longest time until a new parent sends its first bytes, in seconds. Opening the
+# link and the first answer take three round trips.
+_FIRST_ANSWER_TIMEOUT_S = 0.6
 # A parent may be behind or stale for this long, in seconds, because its own
 # parent may just have failed.
 _UNUSABLE_TIMEOUT_S = 2
@@ -32,9 +42,14 @@
     must_be_fresh : bool
         Whether a parent is rejected if its data has no recent confirmation
         by the source.
+    reads_source : bool
+        Whether the parent is the node that reads the source for its region.
     silent_at : float
         Deadline for the next bytes from the parent, seconds on a clock that
         leaves out the pauses of this process.
+    answer_due_at : float
+        When the answer to the oldest unanswered probe is due, on the same
+        clock; infinity if none is awaited.
     unusable_at : float
         Deadline for the next heartbeat that makes the parent usable, on the
         same clock.
@@ -64,6 +79,8 @@
     silent_at: float
     unusable_at: float
     confirmed_at: float
+    reads_source: bool = False
+    answer_due_at: float = math.inf
     link: control_link.ControlLink | None = None
     probes: dict[int, float] = dataclasses.field(default_factory=dict)
     fault: states.ParentFault = states.ParentFault.CLOSED
@@ -94,34 +111,45 @@
         return cls(
             parent=parent,
             must_be_fresh=False,
-            silent_at=running_now + SILENCE_TIMEOUT_S,
+            silent_at=running_now + _FIRST_ANSWER_TIMEOUT_S,
             unusable_at=running_now + SILENCE_TIMEOUT_S + _UNUSABLE_TIMEOUT_S,
             confirmed_at=now,
         )
 
     def is_stale(self, *, now: float) -> bool:
         """Return whether the data of the parent was confirmed too long ago."""
-        return now - self.confirmed_at > STALE_AFTER_S
+        limit = STALE_READER_AFTER_S if self.reads_source else STALE_AFTER_S
+        return now - self.confirmed_at > limit
+
+    def is_unanswered(self, *, running_now: float) -> bool:
+        """Return whether the parent owes an answer to a probe."""
+        return running_now >= self.answer_due_at
 
     def confirm(self, confirmed_at: float) -> None:
         """Record when the source confirmed the data of the parent."""
         self.confirmed_at = max(self.confirmed_at, confirmed_at)
 
-    def record_probe(self, nonce: int, *, now: float) -> None:
+    def record_probe(
+        self, nonce: int, *, now: float, running_now: float
+    ) -> None:
         """Record when a probe was sent."""
         self.probes[nonce] = now
+        self.answer_due_at = min(
+            self.answer_due_at, running_now + _ANSWER_TIMEOUT_S
+        )
         while len(self.probes) > _MAX_PENDING_PROBES:
             self.probes.pop(next(iter(self.probes)))
 
     def record_bytes(self, *, running_now: float) -> None:
         """Extend the silence timeout, also for a part of a long message."""
         self.silent_at = running_now + SILENCE_TIMEOUT_S
+        self.answer_due_at = math.inf
 
     def reset_after_pause(self, *, now: float, running_now: float) -> None:
         """Discard observations from before a pause of this process."""
         self.probes.clear()
         self.confirmed_at = now
-        self.silent_at = running_now + SILENCE_TIMEOUT_S
+        self.record_bytes(running_now=running_now)
         self.unusable_at = running_now + SILENCE_TIMEOUT_S + _UNUSABLE_TIMEOUT_S
 
     def check_heartbeat(
@@ -142,7 +170,7 @@
         running_now : float
             Seconds on the clock that leaves out the pauses of this process.
         """
-        self.silent_at = running_now + SILENCE_TIMEOUT_S
+        self.record_bytes(running_now=running_now)
         age_ms = heartbeat.age_ms
         fresh = age_ms is not None and age_ms <= STALE_AFTER_S * _MS_PER_SECOND
         if heartbeat.vector == replica.VersionVector():
--- a/medlarquay/tasks/source_reader.py
+++ b/medlarquay/tasks/source_reader.py
@@ -1,6 +1,7 @@
 """Task that reads the source."""
 
 import functools
+import math
 import random
 from collections.abc import Callable
 from types import MappingProxyType
@@ -17,6 +18,9 @@
 # levels of probes at intervals of 0.5 s stay below the bound of 5 s.
 _WATCH_WAIT_MS = 1000
 _MS_PER_SECOND = 1000
+# An answer that takes this much longer than its wait is overdue, in seconds. The
+# read may still succeed, but another node is followed meanwhile.
+_OVERDUE_S = 0.6
 # Number of reads of a tree that may be sent back to back. Documents are read
 # at most once per period: in a storm of versions, a read for each of them would
 # fill the link once more.
@@ -94,18 +98,22 @@
 
     def read(self, reader: tree_reader.TreeReader) -> None:
         """Send a read of one tree."""
-        reader.limiter.record_sent(now=self._clock())
+        now = self._clock()
+        reader.limiter.record_sent(now=now)
+        reader.overdue_at = now + self._wait_ms / _MS_PER_SECOND + _OVERDUE_S
+        self._alarm.wake_at(reader.overdue_at)
         defer.ensureDeferred(self._read(reader))
 
     def check_time(self, tick: events.Tick) -> None:
-        """Send the reads that are due."""
+        """Send the reads that are due and note those that are overdue."""
         for reader in self.readers.values():
-            if reader.due_at is None:
-                continue
-            if tick.now >= reader.due_at:
+            if reader.due_at <= tick.now:
                 reader.machine.due()
-            else:
-                self._alarm.wake_at(reader.due_at)
+            if reader.overdue_at <= tick.now:
+                self._note_overdue(reader)
+            next_check = reader.next_check(tick.now)
+            if next_check < math.inf:
+                self._alarm.wake_at(next_check)
 
     def handle_answer(
         self,
@@ -113,6 +121,7 @@
         answer: events.DocumentsRead,
     ) -> None:
         """Pass an answer to the configuration and end the read."""
+        reader.overdue_at = math.inf
         reader.limiter.record_success()
         self._log_answer(reader, answer)
         if self.configuration is not None:
@@ -132,11 +141,23 @@
             reader.tree.value,
             failure,
         )
+        reader.overdue_at = math.inf
         reader.limiter.record_failure(now=self._clock())
         self._failing.add(reader.tree)
         self._report_reachable()
         reader.machine.ended()
 
+    @property
+    def _wait_ms(self) -> int:
+        """How long the source may wait before it answers a read."""
+        return 0 if self.mode is states.ReadingMode.ISOLATED else _WATCH_WAIT_MS
+
+    def _note_overdue(self, reader: tree_reader.TreeReader) -> None:
+        reader.overdue_at = math.inf
+        self._log.info('read of {} is overdue', reader.tree.value)
+        self._failing.add(reader.tree)
+        self._report_reachable()
+
     def _log_answer(
         self,
         reader: tree_reader.TreeReader,
@@ -179,13 +200,12 @@
     async def _read(self, reader: tree_reader.TreeReader) -> None:
         requested_at = self._clock()
         after = reader.held_revision
-        isolated = self.mode is states.ReadingMode.ISOLATED
         try:
             answer = source_fetcher.parse_answer(
                 await self._fetcher.fetch(
                     reader.tree,
                     after=after,
-                    wait_ms=0 if isolated else _WATCH_WAIT_MS,
+                    wait_ms=self._wait_ms,
                 ),
                 tree=reader.tree,
                 after=after,
--- a/medlarquay/tasks/tree_reader.py
+++ b/medlarquay/tasks/tree_reader.py
@@ -1,6 +1,7 @@
 """State of the reads of one tree of the source."""
 
 import dataclasses
+import math
 from typing import Protocol
 
 from medlarquay import ids, replica, topology
@@ -33,9 +34,12 @@
         Task that owns the reads.
     machine : tree_reader_machine.TreeReaderMachine
         State machine of the reads.
-    due_at : float or None
-        When the next read is sent, seconds on the monotonic clock; None if
-        none is scheduled.
+    due_at : float
+        When the next read is sent, seconds on the monotonic clock; infinity
+        if none is scheduled.
+    overdue_at : float
+        When the answer to the read in flight becomes overdue, seconds on the
+        monotonic clock; infinity if there is none, or it was noted already.
     last_answer_at : float or None
         When the last answer arrived, seconds on the monotonic clock; None
         before the first.
@@ -49,7 +53,8 @@
     machine: tree_reader_machine.TreeReaderMachine = dataclasses.field(
         init=False
     )
-    due_at: float | None = None
+    due_at: float = math.inf
+    overdue_at: float = math.inf
     last_answer_at: float | None = None
     held_revision: ids.Revision = ids.Revision(0)
 
@@ -57,11 +62,24 @@
         """Build the state machine, which refers to this object."""
         self.machine = tree_reader_machine.build_machine(self)
 
+    def next_check(self, now: float) -> float:
+        """Return when a read will be due or overdue; infinity if never.
+
+        Parameters
+        ----------
+        now : float
+            Seconds on the monotonic clock.
+        """
+        return min(
+            (at for at in (self.due_at, self.overdue_at) if at > now),
+            default=math.inf,
+        )
+
     def schedule(self) -> None:
         """Schedule the next read."""
         self.owner.schedule(self)
 
     def read(self) -> None:
         """Send a read."""
-        self.due_at = None
+        self.due_at = math.inf
         self.owner.read(self)
--- a/medlarquay/testing/simulated_mesh.py
+++ b/medlarquay/testing/simulated_mesh.py
@@ -6,16 +6,19 @@
 import random
 from collections.abc import Callable
 
-from twisted.internet import task
+from twisted.internet import defer, task
 
 from medlarquay import codec, errors, ids, messages, replica, topology
-from medlarquay.tasks import link_callbacks
+from medlarquay.tasks import connector, link_callbacks
 from medlarquay.testing import memory_link, memory_source, simulated_node
 
 __all__ = ('SimulatedMesh',)
 
 _STEP_S = 0.05
 _DELAY_S = 0.01
+# A client of the source gives a read up this long after its wait, in seconds.
+_READ_TIMEOUT_S = 1.0
+_MS_PER_SECOND = 1000
 
 _Action = Callable[[], None]
 # Addresses of both endpoints, and their callbacks for the loss of the link.
@@ -49,13 +52,19 @@
         Raises
         ------
         SourceError
-            If the node is partitioned from the source, or the source is
-            down.
+            If the node is partitioned from the source, gets no answer from
+            it, or the source is down.
         """
         mesh = self._mesh
+        give_up_at = (
+            mesh.clock.seconds() + wait_ms / _MS_PER_SECOND + _READ_TIMEOUT_S
+        )
         if mesh.is_partitioned_from_source(self._peer.address):
             raise errors.SourceError('unreachable', step='read source')
         answer = await mesh.source.fetch(tree, after=after, wait_ms=wait_ms)
+        if self._peer.address in mesh.without_answers:
+            await self._sleep_until(give_up_at)
+            raise errors.SourceError('no answer in time', step='read source')
         if mesh.is_partitioned_from_source(self._peer.address):
             raise errors.SourceError('unreachable', step='read source')
         return answer
@@ -74,6 +83,13 @@
             raise errors.SourceError('unreachable', step='read source')
         return mesh.source.read_page(mesh.page_entries)
 
+    async def _sleep_until(self, deadline: float) -> None:
+        clock = self._mesh.clock
+        elapsed: defer.Deferred[None] = defer.Deferred()
+        left = max(0, deadline - clock.seconds())
+        clock.callLater(left, elapsed.callback, None)
+        await elapsed
+
 
 class SimulatedMesh:
     """Nodes, links and a source on simulated clocks.
@@ -97,6 +113,11 @@
         self.without_source: set[str] = set()
         #: Addresses of nodes that keep their links but cannot open new ones.
         self.without_new_links: set[str] = set()
+        #: Addresses of nodes whose reads the source does not answer.
+        self.without_answers: set[str] = set()
+        #: Addresses of nodes that send and receive nothing, without a reset of
+        #: their links, as when their machines lose power.
+        self.without_power: set[str] = set()
         self.nodes: dict[str, simulated_node.SimulatedNode] = {}
         #: Number of frames with changes that arrived from another region, by
         #: sending and receiving region.
@@ -167,11 +188,14 @@
 
     def is_partitioned(self, first: str, second: str) -> bool:
         """Return whether the partition separates two addresses."""
+        if self.without_power & {first, second}:
+            return True
         return (first in self._partitioned) is not (second in self._partitioned)
 
     def is_partitioned_from_source(self, address: str) -> bool:
         """Return whether a node cannot reach the source."""
-        return address in self._partitioned or address in self.without_source
+        cut_off = self._partitioned | self.without_source | self.without_power
+        return address in cut_off
 
     def advance(self, duration: float) -> None:
         """Advance all clocks and check the invariants at each step."""
@@ -197,6 +221,14 @@
         if node is None or initiator.address in self.without_new_links:
             self._schedule(initiator.address, callbacks.closed)
             return
+        if self.is_partitioned(initiator.address, target.address):
+            self.clock.callLater(
+                connector.CONNECT_TIMEOUT_S,
+                self._run,
+                initiator.address,
+                callbacks.closed,
+            )
+            return
         relay = node.tasks.relay
         near_end = memory_link.MemoryLink(
             on_send=lambda frame: self._send(
@@ -224,6 +256,7 @@
                 functools.partial(relay.remove_incoming, far_end),
             ],
         )
+        # A paused node accepts the link and answers when it resumes.
         self._send(
             number,
             target.address,
@@ -231,8 +264,13 @@
         )
         self._send(
             number,
-            initiator.address,
-            functools.partial(callbacks.opened, near_end),
+            target.address,
+            functools.partial(
+                self._send,
+                number,
+                initiator.address,
+                functools.partial(callbacks.opened, near_end),
+            ),
         )
 
     def _deliver(
--- a/medlarquay/topology/choose_upstream.py
+++ b/medlarquay/topology/choose_upstream.py
@@ -20,6 +20,9 @@
 # the source at the low rate of isolated nodes, which bounds the calls when
 # all nodes are partitioned at once.
 _MAX_SUSPECTED_PREDECESSORS = 4
+# In a fleet of at most this size, nodes that suspect all their predecessors read
+# like readers: two calls a second each stay within 200.
+_MAX_UNLIMITED_FLEET = 100
 # The second and third node of a region also read the source while their
 # parent is stale. The number is small because all parents are stale during an
 # outage of the source, when every read adds to its load.
@@ -45,6 +48,20 @@
     UpstreamChoice
         Parent and reading mode.
     """
+    chosen = _choose_parent(state)
+    if state.silent_candidates and chosen.mode is states.ReadingMode.NONE:
+        # Trying one silent node after the other takes longer than a change
+        # may take; until a parent answers, this node reads the source.
+        chosen = dataclasses.replace(chosen, mode=states.ReadingMode.READER)
+    return dataclasses.replace(
+        chosen,
+        parent_reads_source=_reads_source(chosen.parent, state),
+    )
+
+
+def _choose_parent(
+    state: topology_state.TopologyState,
+) -> upstream_choice.UpstreamChoice:
     chosen = _choose(state)
     parent = state.parent
     if parent is not None and chosen.parent == parent:
@@ -62,6 +79,15 @@
     return dataclasses.replace(chosen, must_be_fresh=True)
 
 
+def _reads_source(
+    parent: peer.Peer | None,
+    state: topology_state.TopologyState,
+) -> bool:
+    if parent is None:
+        return False
+    return parent in state.members.regions.get(parent.region, [])[:1]
+
+
 def _choose_fresher(
     state: topology_state.TopologyState,
     parent: peer.Peer,
@@ -104,7 +130,12 @@
     usable = _not_suspected(preceding, state)
     if usable:
         return _follow(usable[0])
-    if len(preceding) > _MAX_SUSPECTED_PREDECESSORS and not state.child_count:
+    is_isolated = (
+        len(preceding) > _MAX_SUSPECTED_PREDECESSORS
+        and not state.child_count
+        and len(state.members) > _MAX_UNLIMITED_FLEET
+    )
+    if is_isolated:
         return _read_isolated(state)
     return _read_as_reader(state)
 
--- a/medlarquay/topology/members.py
+++ b/medlarquay/topology/members.py
@@ -40,6 +40,10 @@
         """Return whether any node is known."""
         return bool(self._regions)
 
+    def __len__(self) -> int:
+        """Return the number of nodes."""
+        return sum(len(nodes) for nodes in self._regions.values())
+
     @property
     def regions(self) -> Mapping[ids.RegionName, list[peer.Peer]]:
         """Nodes of each region, in the distribution order."""
--- a/medlarquay/topology/topology_state.py
+++ b/medlarquay/topology/topology_state.py
@@ -31,8 +31,11 @@
     child_count : int
         Number of nodes that follow this one.
     parent_stale : bool
-        Whether the parent answers, but its data was last confirmed by the
-        source too long ago.
+        Whether the parent doesn't answer, or its data was last confirmed by
+        the source too long ago.
+    silent_candidates : int
+        Number of nodes that were to become the parent and sent nothing, since
+        a parent last answered.
     backup_reader : bool
         Whether this node reads the source although other nodes of its region
         precede it.
@@ -52,6 +55,7 @@
     source_reachable: bool = True
     child_count: int = 0
     parent_stale: bool = False
+    silent_candidates: int = 0
     backup_reader: bool = False
     can_discover: bool = False
     discovered: node_lists.Members = _NOBODY
--- a/medlarquay/topology/upstream_choice.py
+++ b/medlarquay/topology/upstream_choice.py
@@ -21,8 +21,11 @@
     must_be_fresh : bool
         Whether a parent is rejected unless the source confirmed its data
         recently.
+    parent_reads_source : bool
+        Whether the parent is the node that reads the source for its region.
     """
 
     parent: peer.Peer | None
     mode: states.ReadingMode
     must_be_fresh: bool = False
+    parent_reads_source: bool = False
