Measure the timers of a node on the monotonic clock

Cause: the reactor takes the time of day for its clock, while all deadlines of a node are on the monotonic clock. After a step back of the time of day every timer that was set is late by the step, and a task ignores later requests until it fires: changes are forwarded late, probes and reads are sent late. After a step ahead timers fire early. That docs/platform.md names log lines and call records as the only users of the time of day was false.

Change: both front ends load their reactor through one function, which gives it the monotonic clock.

--- a/medlarquay/daemon/main.py
+++ b/medlarquay/daemon/main.py
@@ -15,12 +15,11 @@
     sys.modules.setdefault('OpenSSL', None)  # type: ignore[arg-type]
     settings = parse_arguments.parse_arguments()
     telemetry.set_up_logs(stream=sys.stderr, level=settings.log_level)
-    # The reactor is installed on import. It is imported after the settings were
-    # parsed, so that a bad flag is reported without the cost of starting it.
-    from twisted.internet import reactor  # noqa: PLC0415
-
-    from medlarquay.daemon import node, signals  # noqa: PLC0415
+    # The reactor is loaded after the settings were parsed, so that a bad flag
+    # is reported without the cost of starting it.
+    from medlarquay.daemon import node, node_reactor, signals  # noqa: PLC0415
 
+    reactor = node_reactor.load_reactor()
     node.start_node(reactor=reactor, settings=settings)
     signals.run_reactor(reactor)
     signals.end_process()
--- a/medlarquay/platform/main.py
+++ b/medlarquay/platform/main.py
@@ -25,14 +25,13 @@
         sys.stderr.write(f'medlarquay: {failure}\n')
         sys.exit(_EXIT_BAD_SETTINGS)
     # Imported only now, so that a bad setting is reported without the cost.
-    from twisted.internet import reactor  # noqa: PLC0415
-
-    from medlarquay.daemon import node, signals  # noqa: PLC0415
+    from medlarquay.daemon import node, node_reactor, signals  # noqa: PLC0415
     from medlarquay.platform import (  # noqa: PLC0415
         node_parts,
         settings_watcher,
     )
 
+    reactor = node_reactor.load_reactor()
     node.start_node(
         reactor=reactor,
         settings=node_parts.build_node_settings(own_settings),
