Wait between probes of a backend server that resets them

Cause: a probe whose connection was reset was repeated at once. A backend server that accepts and resets connections, such as one with too many of them, is then probed as fast as the kernel connects, without a wait, while it is down. Whether the reported process did this is not proved.

A probe that succeeds resets the backoff.

--- a/medlarquay/tasks/backend.py
+++ b/medlarquay/tasks/backend.py
@@ -199,8 +199,12 @@
             return
         self._probing = False
         if not connection.usable:
-            self.probe()
+            # A backend server that resets each connection at once, such as one
+            # with too many of them, would be probed without a wait.
+            repeat = self.probe if stayed_open else self.probe_later
+            repeat()
             return
+        self._probe_delay = _MIN_PROBE_DELAY_S
         self.idle.append(connection)
         self._health.connection_accepted()
 
--- a/medlarquay/tasks/tests/test_backend.py
+++ b/medlarquay/tasks/tests/test_backend.py
@@ -17,6 +17,12 @@
         """Accept the option, which has no effect in memory."""
 
 
+class _ResetSocket:
+    def recv(self, size: int, flags: int) -> bytes:
+        """Report a reset of the connection."""
+        raise ConnectionResetError
+
+
 class _Server:
     """A backend task; the test accepts, refuses or loses its connections."""
 
@@ -75,6 +81,14 @@
     protocol.connectionLost(failure.Failure(error.ConnectionLost()))
 
 
+def _accept_and_reset(server: _Server) -> None:
+    """Let the kernel report a reset before the task uses the connection."""
+    protocol = server.reactor.tcpClients.pop(0)[2].buildProtocol(None)
+    transport = _Transport()
+    transport.getHandle = _ResetSocket
+    protocol.makeConnection(transport)
+
+
 def _failed(number: int) -> events.BackendFailed:
     return events.BackendFailed(
         exchange=ids.ExchangeId(number),
@@ -189,6 +203,23 @@
     assert server.owner.received == [_crashed(1), _DOWN, _failed(1)]
 
 
+def test_probes_that_are_all_reset_wait_for_one_another() -> None:
+    """Guards against probes without a wait, which take the whole processor.
+
+    A backend server with too many connections accepts and resets each one.
+    """
+    server = _Server()
+    server.start(1)
+    server.refuse()
+    probes = 0
+    for _ in range(100):
+        server.reactor.advance(0.01)
+        while server.reactor.tcpClients and probes < 100:
+            _accept_and_reset(server)
+            probes += 1
+    assert 1 < probes <= 10, probes
+
+
 def test_replaced_process_is_a_crash() -> None:
     """Guards against a missed crash of a server that restarts at once.
 
