Pause a listening port while there is no descriptor

Cause: the reactor's port tries again at once when a connection cannot be accepted, since its socket stays readable. It closes connections in place of a reserved file, which helps only where files and sockets have one limit; the platform counts them apart. A node at its limit of sockets then uses the whole of its processor and does not wait. Whether the reported process was at its limit is not proved.

The reactor of a node is a class of its own with such ports and the monotonic clock, so that all listening ports have it.

--- a/medlarquay/daemon/node_reactor.py
+++ b/medlarquay/daemon/node_reactor.py
@@ -2,24 +2,64 @@
 
 import time
 
-from twisted.internet import interfaces
+from twisted.internet import epollreactor, interfaces, main, protocol
 
-__all__ = ('load_reactor',)
+from medlarquay import transport
 
+__all__ = ('NodeReactor', 'load_reactor')
 
-def load_reactor() -> interfaces.IReactorCore:
-    """Return the reactor of the process, with timers on the monotonic clock.
+_BACKLOG = 50
 
-    Must be called before any timer is requested.
+
+class NodeReactor(epollreactor.EPollReactor):
+    """Reactor whose timers and ports neither drift nor spin.
 
     Notes
     -----
-    By default the reactor measures its timers by the time of day. Timers would
+    The reactor of Twisted measures its timers by the time of day. They would
     fire late or early by the step when that is set back or ahead, while all
-    deadlines of a node are on the monotonic clock.
+    deadlines of a node are on the monotonic clock. Its ports try without a wait
+    to accept connections for which there is no descriptor.
     """
-    # The reactor is installed on import.
-    from twisted.internet import reactor  # noqa: PLC0415
 
-    reactor.seconds = time.monotonic
+    def __init__(self) -> None:
+        super().__init__()
+        self.seconds = time.monotonic
+
+    def listenTCP(  # noqa: N802
+        self,
+        port: int,
+        factory: protocol.Factory,
+        backlog: int = _BACKLOG,
+        interface: str = '',
+    ) -> interfaces.IListeningPort:
+        """Accept connections on one address.
+
+        Parameters
+        ----------
+        port : int
+            Port; the kernel chooses it if it is 0.
+        factory : Factory
+            Builds the protocol of each connection.
+        backlog : int
+            Number of connections that may wait to be accepted.
+        interface : str
+            Address to listen on; empty for all.
+
+        Raises
+        ------
+        CannotListenError
+            If the address cannot be listened on.
+        """
+        listening = transport.AcceptingPort(
+            port, factory, backlog, interface, self
+        )
+        listening.startListening()
+        return listening
+
+
+def load_reactor() -> NodeReactor:
+    """Install the reactor of the process and return it."""
+    reactor = NodeReactor()
+    main.installReactor(reactor)
     return reactor
--- a/medlarquay/transport/__init__.py
+++ b/medlarquay/transport/__init__.py
@@ -3,6 +3,7 @@
 The package makes no routing or admission decisions.
 """
 
+from medlarquay.transport.accepting_port import AcceptingPort
 from medlarquay.transport.backend_connection import BackendConnection
 from medlarquay.transport.caller_connection import CallerConnection
 from medlarquay.transport.caller_connections import CallerConnections
@@ -15,6 +16,7 @@
 
 __all__ = (
     'HOP_BY_HOP',
+    'AcceptingPort',
     'BackendConnection',
     'BuildingFactory',
     'CallerConnection',
