Step the time of day of nodes in the soak

Change: nodes of a soak run the daemon in a module that two signals let set its time of day 3 s back or ahead; two steps are drawn for each plan, by a generator of their own, so the other faults of a seed stay as they are.

--- a/bench/cluster.py
+++ b/bench/cluster.py
@@ -19,7 +19,6 @@
 _MAX_SEEDS = 3
 _LOG_TAIL_CHARS = 600
 _BACKEND_PREFIX = 'backend-'
-_NODE_MODULE = 'medlarquay.daemon.main'
 
 
 class Cluster:
@@ -39,9 +38,12 @@
         URL of the source.
     node_source_url : str
         URL at which nodes reach the source, through a relay if there is one.
+    node_module : str
+        Module that is run as a node.
     """
 
     def __init__(self) -> None:
+        self.node_module = 'medlarquay.daemon.main'
         self.instances: dict[str, instance.Instance] = {}
         self.ports = port_reservation.PortReservation()
         self.source_url = ''
@@ -150,7 +152,7 @@
     def start_node(self, item: instance.Instance) -> None:
         """Start the node of an instance."""
         item.node = self.start(
-            _NODE_MODULE,
+            self.node_module,
             f'node-{item.name}',
             *_node_arguments(item, self.node_source_url),
             *self._seeds(item),
--- a/bench/soak/build_plan.py
+++ b/bench/soak/build_plan.py
@@ -22,6 +22,7 @@
 _LEAVE_S = 8
 _CHANGE_COUNT = 6
 _MAX_STOPS = 3
+_CLOCK_STEP_COUNT = 2
 
 _FaultBuilder = Callable[[random.Random, float, list[str]], list[faults.Fault]]
 
@@ -58,6 +59,7 @@
         faults.Change(at=at, version=number + 1)
         for number, at in enumerate(_change_times(rng, last_at))
     )
+    drawn.extend(_build_clock_steps(seed, last_at, names))
     return soak_plan.SoakPlan(
         seed=seed,
         seconds=seconds,
@@ -73,6 +75,27 @@
     )
 
 
+def _build_clock_steps(
+    seed: int,
+    last_at: float,
+    names: list[str],
+) -> list[faults.Fault]:
+    # A generator of their own leaves the other faults of each seed as they are.
+    rng = random.Random(f'clock {seed}')  # noqa: S311
+    begin_times = (
+        rng.uniform(_RANDOM_FROM_S, last_at) for _ in range(_CLOCK_STEP_COUNT)
+    )
+    return [
+        faults.ClockStep(
+            at=at,
+            end=at + rng.uniform(0.5, _MAX_FAULT_S),
+            name=rng.choice(names),
+            ahead=rng.random() < 1 / 2,
+        )
+        for at in begin_times
+    ]
+
+
 def _build_stops(
     rng: random.Random,
     at: float,
--- a/bench/soak/fault_actions.py
+++ b/bench/soak/fault_actions.py
@@ -91,6 +91,14 @@
     supervisor.resume(fault.name)
 
 
+@begin.register
+@finish.register
+def _step_clock(
+    fault: faults.ClockStep, supervisor: node_supervisor.NodeSupervisor
+) -> None:
+    supervisor.step_clock(fault.name, ahead=fault.ahead)
+
+
 @begin.register
 def _pause_backend(
     fault: faults.BackendPause, supervisor: node_supervisor.NodeSupervisor
--- a/bench/soak/faults/__init__.py
+++ b/bench/soak/faults/__init__.py
@@ -3,6 +3,7 @@
 from bench.soak.faults.backend_crash import BackendCrash
 from bench.soak.faults.backend_pause import BackendPause
 from bench.soak.faults.change import Change
+from bench.soak.faults.clock_step import ClockStep
 from bench.soak.faults.fault import Fault
 from bench.soak.faults.leave import Leave
 from bench.soak.faults.link_fault import LinkFault
@@ -18,6 +19,7 @@
     'BackendCrash',
     'BackendPause',
     'Change',
+    'ClockStep',
     'Fault',
     'Leave',
     'LinkFault',
--- a/bench/soak/node_supervisor.py
+++ b/bench/soak/node_supervisor.py
@@ -12,6 +12,8 @@
 # ends.
 _KILL_AFTER_S = 5
 _RESTART_DELAY_S = 0.3
+# A signal that comes before the process handles it would end it.
+_HANDLES_SIGNALS_AFTER_S = 3
 
 
 class NodeSupervisor:
@@ -86,6 +88,21 @@
         if paused_at is not None:
             self.current_lives[name].pauses.append((paused_at, time.time()))
 
+    def step_clock(self, name: str, *, ahead: bool) -> None:
+        """Set the time of day of a node, or set it right again.
+
+        Nothing happens to a process that has just started, whose time of day is
+        right.
+        """
+        process = self.node(name)
+        age_s = time.time() - self.current_lives[name].started_at
+        if (
+            process is not None
+            and self.cluster.steps_clocks
+            and age_s > _HANDLES_SIGNALS_AFTER_S
+        ):
+            process.send_signal(signal.SIGUSR2 if ahead else signal.SIGUSR1)
+
     def check_nodes(self) -> None:
         """Record exits, restart exited nodes and kill overdue ones."""
         for life in tuple(self.current_lives.values()):
--- a/bench/soak/soak_cluster.py
+++ b/bench/soak/soak_cluster.py
@@ -28,6 +28,11 @@
     checkout : str
         Directory of the source tree that the nodes run from; empty for the
         current one.
+
+    Attributes
+    ----------
+    steps_clocks : bool
+        Whether signals step the time of day of the nodes.
     """
 
     def __init__(
@@ -36,6 +41,10 @@
         super().__init__()
         self._link_rate_known = link_rate_known
         self._checkout = checkout
+        # Another source tree may not have the module.
+        self.steps_clocks = not checkout
+        if self.steps_clocks:
+            self.node_module = 'bench.soak.stepped_daemon'
         self._relay_url = ''
         self._source_port = 0
 
