Read the source for silent candidates only once the list is known

Cause: found in the read-through: a starting node that knows no list and whose first discovered parent is slow to answer would read whole trees, which the start by one cheap read avoids.

Change: the rule for silent candidates holds only with a list.

Result: 193 tests of topology, discovery and follower pass; none covers a start with silent parents yet.

--- a/medlarquay/tasks/parent_link_state.py
+++ b/medlarquay/tasks/parent_link_state.py
@@ -20,8 +20,8 @@
 # Longest time until a parent answers a probe, in seconds, before another one is
 # looked for beside it.
 _ANSWER_TIMEOUT_S = 0.5
-# Longest time until a new parent sends its first bytes, in seconds. Opening the
-# link and the first answer take three round trips.
+# Longest time until a new parent sends its first bytes, in seconds: those of the
+# handshake, two round trips after the connection attempt.
 _FIRST_ANSWER_TIMEOUT_S = 0.6
 # A parent may be behind or stale for this long, in seconds, because its own
 # parent may just have failed.
--- a/medlarquay/topology/choose_upstream.py
+++ b/medlarquay/topology/choose_upstream.py
@@ -49,7 +49,8 @@
         Parent and reading mode.
     """
     chosen = _choose_parent(state)
-    if state.silent_candidates and chosen.mode is states.ReadingMode.NONE:
+    reads_nothing = chosen.mode is states.ReadingMode.NONE
+    if state.members and state.silent_candidates and reads_nothing:
         # Trying one silent node after the other takes longer than a change
         # may take; until a parent answers, this node reads the source.
         chosen = dataclasses.replace(chosen, mode=states.ReadingMode.READER)
