--- a/medlarquay/daemon/node_reactor.py
+++ b/medlarquay/daemon/node_reactor.py
@@ -12,14 +12,14 @@
 
 
 class NodeReactor(epollreactor.EPollReactor):
-    """Reactor whose timers and ports neither drift nor spin.
+    """Reactor with monotonic timers and with ports that pause.
 
     Notes
     -----
     The reactor of Twisted measures its timers by the time of day. They would
     fire late or early by the step when that is set back or ahead, while all
-    deadlines of a node are on the monotonic clock. Its ports try without a wait
-    to accept connections for which there is no descriptor.
+    deadlines of a node are on the monotonic clock. Its ports try again without
+    a wait when there is no descriptor for a connection.
     """
 
     def __init__(self) -> None:
--- a/medlarquay/transport/accepting_port.py
+++ b/medlarquay/transport/accepting_port.py
@@ -47,8 +47,8 @@
     -----
     The port of the reactor tries again at once, since its socket stays
     readable while a connection waits: the process then uses all of its
-    processor time. That it closes connections in place of a reserved file does
-    not help where the limits of files and sockets are apart.
+    processor time. It closes a reserved file to accept and drop connections,
+    which does not help if files and sockets have separate limits.
     """
 
     def doRead(self) -> None:  # noqa: N802
