Bring every configuration that the store accepts into force

Cause: limits between the store and the routing table were chosen one by one, stricter than the store's: 4,000 routes, 1,000 services, 1,000,000 bytes of a translated document, which is up to six times as long as the value, 1 MB in messages and in differences between versions, 16 attempts, 600 s, 16 parts of a split, whole weights. The class: a limit on what another part has accepted.

Change: the limits follow from the largest value of the store, in one place (settings/limits.py). Numbers outside the product's ranges are translated to the nearest one that callers cannot tell apart; weights keep their proportions. A document beyond the size of a message part is a part of its own, so the largest fits into the frame limit of 2 MB as before. The history keeps one earlier record whatever its size, so that a change of a large document still travels as a difference.

--- a/bench/main.py
+++ b/bench/main.py
@@ -22,6 +22,7 @@
     'owner_choice_replay',
     'routing_cost',
     'snapshot_size',
+    'large_configuration',
     'failures',
 )
 
--- a/medlarquay/codec/decode.py
+++ b/medlarquay/codec/decode.py
@@ -14,7 +14,8 @@
 
 __all__ = ('MAX_FRAME_BYTES', 'decode')
 
-# In bytes. Values of the source are at most 1 MB, and so is the body of a call.
+# In bytes. The body of a call has at most 1 MB. So has a value of the source,
+# and a document translated from it is compressed to about that size.
 MAX_FRAME_BYTES = 1 << 21
 
 _STEP = 'decode message'
--- a/medlarquay/codec/tests/test_control_fuzz.py
+++ b/medlarquay/codec/tests/test_control_fuzz.py
@@ -7,7 +7,15 @@
 import pytest
 from hypothesis import strategies
 
-from medlarquay import codec, errors, ids, messages, replica, states
+from medlarquay import (
+    codec,
+    errors,
+    ids,
+    messages,
+    replica,
+    settings,
+    states,
+)
 
 _VECTOR = replica.VersionVector(
     tree_revision=ids.Revision(7),
@@ -199,10 +207,11 @@
     _decode_and_apply(b'\x82\x16' + malformed)
 
 
-@pytest.mark.parametrize('documents', [1, 6])
+@pytest.mark.parametrize('documents', [1, 2])
 def test_decompressed_size_is_bounded(documents: int) -> None:
     """Guards against a decompression bomb: a small message fills the memory."""
-    size = (1 << 20) + 1 if documents == 1 else 1 << 20
+    limit = settings.MAX_DOCUMENT_BYTES
+    size = limit + 1 if documents == 1 else limit
     packed = zlib.compress(bytes(size))
     team = ['agency', 1, bytes(32), 1, packed, '']
     frame = cbor2.dumps([22, [team] * documents, b'', 0, 0, 0, 0, b''])
--- a/medlarquay/platform/column_table.py
+++ b/medlarquay/platform/column_table.py
@@ -28,6 +28,14 @@
         """Return the fields of one entry by column."""
         return dict(zip(self.columns, self.rows[name], strict=True))
 
+    def column(self, column: str) -> list[Any]:
+        """Return a field of all entries that have it."""
+        if column not in self.columns:
+            return []
+        index = self.columns.index(column)
+        fields = (row[index] for row in self.rows.values())
+        return [field for field in fields if field is not None]
+
 
 def read_table(published: Any) -> ColumnTable:
     """Parse a published table.
--- a/medlarquay/platform/operators_document.py
+++ b/medlarquay/platform/operators_document.py
@@ -9,6 +9,7 @@
     column_table,
     duration,
     route_cache,
+    route_weights,
     store_body,
 )
 
@@ -83,16 +84,23 @@
     configuration: dict[str, Any],
     cache: route_cache.RouteCache,
 ) -> bytes:
+    routes = column_table.read_table(configuration['routes'])
+    # A service without a route gets no requests. The names alone of as many
+    # services as a value can hold would fill the memory of a node.
+    used = _used_services(routes)
+    declared = column_table.read_table(configuration['services']).rows
     services = json.dumps(
-        dict.fromkeys(
-            column_table.read_table(configuration['services']).rows, {}
-        ),
+        {name: {} for name in declared if name in used},
         separators=(',', ':'),
     )
-    routes = ','.join(
-        cache.render_routes(column_table.read_table(configuration['routes'])),
-    )
-    return f'{{"services":{services},"routes":[{routes}]}}'.encode()
+    rendered = ','.join(cache.render_routes(routes))
+    return f'{{"services":{services},"routes":[{rendered}]}}'.encode()
+
+
+def _used_services(routes: column_table.ColumnTable) -> frozenset[str]:
+    whole = routes.column('service')
+    parts = [part for split in routes.column('split') for part in split]
+    return frozenset((*whole, *(part['service'] for part in parts)))
 
 
 def _translate_route(entry: dict[str, Any]) -> dict[str, object]:
@@ -102,26 +110,34 @@
         'host': entry['host'].lower(),
         'path_prefix': entry['path_prefix'],
         'rank': _map_rank(entry['priority']).value,
-        'timeout_ms': duration.parse_duration_ms(
-            entry['timeout'],
-            field='timeout',
-        ),
-        'target_ms': duration.parse_duration_ms(
-            entry['target_latency'],
-            field='target_latency',
-        ),
+        'timeout_ms': max(1, _limited_ms(entry, 'timeout')),
+        'target_ms': _limited_ms(entry, 'target_latency'),
         'idempotent_methods': _METHODS if is_repeatable else [],
-        'attempts': entry['attempts'],
+        'attempts': _limited(entry['attempts'], settings.MAX_ATTEMPTS),
     }
     split = entry.get('split')
     if split is None:
         return {**route, 'service': entry['service']}
+    weights = route_weights.whole_weights([part['weight'] for part in split])
     parts = [
-        {'service': part['service'], 'weight': part['weight']} for part in split
+        {'service': part['service'], 'weight': weight}
+        for part, weight in zip(split, weights, strict=True)
     ]
     return {**route, 'split': parts}
 
 
+def _limited_ms(entry: dict[str, Any], field: str) -> int:
+    # The store sets no limit; above that of the product there is no difference
+    # to any caller.
+    published = duration.parse_duration_ms(entry[field], field=field)
+    return min(published, settings.MAX_TIMEOUT_MS)
+
+
+def _limited(published: Any, high: int) -> Any:
+    # The product rejects what is not a whole number, and names the field.
+    return min(published, high) if isinstance(published, int) else published
+
+
 def _map_rank(priority: int) -> states.Rank:
     # 0 is the most urgent; other priorities map to the nearest of three ranks.
     return _RANKS[max(0, min(priority, len(_RANKS) - 1))]
--- /dev/null
+++ b/medlarquay/platform/tests/test_largest_configuration.py
@@ -0,0 +1,160 @@
+"""Tests that the largest value of the store passes every limit after it."""
+
+import random
+from collections.abc import Callable
+
+import cbor2
+import pytest
+
+from medlarquay import codec, ids, messages, replica, settings, snapshots
+from medlarquay.platform import operators_document
+
+_TEAM = ids.TeamName(settings.SHARED_TEAM)
+_CHARACTERS = 'abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789-_'
+_COLUMNS = (
+    'name',
+    'host',
+    'path_prefix',
+    'service',
+    'kind',
+    'timeout',
+    'target_latency',
+    'attempts',
+    'priority',
+)
+_Row = list[object]
+
+
+def _usual_row(number: int, randomness: random.Random) -> _Row:
+    prefix = ''.join(randomness.choices(_CHARACTERS, k=16))
+    host = f'host-{number % 7}.example'
+    times = ('1200ms', '250ms')
+    return [f'r{number}', host, f'/{prefix}/', 'desk', 'repeat', *times, 2, 1]
+
+
+def _shortest_row(number: int, randomness: random.Random) -> _Row:
+    name = f'{number:x}'
+    kind = randomness.choice(('repeat', 'once'))
+    return [name, 'h', f'/{name}/', 'desk', kind, '1s', '1s', 1, 0]
+
+
+def _service_row(number: int, randomness: random.Random) -> _Row:
+    name = f'{number:x}'
+    return [name, 'h', f'/{name}/', name, 'once', '1s', '1s', 1, 0]
+
+
+def _encode(rows: list[_Row]) -> bytes:
+    services = sorted({str(row[3]) for row in rows})
+    return cbor2.dumps({
+        'version': 'r12',
+        'routes': {'columns': list(_COLUMNS), 'rows': rows},
+        'services': {
+            'columns': ['name'],
+            'rows': [[name] for name in services],
+        },
+        'limits': {},
+    })
+
+
+def _largest_rows(
+    build_row: Callable[[int, random.Random], _Row],
+) -> list[_Row]:
+    randomness = random.Random(1)  # noqa: S311
+    rows = [build_row(number, randomness) for number in range(60000)]
+    low, high = 1, len(rows)
+    while high - low > 1:
+        middle = (low + high) // 2
+        if len(_encode(rows[:middle])) <= settings.SOURCE_VALUE_BYTES:
+            low = middle
+        else:
+            high = middle
+    return rows[:low]
+
+
+def _read(node: replica.Replica, content: bytes, revision: int) -> None:
+    """Apply a published value as the reader of a region does."""
+    result = replica.apply_source(
+        node,
+        tree=replica.SourceTree.TEAMS,
+        after=node.vector.tree_revision,
+        revision=ids.Revision(revision),
+        entries=(
+            replica.SourceValue(
+                key=_TEAM,
+                revision=ids.Revision(revision),
+                content=operators_document.translate_configuration(content),
+            ),
+        ),
+    )
+    assert not result.rejections
+    assert not result.events
+
+
+def _send(parent: replica.Replica, child: replica.Replica) -> int:
+    """Send a child what it lacks; return the bytes on the link."""
+    sent = 0
+    for part in replica.split_delta(parent.delta_after(child.vector)):
+        frame = codec.encode(messages.Records(delta=part), now=0)
+        received = codec.decode(frame, now=0, peer='parent')
+        assert isinstance(received, messages.Records)
+        result = child.apply_delta(received.delta)
+        assert not result.events
+        sent += len(frame)
+    assert child.vector == parent.vector
+    return sent
+
+
+@pytest.mark.parametrize('build_row', [_usual_row, _shortest_row, _service_row])
+def test_largest_value_comes_into_force(
+    build_row: Callable[[int, random.Random], _Row],
+) -> None:
+    """Guards against a limit stricter than the one of the store.
+
+    More than 4,000 routes were rejected, and so was each later version.
+    """
+    rows = _largest_rows(build_row)
+    reader, child = replica.Replica(), replica.Replica()
+    _read(reader, _encode(rows), 1)
+    _send(reader, child)
+    rows[len(rows) // 2][5] = '9s'
+    _read(reader, _encode(rows), 2)
+    # One changed route of thousands travels as a difference.
+    assert _send(reader, child) < 1000
+    snapshot = snapshots.build_snapshot(
+        documents=child.documents,
+        instances=child.instances,
+        tree_revision=child.vector.tree_revision,
+        list_revision=child.vector.list_revision,
+    )
+    changed = rows[len(rows) // 2]
+    route = snapshots.match_route(
+        snapshot,
+        host=str(changed[1]).encode(),
+        target=f'{changed[2]}x'.encode(),
+    )
+    assert route is not None
+    assert route.parameters.timeout_ms == 9000
+
+
+@pytest.mark.parametrize(
+    ('column', 'published', 'field', 'expected'),
+    [
+        (7, 2000, 'attempts', 100),
+        (5, '1200s', 'timeout_ms', 1_200_000),
+        (5, '200000s', 'timeout_ms', 86_400_000),
+        (5, '0.2ms', 'timeout_ms', 1),
+        (6, '200000s', 'target_ms', 86_400_000),
+        (2, f'/{"a" * 2000}/', 'path_prefix', f'/{"a" * 2000}/'),
+    ],
+)
+def test_any_range_of_a_field_comes_into_force(
+    column: int, published: object, field: str, expected: object
+) -> None:
+    """Guards against rejecting a version because of one large number."""
+    row = _usual_row(1, random.Random(1))  # noqa: S311
+    row[column] = published
+    node = replica.Replica()
+    _read(node, _encode([row]), 1)
+    document = node.document(_TEAM)
+    assert document is not None
+    assert getattr(document.routes[0], field) == expected
--- a/medlarquay/replica/content_difference.py
+++ b/medlarquay/replica/content_difference.py
@@ -3,6 +3,7 @@
 import functools
 from collections.abc import Iterable, Iterator
 
+from medlarquay import settings
 from medlarquay.replica import content_edit
 
 __all__ = ('apply_edits', 'find_edits')
@@ -10,8 +11,6 @@
 # Separates the entries of a compact JSON array of objects. Documents in
 # another layout give longer, but correct differences.
 _BOUNDARY = b'},'
-#: The source holds values up to 1 MB.
-_MAX_BYTES = 1 << 20
 
 
 # Children at the same version request the same difference.
@@ -66,8 +65,8 @@
 ) -> bytes | None:
     """Build a document from a base document and edits.
 
-    The result is limited to 1 MB, the size of the largest document, which
-    bounds the memory that malformed edits can use.
+    The result is limited to the size of the largest document, which bounds
+    the memory that malformed edits can use.
 
     Returns
     -------
@@ -79,7 +78,7 @@
     for edit in edits:
         end = edit.start + edit.length
         size += edit.length + len(edit.inserted)
-        if end > len(base) or size > _MAX_BYTES:
+        if end > len(base) or size > settings.MAX_DOCUMENT_BYTES:
             return None
         parts.append(base[edit.start : end])
         parts.append(edit.inserted)
--- a/medlarquay/replica/record_history.py
+++ b/medlarquay/replica/record_history.py
@@ -11,6 +11,9 @@
 _MAX_RECORDS = 8
 # 4 MB of the 64 MB that a node may use in total.
 _MAX_BYTES = 1 << 22
+# Without an earlier record, each change of a large document would be sent whole
+# to each child.
+_MIN_RECORDS = 1
 
 
 class RecordHistory:
@@ -26,7 +29,7 @@
         """Add a replaced record and evict the oldest ones beyond the bounds."""
         self._records.append(record)
         self._bytes += len(record.content)
-        while len(self._records) > _MAX_RECORDS or self._bytes > _MAX_BYTES:
+        while self._exceeds_bounds():
             self._bytes -= len(self._records.popleft().content)
 
     def latest_up_to(
@@ -39,3 +42,9 @@
             if record.team == team and record.revision <= revision:
                 return record
         return None
+
+    def _exceeds_bounds(self) -> bool:
+        kept = len(self._records)
+        return kept > _MAX_RECORDS or (
+            kept > _MIN_RECORDS and self._bytes > _MAX_BYTES
+        )
--- a/medlarquay/replica/split.py
+++ b/medlarquay/replica/split.py
@@ -12,8 +12,8 @@
 
 __all__ = ('split_delta',)
 
-#: A part is closed once its documents reach this size. A document has at most
-#: 1 MB, so a part has at most about 2 MB before compression.
+#: Largest total of the documents of a part, before compression; a larger
+#: document is a part of its own, so that its frame has no room to share.
 _PART_BYTES = 1 << 20
 _PART_INSTANCES = 4096
 
@@ -62,11 +62,11 @@
     part: list[team_record.TeamRecord] = []
     size = 0
     for record in records:
-        part.append(record)
-        size += len(record.content)
-        if size >= _PART_BYTES:
+        if part and size + len(record.content) > _PART_BYTES:
             yield tuple(part)
             part = []
             size = 0
+        part.append(record)
+        size += len(record.content)
     if part:
         yield tuple(part)
--- a/medlarquay/settings/__init__.py
+++ b/medlarquay/settings/__init__.py
@@ -3,7 +3,14 @@
 from medlarquay.settings.document_field import DocumentField
 from medlarquay.settings.document_parser import DocumentParser
 from medlarquay.settings.http_method import HttpMethod
-from medlarquay.settings.limits import MAX_TIMEOUT_MS, SHARED_TEAM
+from medlarquay.settings.limits import (
+    MAX_ATTEMPTS,
+    MAX_DOCUMENT_BYTES,
+    MAX_TIMEOUT_MS,
+    MAX_WEIGHT,
+    SHARED_TEAM,
+    SOURCE_VALUE_BYTES,
+)
 from medlarquay.settings.parse_document import (
     parse_document,
     parse_incrementally,
@@ -17,8 +24,12 @@
 from medlarquay.settings.weighted_service import WeightedService
 
 __all__ = (
+    'MAX_ATTEMPTS',
+    'MAX_DOCUMENT_BYTES',
     'MAX_TIMEOUT_MS',
+    'MAX_WEIGHT',
     'SHARED_TEAM',
+    'SOURCE_VALUE_BYTES',
     'DocumentField',
     'DocumentParser',
     'HttpMethod',
--- a/medlarquay/settings/check_routes.py
+++ b/medlarquay/settings/check_routes.py
@@ -6,11 +6,13 @@
 from medlarquay.settings import (
     document_value,
     limits,
-    parse_route,
     route_settings,
+    route_templates,
 )
 
-__all__ = ('check_route', 'check_routes', 'sort_routes')
+__all__ = ('check_fields', 'check_routes', 'check_services', 'sort_routes')
+
+_TEMPLATES = route_templates.RouteTemplates()
 
 
 def check_routes(
@@ -41,7 +43,8 @@
     routes: dict[tuple[str, str], route_settings.RouteSettings] = {}
     entries = () if array is None else array.elements(limit=limits.MAX_ROUTES)
     for entry in entries:
-        route = check_route(entry, service_names=service_names)
+        route = check_fields(entry)
+        check_services(entry, route, service_names)
         key = (route.host, route.path_prefix)
         if key in routes:
             raise entry.error('must not repeat a host and path_prefix')
@@ -49,37 +52,32 @@
     return tuple(routes.values())
 
 
-def check_route(
+def check_fields(
     entry: document_value.DocumentValue,
-    *,
-    service_names: Container[ids.ServiceName],
 ) -> route_settings.RouteSettings:
-    """Validate one route, including the services that it names.
+    """Validate the fields of one route by themselves.
 
     Raises
     ------
     DocumentError
-        If a field is invalid or the route names a service that the document
-        does not define.
+        If a field is invalid.
     """
-    route = parse_route.parse_route(entry)
-    _check_services(entry, route, service_names)
-    return route
+    return _TEMPLATES.parse(entry)
 
 
-def sort_routes(
-    routes: Iterable[route_settings.RouteSettings],
-) -> tuple[route_settings.RouteSettings, ...]:
-    """Sort routes by host, and within a host by decreasing prefix length."""
-    return tuple(sorted(routes, key=_sort_key))
-
-
-def _check_services(
+def check_services(
     entry: document_value.DocumentValue,
     route: route_settings.RouteSettings,
     service_names: Container[ids.ServiceName],
 ) -> None:
-    for service in (route.service, *(part.service for part in route.split)):
+    """Check that a document defines the services that a route names.
+
+    Raises
+    ------
+    DocumentError
+        If it does not.
+    """
+    for service in route.services:
         if service not in service_names:
             raise document_value.DocumentValue(
                 team=entry.team,
@@ -88,5 +86,12 @@
             ).error('must name a service of the same team')
 
 
+def sort_routes(
+    routes: Iterable[route_settings.RouteSettings],
+) -> tuple[route_settings.RouteSettings, ...]:
+    """Sort routes by host, and within a host by decreasing prefix length."""
+    return tuple(sorted(routes, key=_sort_key))
+
+
 def _sort_key(route: route_settings.RouteSettings) -> tuple[str, int, str]:
     return (route.host, -len(route.path_prefix), route.path_prefix)
--- a/medlarquay/settings/limits.py
+++ b/medlarquay/settings/limits.py
@@ -29,20 +29,30 @@
     'MAX_TIMEOUT_MS',
     'MAX_WEIGHT',
     'SHARED_TEAM',
+    'SOURCE_VALUE_BYTES',
 )
 
-# The source stores values of at most 1 MB.
-MAX_DOCUMENT_BYTES = 1_000_000
+#: Largest value that the source stores, in bytes. The limits on documents,
+#: their messages and their differences follow from it: what the source accepts
+#: must come into force.
+SOURCE_VALUE_BYTES = 1 << 20
+# The platform publishes tables whose rows have no field names. Translated to
+# JSON, a table of shortest rows becomes six times as long.
+_MAX_TRANSLATION_RATIO = 8
+MAX_DOCUMENT_BYTES = SOURCE_VALUE_BYTES * _MAX_TRANSLATION_RATIO
 # Levels of nested arrays and objects; the schema needs 4.
 MAX_NESTING = 8
-# The planned fleet has 1,000 services in total. Without these limits a document
-# of 1 MB could hold 80,000 services, whose validation blocks the node for 3 s.
-MAX_SERVICES = 1000
-MAX_ROUTES = 4000
+# A published row of a route has at least nine fields, and no two rows have the
+# same name and prefix.
+_MIN_ROW_BYTES = 24
+MAX_ROUTES = SOURCE_VALUE_BYTES // _MIN_ROW_BYTES
+# A service without a route is not translated, so there are no more services.
+MAX_SERVICES = MAX_ROUTES
 # Maximum lengths of a DNS label and of a DNS name.
 MAX_NAME_LENGTH = 63
 MAX_HOST_LENGTH = 253
-MAX_PATH_PREFIX_LENGTH = 1024
+# A longer path does not fit into the header of a request.
+MAX_PATH_PREFIX_LENGTH = 16384
 
 DEFAULT_QUEUE_LIMIT = 64
 MAX_QUEUE_LIMIT = 4096
@@ -54,11 +64,12 @@
 #: routes may name any host, because no other team has a subtree there.
 SHARED_TEAM = 'operators'
 DEFAULT_ATTEMPTS = 3
-MAX_ATTEMPTS = 16
-MAX_SPLIT_PARTS = 16
+MAX_ATTEMPTS = 100
+MAX_SPLIT_PARTS = 1000
 MAX_WEIGHT = 1_000_000
 DEFAULT_TIMEOUT_MS = 2000
-MAX_TIMEOUT_MS = 600_000
+# A day; no caller waits longer.
+MAX_TIMEOUT_MS = 86_400_000
 
 #: Share of slot time of each rank of a service that states no floors. Without
 #: them a lasting overload of urgent requests would stop all other work. The
--- a/medlarquay/settings/load_document.py
+++ b/medlarquay/settings/load_document.py
@@ -82,13 +82,12 @@
 
 
 def _nests_deeper(tree: object, levels: int) -> bool:
-    level = [tree]
+    level = _containers((tree,))
     for _ in range(levels):
-        level = [member for parent in level for member in _members(parent)]
-    return any(isinstance(member, dict | list) for member in level)
+        level = [member for parent in level for member in _containers(parent)]
+    return bool(level)
 
 
-def _members(tree: object) -> Iterable[object]:
-    if isinstance(tree, dict):
-        return tree.values()
-    return tree if isinstance(tree, list) else ()
+def _containers(tree: Iterable[object]) -> list[Iterable[object]]:
+    members = tree.values() if isinstance(tree, dict) else tree
+    return [member for member in members if isinstance(member, dict | list)]
--- a/medlarquay/settings/parse_route.py
+++ b/medlarquay/settings/parse_route.py
@@ -14,7 +14,7 @@
     weighted_service,
 )
 
-__all__ = ('parse_route',)
+__all__ = ('parse_prefix', 'parse_route')
 
 _DNS_LABEL = '[a-z0-9]([a-z0-9-]*[a-z0-9])?'
 _HOST_PATTERN = re.compile(rf'{_DNS_LABEL}(\.{_DNS_LABEL})*')
@@ -48,7 +48,9 @@
         service = _parse_service(entry, fields)
     return route_settings.RouteSettings(
         host=_parse_host(fields[route_field.RouteField.HOST]),
-        path_prefix=_parse_prefix(fields),
+        path_prefix=parse_prefix(
+            fields.get(route_field.RouteField.PATH_PREFIX)
+        ),
         service=service,
         rank=_parse_rank(fields),
         timeout_ms=_parse_timeout(fields),
@@ -81,8 +83,14 @@
     raise entry.error(f'must end in .{entry.team}')
 
 
-def _parse_prefix(fields: _Fields) -> str:
-    entry = fields.get(route_field.RouteField.PATH_PREFIX)
+def parse_prefix(entry: document_value.DocumentValue | None) -> str:
+    """Validate the path prefix of a route; return the default for None.
+
+    Raises
+    ------
+    DocumentError
+        If it is not a prefix of paths.
+    """
     if entry is None:
         return limits.DEFAULT_PATH_PREFIX
     return entry.text(
--- a/medlarquay/settings/route_layout.py
+++ b/medlarquay/settings/route_layout.py
@@ -6,7 +6,7 @@
 
 from medlarquay.settings import document_field
 
-__all__ = ('RouteLayout', 'find_layout', 'skip_comma')
+__all__ = ('RouteLayout', 'find_first_route', 'find_layout', 'skip_comma')
 
 _SPACE = re.compile('[ \t\n\r]*')
 _DECODER = json.JSONDecoder()
@@ -29,14 +29,11 @@
     spans: tuple[tuple[int, int], ...]
 
     @property
-    def head(self) -> str:
-        """Text before the first route."""
-        return self.text[: self.spans[0][0]]
-
-    @property
-    def tail(self) -> str:
-        """Text after the last route."""
-        return self.text[self.spans[-1][1] :]
+    def frame(self) -> str:
+        """Text of the document without its routes."""
+        first_start, _ = self.spans[0]
+        _, last_end = self.spans[-1]
+        return self.text[:first_start] + self.text[last_end:]
 
     def text_of(self, first: int, last: int) -> str:
         """Return the text from one route to another, both included.
@@ -51,12 +48,30 @@
 
 def find_layout(text: str) -> RouteLayout | None:
     """Locate the routes of a valid document; return None if it has none."""
+    first = find_first_route(text)
+    return None if first is None else _layout_from(text, first)
+
+
+def find_first_route(text: str) -> int | None:
+    """Locate the first route of a document.
+
+    Returns
+    -------
+    int or None
+        Offset of the first character in the array of routes; None if there
+        is no such array.
+
+    Raises
+    ------
+    ValueError
+        If the text before the routes is malformed.
+    """
     offset: int | None = _skip_space(text, text.index('{') + 1)
     while offset is not None:
         name, end = _DECODER.raw_decode(text, offset)
         value_start = _skip_space(text, text.index(':', end) + 1)
         if name == document_field.DocumentField.ROUTES.value:
-            return _layout_from(text, _skip_space(text, value_start + 1))
+            return _inside_array(text, value_start)
         _, end = _DECODER.raw_decode(text, value_start)
         offset = skip_comma(text, end)
     return None
@@ -84,6 +99,10 @@
     return offset if match is None else match.end()
 
 
+def _inside_array(text: str, start: int) -> int | None:
+    return _skip_space(text, start + 1) if text[start] == '[' else None
+
+
 def _layout_from(text: str, first: int) -> RouteLayout:
     spans = []
     offset: int | None = first
--- a/medlarquay/settings/route_settings.py
+++ b/medlarquay/settings/route_settings.py
@@ -46,3 +46,8 @@
     split: tuple[weighted_service.WeightedService, ...] = ()
     attempts: int = limits.DEFAULT_ATTEMPTS
     target_ms: int = 0
+
+    @property
+    def services(self) -> tuple[ids.ServiceName, ...]:
+        """Services that the route names, some of them possibly twice."""
+        return (self.service, *(part.service for part in self.split))
