Show the versions of documents that are not in force

Seen: a rejected version showed in one log line of each node and in a count since the start. `show version` named its revision as if it were in force.

Change: the configuration task reports the records whose newest version was rejected. `medlarquay show rejected` and the page /rejected name the revision, the one in force and the reason; `show version` counts them, and the gauge medlarquay_documents_rejected is above 0 while there is one.

Evidence: test_rejected_versions.py (no such page before).

--- a/medlarquay/admin/admin.py
+++ b/medlarquay/admin/admin.py
@@ -69,6 +69,11 @@
     admin.node.snapshot = message.snapshot
 
 
+@_handle.register
+def _set_rejected(message: events.RejectionsChanged, admin: Admin) -> None:
+    admin.node.rejected = message.records
+
+
 @_handle.register
 def _set_confirmed(message: events.FreshnessConfirmed, admin: Admin) -> None:
     admin.node.confirmed_at = message.confirmed_at
--- a/medlarquay/admin/describe.py
+++ b/medlarquay/admin/describe.py
@@ -12,6 +12,7 @@
     'describe_health',
     'describe_members',
     'describe_readiness',
+    'describe_rejected',
     'describe_routes',
     'describe_version',
 )
@@ -45,6 +46,22 @@
         tree_revision=0 if current is None else current.tree_revision,
         list_revision=0 if current is None else current.list_revision,
         confirmed_ms_ago=_confirmed_ms_ago(node),
+        documents_rejected=len(node.rejected),
+    )
+
+
+def describe_rejected(
+    node: observed_node.ObservedNode,
+) -> tuple[views.RejectedView, ...]:
+    """Return the newest version of each document that is not in force."""
+    return tuple(
+        views.RejectedView(
+            team=record.team,
+            revision=record.revision,
+            revision_in_force=record.accepted_revision,
+            reason=record.rejection,
+        )
+        for record in node.rejected
     )
 
 
--- a/medlarquay/admin/observed_node.py
+++ b/medlarquay/admin/observed_node.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
-from medlarquay import messages, snapshots, states, telemetry
+from medlarquay import messages, replica, snapshots, states, telemetry
 
 __all__ = ('ObservedNode',)
 
@@ -29,6 +29,8 @@
     confirmed_at : float or None
         Latest time at which the source confirmed the configuration, in
         seconds on the monotonic clock.
+    rejected : tuple of TeamRecord
+        Records of the teams whose newest version was rejected.
     """
 
     hello: messages.Hello
@@ -38,3 +40,4 @@
     state: states.NodeState = states.NodeState.STARTING
     snapshot: snapshots.Snapshot | None = None
     confirmed_at: float | None = None
+    rejected: tuple[replica.TeamRecord, ...] = ()
--- a/medlarquay/admin/pages.py
+++ b/medlarquay/admin/pages.py
@@ -79,6 +79,11 @@
         """Show the active routes."""
         return self._stream(request, describe.describe_routes(self._node))
 
+    @app.route('/rejected', methods=_READ_METHODS)
+    def rejected(self, request: iweb.IRequest) -> bytes:
+        """Show the versions of documents that are not in force, and why."""
+        return _encode_page(request, describe.describe_rejected(self._node))
+
     @app.route('/members', methods=_READ_METHODS)
     def members(self, request: iweb.IRequest) -> defer.Deferred[bytes]:
         """Show the instance list."""
--- a/medlarquay/admin/tests/test_pages.py
+++ b/medlarquay/admin/tests/test_pages.py
@@ -95,7 +95,8 @@
     return task
 
 
-def _get(task: admin.Admin, path: str) -> tuple[int, bytes]:
+def get_page(task: admin.Admin, path: str) -> tuple[int, bytes]:
+    """Return status and content of a page, over an in-memory transport."""
     clock = fake.Clock()
     operator_pages = pages.Pages(node=task.node, reactor=clock)
     stub = treq_testing.StubTreq(operator_pages.app.resource())
@@ -115,22 +116,22 @@
 
 def test_starting_node_is_healthy_but_not_ready(task: admin.Admin) -> None:
     """Guards against calls sent to a node that would refuse all of them."""
-    assert _get(task, '/health')[0] == 200
-    status, content = _get(task, '/ready')
+    assert get_page(task, '/health')[0] == 200
+    status, content = get_page(task, '/ready')
     assert status == 503
     assert json.loads(content) == {'ready': False, 'state': 'starting'}
 
 
 def test_draining_node_is_not_ready(serving: admin.Admin) -> None:
     """Guards against calls sent to a node that is shutting down."""
-    assert _get(serving, '/ready')[0] == 200
+    assert get_page(serving, '/ready')[0] == 200
     serving.post(events.LifecycleChanged(state=states.NodeState.DRAINING))
-    assert _get(serving, '/ready')[0] == 503
+    assert get_page(serving, '/ready')[0] == 503
 
 
 def test_version_shows_revisions_and_age(serving: admin.Admin) -> None:
     """Guards against stale configuration that the page does not reveal."""
-    version = json.loads(_get(serving, '/version')[1])
+    version = json.loads(get_page(serving, '/version')[1])
     assert version['tree_revision'] == 7
     assert version['list_revision'] == 3
     assert version['confirmed_ms_ago'] == 250
@@ -138,12 +139,12 @@
 
 def test_routes_and_members_show_active_snapshot(serving: admin.Admin) -> None:
     """Guards against pages that show another than the active snapshot."""
-    routes = json.loads(_get(serving, '/routes')[1])
+    routes = json.loads(get_page(serving, '/routes')[1])
     assert [(route['path_prefix'], route['live']) for route in routes] == [
         ('/a', 1),
         ('/e', 0),
     ]
-    members = json.loads(_get(serving, '/members')[1])
+    members = json.loads(get_page(serving, '/members')[1])
     assert [member['instance'] for member in members] == ['i1']
 
 
@@ -156,19 +157,19 @@
         task.node.records.append(
             dataclasses.replace(record, status=number),
         )
-    entries = json.loads(_get(task, '/records')[1])
+    entries = json.loads(get_page(task, '/records')[1])
     assert [entry['status'] for entry in entries] == list(range(count))
 
 
 def test_counters_and_records_show_reasons(serving: admin.Admin) -> None:
     """Guards against a refusal missing from counters, records or metrics."""
-    assert json.loads(_get(serving, '/counters')[1]) == [
+    assert json.loads(get_page(serving, '/counters')[1]) == [
         {'counter': 'RefusalReason', 'reason': 'shed', 'count': 2},
     ]
-    records = json.loads(_get(serving, '/records')[1])
+    records = json.loads(get_page(serving, '/records')[1])
     assert records[0]['target'] == r'/approve/\xff'
     assert (records[0]['outcome'], records[0]['reason']) == ('not-run', 'shed')
-    metrics = _get(serving, '/metrics')[1].decode()
+    metrics = get_page(serving, '/metrics')[1].decode()
     assert 'medlarquay_refusals_total{reason="shed"} 2.0' in metrics
 
 
@@ -188,5 +189,5 @@
 ) -> None:
     """Guards against an explanation other than what a real call would get."""
     path = f'/explain?host=x.agency:80&target={target}&method=POST'
-    explained = json.loads(_get(serving, path)[1])
+    explained = json.loads(get_page(serving, path)[1])
     assert (explained['refusal'], explained['service']) == (refusal, service)
--- a/medlarquay/admin/views/__init__.py
+++ b/medlarquay/admin/views/__init__.py
@@ -7,6 +7,7 @@
 from medlarquay.admin.views.member_view import MemberView
 from medlarquay.admin.views.ready_view import ReadyView
 from medlarquay.admin.views.record_view import RecordView
+from medlarquay.admin.views.rejected_view import RejectedView
 from medlarquay.admin.views.route_view import RouteView
 from medlarquay.admin.views.version_view import VersionView
 
@@ -17,6 +18,7 @@
     'MemberView',
     'ReadyView',
     'RecordView',
+    'RejectedView',
     'RouteView',
     'VersionView',
     'decode_view',
--- a/medlarquay/admin/views/version_view.py
+++ b/medlarquay/admin/views/version_view.py
@@ -22,6 +22,8 @@
         Time since the source last confirmed the configuration, in
         milliseconds; None if it has not confirmed it since the node started
         or was paused.
+    documents_rejected : int
+        Number of documents whose newest version is not in force.
     """
 
     instance: str
@@ -32,3 +34,4 @@
     tree_revision: int
     list_revision: int
     confirmed_ms_ago: int | None
+    documents_rejected: int
--- a/medlarquay/cli/fetch_views.py
+++ b/medlarquay/cli/fetch_views.py
@@ -18,6 +18,7 @@
 
 _VIEWS: Mapping[show_topic.ShowTopic, type[object]] = MappingProxyType({
     show_topic.ShowTopic.VERSION: views.VersionView,
+    show_topic.ShowTopic.REJECTED: views.RejectedView,
     show_topic.ShowTopic.ROUTES: views.RouteView,
     show_topic.ShowTopic.MEMBERS: views.MemberView,
     show_topic.ShowTopic.COUNTERS: views.CounterView,
--- a/medlarquay/cli/show_topic.py
+++ b/medlarquay/cli/show_topic.py
@@ -9,6 +9,7 @@
     """What ``medlarquay show`` can show; the value is the page."""
 
     VERSION = 'version'
+    REJECTED = 'rejected'
     ROUTES = 'routes'
     MEMBERS = 'members'
     COUNTERS = 'counters'
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -114,6 +114,7 @@
         ),
     )
     distribution_tasks.relay.uplink = calls.uplink
+    distribution_tasks.configuration.rejection_subscribers += (admin_task,)
     peers = peer_listener.PeerListener(
         acceptors={
             peer_links.CALL_PATH: calls.links,
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -39,6 +39,7 @@
 from medlarquay.events.queue_frame import QueueFrame
 from medlarquay.events.reading_chosen import ReadingChosen
 from medlarquay.events.records_received import RecordsReceived
+from medlarquay.events.rejections_changed import RejectionsChanged
 from medlarquay.events.reload_requested import ReloadRequested
 from medlarquay.events.replica_changed import ReplicaChanged
 from medlarquay.events.request_received import RequestReceived
@@ -80,6 +81,7 @@
     'FreshnessReceived',
     'PeerVersion',
     'SourceChanged',
+    'RejectionsChanged',
     'ReloadRequested',
     'ReplicaChanged',
     'DeltaRequested',
--- a/medlarquay/states/__init__.py
+++ b/medlarquay/states/__init__.py
@@ -10,6 +10,7 @@
 from medlarquay.states.fragment_kind import FragmentKind
 from medlarquay.states.instance_state import InstanceState
 from medlarquay.states.listing_state import ListingState
+from medlarquay.states.node_gauge import NodeGauge
 from medlarquay.states.node_part import NodePart
 from medlarquay.states.node_state import NodeState
 from medlarquay.states.outcome import Outcome
@@ -32,6 +33,7 @@
     'ReplicaEvent',
     'RecordSide',
     'ListingState',
+    'NodeGauge',
     'NodePart',
     'BackendState',
     'InstanceState',
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -53,6 +53,8 @@
         Receive ``ReplicaChanged``, also before the node may serve.
     relay : Task or None
         Receives ``DeltaReady``.
+    rejection_subscribers : tuple of Task
+        Receive ``RejectionsChanged``.
     read_at : dict of SourceTree to float
         When the latest read of each tree was sent, seconds on the monotonic
         clock; empty after a pause of the process.
@@ -76,6 +78,7 @@
         self.counters = counters
         self.distribution: tuple[task.Task, ...] = ()
         self.relay: task.Task | None = None
+        self.rejection_subscribers: tuple[task.Task, ...] = ()
         self.read_at: dict[replica.SourceTree, float] = {}
         self._subscribers = subscribers
         self._freshness_subscribers = freshness_subscribers
@@ -86,6 +89,7 @@
         # Whether the replica has changes that no snapshot was published for.
         self._unpublished = False
         self._unreported: received_change.ReceivedChange | None = None
+        self._rejected: tuple[replica.TeamRecord, ...] = ()
 
     def receive(self, message: object) -> None:
         """Handle one message."""
@@ -146,6 +150,8 @@
             self._log.warning('rejected a record: {}', reason)
         if not result.has_changes:
             return
+        if result.teams:
+            self._report_rejections()
         self._unpublished = True
         if self._unreported is not None:
             received.merge_earlier(self._unreported)
@@ -184,6 +190,19 @@
         ):
             self._report_freshness()
 
+    def _report_rejections(self) -> None:
+        rejected = tuple(
+            record for record in self.replica.teams if record.rejection
+        )
+        if rejected == self._rejected:
+            return
+        self._rejected = rejected
+        self.counters.set_gauge(
+            states.NodeGauge.DOCUMENTS_REJECTED, len(rejected)
+        )
+        for subscriber in self.rejection_subscribers:
+            subscriber.post(events.RejectionsChanged(records=rejected))
+
     def _report_freshness(self) -> None:
         confirmation = events.FreshnessConfirmed(
             confirmed_at=self.freshness.confirmed_at,
--- a/medlarquay/telemetry/exporter.py
+++ b/medlarquay/telemetry/exporter.py
@@ -6,6 +6,7 @@
 
 from medlarquay.telemetry import (
     counters,
+    gauge_collector,
     histogram_collector,
     instruments,
 )
@@ -36,6 +37,7 @@
                 node_histograms=counts.histograms
             ),
         )
+        self._registry.register(gauge_collector.GaugeCollector(counts=counts))
         self._provider = metrics.MeterProvider(
             metric_readers=[
                 prometheus.PrometheusMetricReader(
