Keep a node without an accepted configuration out of service

The class: "nothing is known" and "there is nothing" were one state.

Change: the floor asks for an accepted document. A node whose last document is deleted returns to the state starting and is not ready. An accepted document without routes stays a configuration. A node that lacks an accepted version asks peers for all records, since the reader of a region follows nobody who could send it one.

--- a/medlarquay/admin/explain_routing.py
+++ b/medlarquay/admin/explain_routing.py
@@ -32,17 +32,21 @@
     )
     if node.snapshot is None:
         return explained
+    hostname = host.partition(':')[0]
     route = snapshots.match_route(
         node.snapshot,
-        host=host.partition(':')[0].encode(),
+        host=hostname.encode(),
         target=target.encode(),
     )
     explained = dataclasses.replace(
         explained,
         tree_revision=node.snapshot.tree_revision,
-        refusal=states.RefusalReason.NO_ROUTE.value,
     )
     if route is None:
+        if node.snapshot.is_configured(hostname.lower()):
+            return dataclasses.replace(
+                explained, refusal=states.RefusalReason.NO_ROUTE.value
+            )
         return explained
     return _explain_match(explained, node.snapshot, route)
 
--- a/medlarquay/daemon/distribution.py
+++ b/medlarquay/daemon/distribution.py
@@ -138,6 +138,7 @@
             links=runtime.links,
             hello=hello,
             clock=runtime.clock,
+            randomness=runtime.randomness,
         ),
         peers=peers,
     )
@@ -172,6 +173,7 @@
         built.discovery.membership = built.membership
     built.survey.configuration = built.configuration
     built.configuration.relay = built.relay
+    built.configuration.rejection_subscribers = (built.survey,)
     # The relay forwards a change to the children before this node applies it.
     built.configuration.distribution = (
         built.follower,
--- a/medlarquay/daemon/lifecycle.py
+++ b/medlarquay/daemon/lifecycle.py
@@ -132,7 +132,10 @@
 
 @_handle.register
 def _replaced(message: events.SnapshotReplaced, lifecycle: Lifecycle) -> None:
-    lifecycle.machine.configure()
+    if message.snapshot.documents:
+        lifecycle.machine.configure()
+    else:
+        lifecycle.machine.unconfigure()
 
 
 @_handle.register
--- a/medlarquay/daemon/lifecycle_inputs.py
+++ b/medlarquay/daemon/lifecycle_inputs.py
@@ -11,6 +11,9 @@
     def configure(self) -> None:
         """A configuration is in force."""
 
+    def unconfigure(self) -> None:
+        """No configuration is in force any more."""
+
     def drain(self) -> None:
         """A graceful stop is requested."""
 
--- a/medlarquay/daemon/lifecycle_machine.py
+++ b/medlarquay/daemon/lifecycle_machine.py
@@ -1,6 +1,7 @@
 """The state machine of a node's lifecycle."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
 
 import automat
 
@@ -27,28 +28,40 @@
     stopped = builder.state(states.NodeState.STOPPED.value)
 
     starting.upon(_Inputs.configure).to(serving)(_serve)
+    serving.upon(_Inputs.unconfigure).to(starting)(_start_again)
     for accepting in (starting, serving):
         accepting.upon(_Inputs.drain).to(draining)(_drain)
         accepting.upon(_Inputs.finish).loop().returns(None)
     draining.upon(_Inputs.flush).to(flushing)(_flush)
     for state, stop in ((draining, _flush_and_stop), (flushing, _stop)):
         state.upon(_Inputs.finish).to(stopped)(stop)
-    for state in (serving, draining, flushing, stopped):
-        state.upon(_Inputs.configure).loop().returns(None)
-    # A second signal does not shorten the drain, since a graceful stop must not
-    # abort requests in flight.
-    for state in (draining, flushing, stopped):
-        state.upon(_Inputs.drain).loop().returns(None)
-    for state in (flushing, stopped):
-        state.upon(_Inputs.flush).loop().returns(None)
-    stopped.upon(_Inputs.finish).loop().returns(None)
+    stopping = (draining, flushing, stopped)
+    _ignore_repeated({
+        _Inputs.configure: (serving, *stopping),
+        _Inputs.unconfigure: (starting, *stopping),
+        # A second signal does not shorten the drain, since a graceful stop must
+        # not abort requests in flight.
+        _Inputs.drain: stopping,
+        _Inputs.flush: (flushing, stopped),
+        _Inputs.finish: (stopped,),
+    })
     return builder.build()
 
 
+def _ignore_repeated(in_states: Mapping[Any, Iterable[Any]]) -> None:
+    for command, ignoring in in_states.items():
+        for state in ignoring:
+            state.upon(command).loop().returns(None)
+
+
 def _serve(inputs: _Inputs, effects: _Effects) -> None:
     effects.enter(states.NodeState.SERVING)
 
 
+def _start_again(inputs: _Inputs, effects: _Effects) -> None:
+    effects.enter(states.NodeState.STARTING)
+
+
 def _drain(inputs: _Inputs, effects: _Effects) -> None:
     effects.enter(states.NodeState.DRAINING)
     effects.start_drain()
--- a/medlarquay/daemon/tests/test_lifecycle.py
+++ b/medlarquay/daemon/tests/test_lifecycle.py
@@ -3,10 +3,15 @@
 import pytest
 from twisted.internet import task as fake
 
-from medlarquay import events, ids, snapshots, states
+from medlarquay import events, ids, settings, snapshots, states
 from medlarquay.daemon import lifecycle
 from medlarquay.tasks import task
 
+_DOCUMENT = settings.parse_document(
+    team=ids.TeamName('agency'),
+    content=b'{}',
+)
+
 
 class _Reactor(fake.Clock):
     """Fake reactor that counts how often it is stopped."""
@@ -53,16 +58,20 @@
         return [message.state for message in self.observer.messages]
 
 
-@pytest.fixture
-def node() -> _Node:
-    """Return a node in the state *serving*."""
-    serving = _Node()
-    snapshot = snapshots.build_snapshot(
-        documents=(),
+def _snapshot(*documents: settings.TeamDocument) -> snapshots.Snapshot:
+    return snapshots.build_snapshot(
+        documents=documents,
         instances=(),
         tree_revision=ids.Revision(1),
         list_revision=ids.Revision(1),
     )
+
+
+@pytest.fixture
+def node() -> _Node:
+    """Return a node in the state *serving*."""
+    serving = _Node()
+    snapshot = _snapshot(_DOCUMENT)
     serving.lifecycle_task.post(events.SnapshotReplaced(snapshot=snapshot))
     serving.lifecycle_task.post(events.SnapshotReplaced(snapshot=snapshot))
     assert serving.entered == [states.NodeState.SERVING]
@@ -140,3 +149,14 @@
     _finish(node, *states.NodePart)
     node.reactor.advance(100)
     assert node.reactor.stops == 0
+
+
+def test_node_without_any_document_is_not_in_service(node: _Node) -> None:
+    """Guards against a node that is ready and answers 404 to everything."""
+    node.lifecycle_task.post(events.SnapshotReplaced(snapshot=_snapshot()))
+    node.lifecycle_task.post(events.SnapshotReplaced(snapshot=_snapshot()))
+    assert node.entered[1:] == [states.NodeState.STARTING]
+    node.lifecycle_task.post(
+        events.SnapshotReplaced(snapshot=_snapshot(_DOCUMENT))
+    )
+    assert node.entered[2:] == [states.NodeState.SERVING]
--- a/medlarquay/ingress/open_call.py
+++ b/medlarquay/ingress/open_call.py
@@ -44,13 +44,17 @@
         refusal.
     """
     snapshot = table.snapshot
-    if snapshot is None:
+    if snapshot is None or not snapshot.documents:
         return _refuse(states.RefusalReason.NO_CONFIGURATION)
     if message.target.partition(b'?')[0] == routing.KEY_PATH:
         opened = _open_key(message, snapshot, _host(message))
     else:
         opened = _open_route(message, table, round_robin, now)
-    return _no_route(table, now) if opened is None else opened
+    if opened is not None:
+        return opened
+    if snapshot.is_configured(_host(message).decode(errors='replace')):
+        return _no_route(table, now)
+    return _refuse(states.RefusalReason.NO_CONFIGURATION)
 
 
 def _open_route(
--- a/medlarquay/replica/floor.py
+++ b/medlarquay/replica/floor.py
@@ -65,6 +65,7 @@
         self,
         *,
         held: version_vector.VersionVector,
+        has_document: bool,
         confirmed_at: float,
         now: float,
     ) -> bool:
@@ -77,6 +78,10 @@
         ----------
         held : VersionVector
             Version vector that the node holds.
+        has_document : bool
+            Whether the node holds an accepted document. Without one it knows
+            no configuration, also if it has read the newest version and
+            rejected it.
         confirmed_at : float
             Latest time at which that version was current, in seconds on the
             monotonic clock; -inf if unknown.
@@ -90,8 +95,9 @@
         # unreachable, and the newest version of the peers is the best one
         # available.
         timed_out = now >= self._startup_deadline and self._answers > 0
+        is_configured = has_document and held.tree_revision > ids.Revision(0)
         self._reached = (
-            held.tree_revision > ids.Revision(0)
+            is_configured
             and held.covers(self._floor)
             and not self._pending
             and (fresh or timed_out)
--- a/medlarquay/replica/replica.py
+++ b/medlarquay/replica/replica.py
@@ -50,6 +50,20 @@
         """Accepted documents."""
         return self._teams.documents
 
+    @property
+    def has_document(self) -> bool:
+        """Whether an accepted document of any team is held."""
+        return any(True for _ in self._teams.documents)
+
+    @property
+    def unknown_teams(self) -> frozenset[ids.TeamName]:
+        """Teams of which a version was rejected and none is accepted."""
+        return frozenset(
+            record.team
+            for record in self._teams
+            if record.rejection and not record.accepted_revision
+        )
+
     @property
     def teams(self) -> Iterator[team_record.TeamRecord]:
         """Team records, deleted teams included."""
--- a/medlarquay/replica/tests/test_joins.py
+++ b/medlarquay/replica/tests/test_joins.py
@@ -204,11 +204,17 @@
     old = replica.VersionVector(tree_revision=ids.Revision(5))
     new = replica.VersionVector(tree_revision=ids.Revision(7))
     floor.record_answer('a', new)
-    assert not floor.may_serve(held=new, confirmed_at=1, now=1)
+    assert not floor.may_serve(
+        held=new, has_document=True, confirmed_at=1, now=1
+    )
     floor.record_failure('b')
-    assert not floor.may_serve(held=old, confirmed_at=1, now=1)
-    assert not floor.may_serve(held=new, confirmed_at=-6, now=1)
-    assert floor.may_serve(held=new, confirmed_at=-6, now=3)
+    assert not floor.may_serve(
+        held=old, has_document=True, confirmed_at=1, now=1
+    )
+    assert not floor.may_serve(
+        held=new, has_document=True, confirmed_at=-6, now=1
+    )
+    assert floor.may_serve(held=new, has_document=True, confirmed_at=-6, now=3)
 
 
 def test_isolated_node_does_not_serve() -> None:
@@ -216,7 +222,9 @@
     floor = replica.Floor(peers=('a',), startup_deadline=3)
     floor.record_failure('a')
     held = replica.VersionVector(tree_revision=ids.Revision(5))
-    assert not floor.may_serve(held=held, confirmed_at=float('-inf'), now=99)
+    assert not floor.may_serve(
+        held=held, has_document=True, confirmed_at=float('-inf'), now=99
+    )
 
 
 def test_answer_to_read_before_pause_does_not_confirm() -> None:
--- a/medlarquay/settings/__init__.py
+++ b/medlarquay/settings/__init__.py
@@ -2,6 +2,7 @@
 
 from medlarquay.settings.document_field import DocumentField
 from medlarquay.settings.document_parser import DocumentParser
+from medlarquay.settings.host_owner import may_use_host
 from medlarquay.settings.http_method import HttpMethod
 from medlarquay.settings.limits import (
     MAX_ATTEMPTS,
@@ -40,6 +41,7 @@
     'ServiceSettings',
     'TeamDocument',
     'WeightedService',
+    'may_use_host',
     'parse_document',
     'parse_incrementally',
 )
--- a/medlarquay/settings/parse_route.py
+++ b/medlarquay/settings/parse_route.py
@@ -5,13 +5,13 @@
 from medlarquay import ids, states
 from medlarquay.settings import (
     document_value,
+    host_owner,
     http_method,
     limits,
     parse_service,
+    parse_split,
     route_field,
     route_settings,
-    split_field,
-    weighted_service,
 )
 
 __all__ = ('parse_prefix', 'parse_route')
@@ -41,7 +41,7 @@
     fields = entry.fields(route_field.RouteField)
     if route_field.RouteField.HOST not in fields:
         raise entry.error('must have the field host')
-    split = _parse_split(fields)
+    split = parse_split.parse_split(fields.get(route_field.RouteField.SPLIT))
     if split:
         service = split[0].service
     else:
@@ -77,8 +77,7 @@
         length=limits.MAX_HOST_LENGTH,
         rule='must be a host name in lower case without port',
     )
-    any_host_allowed = entry.team == limits.SHARED_TEAM
-    if any_host_allowed or host.endswith(f'.{entry.team}'):
+    if host_owner.may_use_host(entry.team, host):
         return host
     raise entry.error(f'must end in .{entry.team}')
 
@@ -107,17 +106,7 @@
     name_value = fields.get(route_field.RouteField.SERVICE)
     if name_value is None:
         raise entry.error('must have the field service or split')
-    return _service_name(name_value)
-
-
-def _service_name(entry: document_value.DocumentValue) -> ids.ServiceName:
-    return ids.ServiceName(
-        entry.text(
-            parse_service.NAME_PATTERN,
-            length=limits.MAX_NAME_LENGTH,
-            rule=parse_service.NAME_RULE,
-        ),
-    )
+    return parse_service.parse_reference(name_value)
 
 
 def _parse_rank(fields: _Fields) -> states.Rank:
@@ -146,36 +135,6 @@
     return default if entry is None else entry.integer(low=low, high=high)
 
 
-def _parse_split(
-    fields: _Fields,
-) -> tuple[weighted_service.WeightedService, ...]:
-    entry = fields.get(route_field.RouteField.SPLIT)
-    if entry is None:
-        return ()
-    parts = tuple(
-        _parse_split_part(part)
-        for part in entry.elements(limit=limits.MAX_SPLIT_PARTS)
-    )
-    if not any(part.weight for part in parts):
-        raise entry.error('must have a part with a weight above 0')
-    return tuple(part for part in parts if part.weight)
-
-
-def _parse_split_part(
-    entry: document_value.DocumentValue,
-) -> weighted_service.WeightedService:
-    fields = entry.fields(split_field.SplitField)
-    if len(fields) < len(split_field.SplitField):
-        raise entry.error('must have the fields service and weight')
-    return weighted_service.WeightedService(
-        service=_service_name(fields[split_field.SplitField.SERVICE]),
-        weight=fields[split_field.SplitField.WEIGHT].integer(
-            low=0,
-            high=limits.MAX_WEIGHT,
-        ),
-    )
-
-
 def _parse_methods(fields: _Fields) -> tuple[str, ...]:
     entry = fields.get(route_field.RouteField.IDEMPOTENT_METHODS)
     if entry is None:
--- a/medlarquay/settings/parse_service.py
+++ b/medlarquay/settings/parse_service.py
@@ -11,7 +11,7 @@
     service_settings,
 )
 
-__all__ = ('NAME_PATTERN', 'NAME_RULE', 'parse_service')
+__all__ = ('NAME_PATTERN', 'NAME_RULE', 'parse_reference', 'parse_service')
 
 NAME_PATTERN = re.compile('[a-z0-9]([a-z0-9-]*[a-z0-9])?')
 NAME_RULE = (
@@ -53,17 +53,18 @@
     )
 
 
-def _check_name(
-    name: str,
+def parse_reference(
     entry: document_value.DocumentValue,
 ) -> ids.ServiceName:
-    name_value = document_value.DocumentValue(
-        team=entry.team,
-        path=f'name of {entry.path}',
-        content=name,
-    )
+    """Validate the name of a service to which a route refers.
+
+    Raises
+    ------
+    DocumentError
+        If it is not a name.
+    """
     return ids.ServiceName(
-        name_value.text(
+        entry.text(
             NAME_PATTERN,
             length=limits.MAX_NAME_LENGTH,
             rule=NAME_RULE,
@@ -71,6 +72,19 @@
     )
 
 
+def _check_name(
+    name: str,
+    entry: document_value.DocumentValue,
+) -> ids.ServiceName:
+    return parse_reference(
+        document_value.DocumentValue(
+            team=entry.team,
+            path=f'name of {entry.path}',
+            content=name,
+        ),
+    )
+
+
 def _parse_floors(
     entry: document_value.DocumentValue | None,
 ) -> tuple[tuple[states.Rank, float], ...]:
--- a/medlarquay/snapshots/apply.py
+++ b/medlarquay/snapshots/apply.py
@@ -67,6 +67,7 @@
         routes=routes,
         services=services,
         documents=documents,
+        unknown_teams=change.unknown_teams,
         instances=instances,
     )
 
--- a/medlarquay/snapshots/build.py
+++ b/medlarquay/snapshots/build.py
@@ -7,6 +7,8 @@
 
 __all__ = ('build_snapshot',)
 
+_NO_TEAMS: frozenset[ids.TeamName] = frozenset()
+
 
 def build_snapshot(
     *,
@@ -14,6 +16,7 @@
     instances: Iterable[replica.InstanceRecord],
     tree_revision: ids.Revision,
     list_revision: ids.Revision,
+    unknown_teams: frozenset[ids.TeamName] = _NO_TEAMS,
 ) -> snapshot.Snapshot:
     """Build a snapshot from all valid documents and instances.
 
@@ -25,6 +28,8 @@
         Instance list; tombstones are left out.
     tree_revision, list_revision : Revision
         Revisions of the settings tree and of the instance list.
+    unknown_teams : frozenset of TeamName
+        Teams of which a version was rejected and none is accepted.
 
     Returns
     -------
@@ -48,6 +53,7 @@
             tree_revision=tree_revision,
             list_revision=list_revision,
             documents=tuple(documents),
+            unknown_teams=unknown_teams,
             instances=tuple(instances),
         ),
     )
--- a/medlarquay/snapshots/snapshot.py
+++ b/medlarquay/snapshots/snapshot.py
@@ -33,6 +33,9 @@
         Services by team and name.
     documents : Mapping[ids.TeamName, settings.TeamDocument]
         Documents from which the routes and services were built.
+    unknown_teams : frozenset of TeamName
+        Teams of which a version was rejected and none is accepted, so that
+        their routes are not known.
     instances : instance_list.InstanceList
         Instance list from which the backend servers were taken.
     """
@@ -44,10 +47,23 @@
     documents: Mapping[ids.TeamName, settings.TeamDocument] = dataclasses.field(
         default_factory=dict
     )
+    unknown_teams: frozenset[ids.TeamName] = frozenset()
     instances: instance_list.InstanceList = dataclasses.field(
         default_factory=instance_list.InstanceList
     )
 
+    def is_configured(self, host: str) -> bool:
+        """Return whether all routes that a host may have are known.
+
+        Parameters
+        ----------
+        host : str
+            Host in lower case without port.
+        """
+        return bool(self.documents) and not any(
+            settings.may_use_host(team, host) for team in self.unknown_teams
+        )
+
     def backends(
         self, target: service.Service
     ) -> tuple[replica.InstanceRecord, ...]:
--- a/medlarquay/snapshots/snapshot_change.py
+++ b/medlarquay/snapshots/snapshot_change.py
@@ -20,6 +20,8 @@
         New and changed documents.
     removed_teams : tuple of TeamName
         Teams whose document was removed.
+    unknown_teams : frozenset of TeamName
+        All teams of which no version is accepted, after the change.
     instances : tuple of InstanceRecord
         New and changed records; a tombstone removes its instance.
     removed_instances : tuple of InstanceId
@@ -30,5 +32,6 @@
     list_revision: ids.Revision
     documents: tuple[settings.TeamDocument, ...] = ()
     removed_teams: tuple[ids.TeamName, ...] = ()
+    unknown_teams: frozenset[ids.TeamName] = frozenset()
     instances: tuple[replica.InstanceRecord, ...] = ()
     removed_instances: tuple[ids.InstanceId, ...] = ()
--- a/medlarquay/tasks/configuration.py
+++ b/medlarquay/tasks/configuration.py
@@ -214,6 +214,7 @@
     def _publish_when_allowed(self) -> None:
         if self._unpublished and self.floor.may_serve(
             held=self.replica.vector,
+            has_document=self.replica.has_document,
             confirmed_at=self.freshness.confirmed_at,
             now=self._clock(),
         ):
--- a/medlarquay/tasks/snapshot_builder.py
+++ b/medlarquay/tasks/snapshot_builder.py
@@ -86,6 +86,7 @@
             list_revision=current_replica.vector.list_revision,
             documents=tuple(documents),
             removed_teams=tuple(removed),
+            unknown_teams=current_replica.unknown_teams,
             instances=tuple(
                 record
                 for record in records
@@ -103,4 +104,5 @@
         instances=current_replica.instances,
         tree_revision=current_replica.vector.tree_revision,
         list_revision=current_replica.vector.list_revision,
+        unknown_teams=current_replica.unknown_teams,
     )
--- a/medlarquay/tasks/tests/test_snapshot_builder.py
+++ b/medlarquay/tasks/tests/test_snapshot_builder.py
@@ -85,6 +85,7 @@
                 instances=local_replica.instances,
                 tree_revision=local_replica.vector.tree_revision,
                 list_revision=local_replica.vector.list_revision,
+                unknown_teams=local_replica.unknown_teams,
             )
 
 
--- a/medlarquay/topology/members.py
+++ b/medlarquay/topology/members.py
@@ -49,6 +49,11 @@
         """Nodes of each region, in the distribution order."""
         return self._regions
 
+    @property
+    def peers(self) -> list[peer.Peer]:
+        """Nodes of all regions."""
+        return [node for nodes in self._regions.values() for node in nodes]
+
     def includes(self, node: peer.Peer) -> bool:
         """Return whether a node is listed in its region."""
         return node in self._regions.get(node.region, [])
