Translate services without a route too, unless there are too many

Without this, an owner whose service lost its last route did not see changes of its own entry, a planned stop among them. Found on reading; the limit stays for values of more than 43,690 services (test_largest_configuration.py, where a value of 140,000 services is accepted).

--- a/medlarquay/platform/operators_document.py
+++ b/medlarquay/platform/operators_document.py
@@ -85,14 +85,13 @@
     cache: route_cache.RouteCache,
 ) -> bytes:
     routes = column_table.read_table(configuration['routes'])
-    # A service without a route gets no requests. The names alone of as many
-    # services as a value can hold would fill the memory of a node.
-    used = _used_services(routes)
-    declared = column_table.read_table(configuration['services']).rows
-    services = json.dumps(
-        {name: {} for name in declared if name in used},
-        separators=(',', ':'),
-    )
+    declared = list(column_table.read_table(configuration['services']).rows)
+    if len(declared) > settings.MAX_SERVICES:
+        # A service without a route gets no requests. The names alone of as
+        # many services as a value can hold would fill the memory of a node.
+        used = _used_services(routes)
+        declared = [name for name in declared if name in used]
+    services = json.dumps(dict.fromkeys(declared, {}), separators=(',', ':'))
     rendered = ','.join(cache.render_routes(routes))
     return f'{{"services":{services},"routes":[{rendered}]}}'.encode()
 
--- a/medlarquay/platform/tests/test_largest_configuration.py
+++ b/medlarquay/platform/tests/test_largest_configuration.py
@@ -136,6 +136,26 @@
     assert route.parameters.timeout_ms == 9000
 
 
+def test_largest_number_of_services_comes_into_force() -> None:
+    """Guards against a value of mostly services that is rejected."""
+    row = _usual_row(1, random.Random(1))  # noqa: S311
+    content = cbor2.dumps({
+        'version': 'r12',
+        'routes': {'columns': list(_COLUMNS), 'rows': [row]},
+        'services': {
+            'columns': ['name'],
+            'rows': [['desk'], *([f'{name:x}'] for name in range(140_000))],
+        },
+        'limits': {},
+    })
+    assert len(content) <= settings.SOURCE_VALUE_BYTES
+    node = replica.Replica()
+    _read(node, content, 1)
+    document = node.document(_TEAM)
+    assert document is not None
+    assert [service.name for service in document.services] == ['desk']
+
+
 @pytest.mark.parametrize(
     ('column', 'published', 'field', 'expected'),
     [
--- a/medlarquay/settings/__init__.py
+++ b/medlarquay/settings/__init__.py
@@ -7,6 +7,7 @@
 from medlarquay.settings.limits import (
     MAX_ATTEMPTS,
     MAX_DOCUMENT_BYTES,
+    MAX_SERVICES,
     MAX_TIMEOUT_MS,
     MAX_WEIGHT,
     SHARED_TEAM,
@@ -27,6 +28,7 @@
 __all__ = (
     'MAX_ATTEMPTS',
     'MAX_DOCUMENT_BYTES',
+    'MAX_SERVICES',
     'MAX_TIMEOUT_MS',
     'MAX_WEIGHT',
     'SHARED_TEAM',
--- a/medlarquay/settings/limits.py
+++ b/medlarquay/settings/limits.py
@@ -46,7 +46,7 @@
 # same name and prefix.
 _MIN_ROW_BYTES = 24
 MAX_ROUTES = SOURCE_VALUE_BYTES // _MIN_ROW_BYTES
-# A service without a route is not translated, so there are no more services.
+# Of more published services only those with a route are translated.
 MAX_SERVICES = MAX_ROUTES
 # Maximum lengths of a DNS label and of a DNS name.
 MAX_NAME_LENGTH = 63
