Tell the requests of different callers apart in the quarantine

Cause: the fingerprint held service, method, path and body, but not the caller. The answers to the other caller counted as completions of the crashing request, which both clear a suspicion everywhere and keep it from arising for 60 s. The class: an identity that leaves out a part of what makes two things the same.

Change: the calling service is part of the fingerprint. The ingress states it in a header field that callers cannot set; on the product's own front end, which had none, it is the service that the instance list names for the node. The ledger compares without it, since a keyed request may be repeated at the node of another service.

--- a/medlarquay/ingress/call_request.py
+++ b/medlarquay/ingress/call_request.py
@@ -36,7 +36,7 @@
         for pair in answers.forwarded_headers(call.message.headers)
         if pair[0] not in replaced
     ]
-    if settings.names.calling_service is not None:
+    if settings.names.calling_service is not None and settings.service:
         headers.append((settings.names.calling_service, settings.service))
     return messages.CallRequest(
         call_id=call.call_id,
--- a/medlarquay/ingress/ingress_settings.py
+++ b/medlarquay/ingress/ingress_settings.py
@@ -18,7 +18,8 @@
     service : bytes
         Service whose backend server runs beside this node. Sent as the
         calling service of its requests and of those of other callers on this
-        machine.
+        machine. Empty if the platform does not tell it; it is then taken
+        from the instance list.
     sends_retry_after : bool
         Whether refusals have a ``Retry-After`` field. Its value is in
         fractions of a second, whereas HTTP defines whole seconds only.
--- a/medlarquay/tasks/owner_arrival.py
+++ b/medlarquay/tasks/owner_arrival.py
@@ -29,7 +29,10 @@
     job = owner_job.OwnerJob(
         exchange=owner.jobs.next_exchange(),
         request=request,
-        fingerprint=quarantine.fingerprint_of(request),
+        fingerprint=quarantine.fingerprint_of(
+            request,
+            caller=owner.local_backend.names.caller_of(request.headers),
+        ),
         arrived_at=owner.now(),
     )
     if request.request_key is None or request.idempotent:
--- a/medlarquay/tasks/owner_keys.py
+++ b/medlarquay/tasks/owner_keys.py
@@ -3,7 +3,16 @@
 import dataclasses
 import functools
 
-from medlarquay import admission, errors, ids, keys, ledger, messages, states
+from medlarquay import (
+    admission,
+    errors,
+    ids,
+    keys,
+    ledger,
+    messages,
+    quarantine,
+    states,
+)
 from medlarquay.tasks import (
     owner_base,
     owner_job,
@@ -37,7 +46,8 @@
         return
     received = ledger.KeyReceived(
         key=key,
-        fingerprint=job.fingerprint,
+        # A caller may repeat a request with a key at any node.
+        fingerprint=quarantine.fingerprint_of(job.request),
         exchange=job.exchange,
     )
     decision = owner_results.apply_ledger_event(received, owner)
--- a/medlarquay/tasks/router_base.py
+++ b/medlarquay/tasks/router_base.py
@@ -12,9 +12,10 @@
     ingress,
     messages,
     routing,
+    snapshots,
     states,
 )
-from medlarquay.tasks import alarm, task
+from medlarquay.tasks import alarm, local_record, task
 
 __all__ = ('RouterBase',)
 
@@ -90,6 +91,8 @@
             answer=self.answer,
         )
         self.settings = ingress.IngressSettings()
+        self._instance = hello.instance
+        self._service_learned = False
         self.draining = False
         self.drain = events.DrainRequested()
         self.clock = clock
@@ -104,6 +107,20 @@
         )
         self.schedule_tick()
 
+    def learn_service(self, snapshot: snapshots.Snapshot) -> None:
+        """Take the service beside this node from the instance list.
+
+        Nothing is changed if the platform tells it.
+        """
+        if self.settings.service and not self._service_learned:
+            return
+        record = local_record.find_local_record(snapshot, self._instance)
+        if record is not None:
+            self._service_learned = True
+            self.settings = dataclasses.replace(
+                self.settings, service=record.service.encode()
+            )
+
     def request_id(self, message: events.RequestReceived) -> str:
         """Return the id that the caller gave a request; empty if none."""
         return self.settings.names.request_id_of(message.headers)
--- a/medlarquay/tasks/router_handle.py
+++ b/medlarquay/tasks/router_handle.py
@@ -32,6 +32,7 @@
     message: events.SnapshotReplaced, router: router_base.RouterBase
 ) -> None:
     router.table.replace(message.snapshot)
+    router.learn_service(message.snapshot)
     router.routing_state.round_robin.apply_snapshot(message.snapshot)
     router.routing_state.budgets.apply_snapshot(message.snapshot)
     router.routing_state.observations.forget_except(router.table.instances())
--- a/medlarquay/tasks/tests/owner_bench.py
+++ b/medlarquay/tasks/tests/owner_bench.py
@@ -129,6 +129,7 @@
         idempotent: bool = False,
         timeout: float = 10,
         target: str = '/approve/1',
+        caller: str = '',
         link: ids.LinkId = LINK,
     ) -> None:
         """Post a call of an ingress.
@@ -143,7 +144,10 @@
             service=SERVICE,
             method=b'POST',
             target=target.encode(),
-            headers=((b'request-timeout-ms', b'1'),),
+            headers=(
+                (b'request-timeout-ms', b'1'),
+                *_caller_field(caller),
+            ),
             body=b'',
             rank=states.Rank.NORMAL,
             idempotent=idempotent,
@@ -249,6 +253,12 @@
         )
 
 
+def _caller_field(caller: str) -> tuple[tuple[bytes, bytes], ...]:
+    if not caller:
+        return ()
+    return ((b'medlarquay-calling-service', caller.encode()),)
+
+
 def _describe(message: object) -> str:
     if isinstance(message, messages.CallAnswered):
         kind = 'replayed' if message.replayed else 'run'
--- a/medlarquay/tasks/tests/test_owner.py
+++ b/medlarquay/tasks/tests/test_owner.py
@@ -152,6 +152,37 @@
     assert isinstance(cleared, messages.SuspicionCleared)
 
 
+def test_other_callers_neither_clear_nor_share_a_quarantine() -> None:
+    """Guards against a crashing request hidden behind another caller's.
+
+    Both ask for the same path. The answers to the harmless caller counted as
+    completions of the crashing request, so it was never quarantined.
+    """
+    bench = owner_bench.OwnerBench(slots=3)
+    for number in (1, 2, 3):
+        bench.call(number, target='/list', caller='desk')
+        bench.answer(2 * number - 1)
+        bench.call(10 + number, target='/list', caller='mail')
+        if number < 3:
+            bench.crash(2 * number)
+            bench.recover()
+    outcomes = bench.outcomes()
+    assert outcomes[13] == 'not-run quarantined'
+    assert {outcomes[number] for number in (1, 2, 3)} == {'run 200'}
+
+
+def test_key_is_valid_from_any_caller() -> None:
+    """Guards against a repeated keyed request that is told a conflict.
+
+    It may arrive at the node of another service than the first time.
+    """
+    bench = owner_bench.OwnerBench()
+    bench.call(1, key='bound', caller='desk')
+    bench.answer(1)
+    bench.call(2, key='bound', caller='mail')
+    assert bench.outcomes() == {1: 'run 200', 2: 'replayed 200'}
+
+
 def test_request_without_configuration_is_refused() -> None:
     """Guards against a request run on the wrong backend server."""
     bench = owner_bench.OwnerBench()
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -683,3 +683,21 @@
     assert not observations.ejected_until
     owners = observations.by_instance.values()
     assert not any(owner.in_flight for owner in owners)
+
+
+def test_owner_learns_the_calling_service() -> None:
+    """Guards against requests of different callers that look the same.
+
+    The service of the ingress is the one that the list names, and a caller
+    cannot claim another one.
+    """
+    own = ingress_bench.backend('a0', states.InstanceState.LEAVING)
+    bench = ingress_bench.IngressBench(own, *_BACKENDS)
+    bench.request(1, medlarquay_calling_service='other')
+    call = ingress_bench.single(bench.take_calls())
+    fields = [
+        content
+        for name, content in call.request.headers
+        if name == b'medlarquay-calling-service'
+    ]
+    assert fields == [b'desk']
--- a/medlarquay/transport/header_names.py
+++ b/medlarquay/transport/header_names.py
@@ -29,22 +29,32 @@
     """
 
     request_id: bytes | None = None
-    calling_service: bytes | None = None
+    calling_service: bytes | None = b'medlarquay-calling-service'
     expected_instance: bytes | None = None
     not_run: bytes = b'medlarquay-shed'
     receipt: bytes | None = None
 
     def request_id_of(self, headers: Iterable[tuple[bytes, bytes]]) -> str:
         """Return the id of a request for log lines; empty if it has none."""
-        if self.request_id is None:
-            return ''
-        for name, content in headers:
-            if name == self.request_id:
-                return content.decode('ascii', 'replace')
-        return ''
+        content = _find(self.request_id, headers)
+        return content.decode('ascii', 'replace')
+
+    def caller_of(self, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+        """Return the service that sent a request; empty if not known."""
+        return _find(self.calling_service, headers)
 
     @property
     def set_by_system(self) -> frozenset[bytes]:
         """Fields that the mesh sets, replacing those that the caller sent."""
         names = (self.calling_service, self.expected_instance)
         return frozenset(name for name in names if name is not None)
+
+
+def _find(
+    wanted: bytes | None,
+    headers: Iterable[tuple[bytes, bytes]],
+) -> bytes:
+    for name, content in headers:
+        if name == wanted:
+            return content
+    return b''
