Let queued requests leave with their backend server

Seen: requests that waited at the node of a leaving backend server were sent to it until it exited, up to 4 s after the source confirmed that it leaves; the bound is 2.5 s.

Cause: a drain refused what arrived from then on, and did nothing with what was queued, held by the quarantine, or listed no more without a word. The class: a state that is checked where work enters and not where it starts.

Change: admission closes at a time, from which no request starts. The time is counted from when the list was last known not to say that the backend server leaves, since the source may have said so right after it (--leaving-s, on the users' platform bounds.drain less 0.1 s). Queued requests that will not start by then are refused as draining at once, so that other owners have time for them; that costs no retry budget. An entry that vanishes counts as a departure once the source confirms that it has none (LocalListing asked that for the ingress only); a lapse of the heartbeats of a machine that is cut off takes nothing away.

--- a/medlarquay/admission/__init__.py
+++ b/medlarquay/admission/__init__.py
@@ -6,6 +6,7 @@
 from medlarquay.admission.inputs import (
     BackendStarted,
     CheckDue,
+    Closing,
     LimitsChanged,
     LinkBacklogChanged,
     QueuesEmptied,
@@ -24,6 +25,7 @@
     'Admission',
     'BackendStarted',
     'CheckDue',
+    'Closing',
     'Decisions',
     'Limits',
     'LimitsChanged',
--- a/medlarquay/admission/admission.py
+++ b/medlarquay/admission/admission.py
@@ -1,6 +1,7 @@
 """Admission control state of one backend server."""
 
 import collections
+import math
 
 from medlarquay import ids, states
 from medlarquay.admission import (
@@ -28,6 +29,11 @@
     bounds : Limits
         Limits set by the operators.
 
+    Attributes
+    ----------
+    closes_at : float
+        Time from which no request starts, seconds on the monotonic clock.
+
     Notes
     -----
     Only :func:`decide` changes the state.
@@ -35,6 +41,7 @@
 
     def __init__(self, *, bounds: limits.Limits) -> None:
         self.bounds = bounds
+        self.closes_at = math.inf
         self.slot_limit = slot_limit.SlotLimit()
         self.slot_limit.configure(bounds.slots)
         self.slot_usage = slot_usage.SlotUsage()
--- a/medlarquay/admission/arrival.py
+++ b/medlarquay/admission/arrival.py
@@ -38,10 +38,9 @@
     QueuedWork or RefusalReason
         Queue entry of an admitted request, or the reason of the refusal.
     """
-    if event.deadline <= now:
-        return states.RefusalReason.DEADLINE_PASSED
-    if len(state.queues[event.rank]) >= state.bounds.queue_limit:
-        return _load_reason(states.RefusalReason.QUEUE_FULL, state, now)
+    reason = _refusal_before_estimate(event, state, now)
+    if reason is not None:
+        return reason
     work = _queued_work(event, state)
     end = expected_end.expected_end(state, work, event.rank, now)
     latest_answer_at = event.deadline
@@ -58,6 +57,20 @@
     return _load_reason(states.RefusalReason.DEADLINE_UNREACHABLE, state, now)
 
 
+def _refusal_before_estimate(
+    event: inputs.RequestArrived,
+    state: admission.Admission,
+    now: float,
+) -> states.RefusalReason | None:
+    if event.deadline <= now:
+        return states.RefusalReason.DEADLINE_PASSED
+    if state.closes_at <= now:
+        return states.RefusalReason.DRAINING
+    if len(state.queues[event.rank]) >= state.bounds.queue_limit:
+        return _load_reason(states.RefusalReason.QUEUE_FULL, state, now)
+    return None
+
+
 def _queued_work(
     event: inputs.RequestArrived,
     state: admission.Admission,
--- a/medlarquay/admission/decide.py
+++ b/medlarquay/admission/decide.py
@@ -1,11 +1,13 @@
 """Transition function of admission control."""
 
 import functools
+import math
 
 from medlarquay import ids, states
 from medlarquay.admission import (
     admission,
     arrival,
+    close,
     fill_slots,
     inputs,
     queued_work,
@@ -139,7 +141,8 @@
         for work in waiting
         if work.latest_start <= now < work.deadline
     ]
-    return (*expired, *unreachable, *fill_slots.fill_slots(state, now))
+    late = _refuse_late(state, now)
+    return (*expired, *unreachable, *late, *fill_slots.fill_slots(state, now))
 
 
 @decide.register
@@ -154,6 +157,17 @@
     return tuple(_refuse_queued(work, event.reason, state) for work in waiting)
 
 
+@decide.register
+def _closing(
+    event: inputs.Closing,
+    state: admission.Admission,
+    now: float,
+) -> Decisions:
+    state.slot_usage.advance(now)
+    state.closes_at = event.closes_at
+    return (*_refuse_late(state, now), *fill_slots.fill_slots(state, now))
+
+
 @decide.register
 def _limits_changed(
     event: inputs.LimitsChanged,
@@ -177,6 +191,16 @@
     return fill_slots.fill_slots(state, now)
 
 
+def _refuse_late(state: admission.Admission, now: float) -> Decisions:
+    """Refuse what a closing backend server won't start in time."""
+    if state.closes_at == math.inf:
+        return ()
+    return tuple(
+        _refuse_queued(work, states.RefusalReason.DRAINING, state)
+        for work in close.starting_late(state, now)
+    )
+
+
 def _release(
     exchange: ids.ExchangeId,
     state: admission.Admission,
--- a/medlarquay/admission/fill_slots.py
+++ b/medlarquay/admission/fill_slots.py
@@ -51,6 +51,8 @@
 ) -> states.RefusalReason | None:
     if work.deadline <= now:
         return states.RefusalReason.DEADLINE_PASSED
+    if state.closes_at <= now:
+        return states.RefusalReason.DRAINING
     if now + state.service_times.route_mean(rank, work.route) > work.deadline:
         state.service_times.decay(rank, work.route)
         return states.RefusalReason.DEADLINE_UNREACHABLE
--- a/medlarquay/admission/inputs/__init__.py
+++ b/medlarquay/admission/inputs/__init__.py
@@ -2,6 +2,7 @@
 
 from medlarquay.admission.inputs.backend_started import BackendStarted
 from medlarquay.admission.inputs.check_due import CheckDue
+from medlarquay.admission.inputs.closing import Closing
 from medlarquay.admission.inputs.limits_changed import LimitsChanged
 from medlarquay.admission.inputs.link_backlog_changed import LinkBacklogChanged
 from medlarquay.admission.inputs.queues_emptied import QueuesEmptied
@@ -13,6 +14,7 @@
 __all__ = (
     'BackendStarted',
     'CheckDue',
+    'Closing',
     'LimitsChanged',
     'LinkBacklogChanged',
     'QueuesEmptied',
--- a/medlarquay/admission/next_check.py
+++ b/medlarquay/admission/next_check.py
@@ -29,6 +29,7 @@
     if not waiting:
         return None
     check_times = [work.latest_start for work in waiting]
+    check_times.append(state.closes_at)
     if state.slot_limit.is_restricted(now):
         check_times.append(now + _RAMP_INTERVAL_S)
     return min(check_times)
--- a/medlarquay/daemon/build_listing.py
+++ b/medlarquay/daemon/build_listing.py
@@ -16,16 +16,15 @@
     reactor: interfaces.IReactorTime,
     hello: messages.Hello,
     router: task.Task,
+    owner: task.Task,
     deployment: deployments.Deployment,
-) -> tuple[task.Task, ...]:
-    """Build the listing task, if the source answers about one instance."""
-    if deployment.listing is None:
-        return ()
-    listing = local_listing.LocalListing(
+) -> local_listing.LocalListing:
+    """Build the listing task."""
+    return local_listing.LocalListing(
         node=hello.instance,
         router=router,
+        owner=owner,
         source=deployment.listing,
         reactor=reactor,
         clock=time.monotonic,
     )
-    return (listing,)
--- a/medlarquay/daemon/build_owner.py
+++ b/medlarquay/daemon/build_owner.py
@@ -29,6 +29,7 @@
         records=observed.records,
     )
     owner_task.local_backend = deployment.local
+    owner_task.local_backend.leaving_s = settings.leaving_s
     owner_task.set_link_rate(settings.link_bytes_per_s)
     owner_task.ledger = ledger.Ledger(
         instance=observed.hello.instance,
--- a/medlarquay/daemon/call_path.py
+++ b/medlarquay/daemon/call_path.py
@@ -15,11 +15,11 @@
 from medlarquay.daemon import deployment as deployments
 from medlarquay.tasks import (
     caller_listener,
+    local_listing,
     owner,
     peer_links,
     router,
     running_clock,
-    task,
     uplink,
 )
 
@@ -42,9 +42,8 @@
         Routes the requests of callers.
     callers : CallerListener
         Accepts the connections of callers.
-    listing : tuple of Task
-        Watches the entry of the local backend server, if the source can be
-        asked about it.
+    listing : LocalListing
+        Watches the entry of the local backend server.
     """
 
     uplink: uplink.Uplink
@@ -52,7 +51,7 @@
     owner: owner.Owner
     router: router.Router
     callers: caller_listener.CallerListener
-    listing: tuple[task.Task, ...]
+    listing: local_listing.LocalListing
 
 
 def build_call_path(
@@ -106,6 +105,7 @@
             reactor=reactor,
             hello=observed.hello,
             router=router_task,
+            owner=owner_task,
             deployment=deployment,
         ),
     )
--- a/medlarquay/daemon/node.py
+++ b/medlarquay/daemon/node.py
@@ -97,7 +97,7 @@
         subscribers=(
             calls.router,
             calls.owner,
-            *calls.listing,
+            calls.listing,
             admin_task,
             lifecycle_task,
         ),
--- a/medlarquay/daemon/node_settings.py
+++ b/medlarquay/daemon/node_settings.py
@@ -34,6 +34,9 @@
         same on all nodes.
     drain_timeout_s : float
         Longest time for a graceful stop, in seconds.
+    leaving_s : float
+        Time for which a backend server that leaves is still sent requests that
+        were queued for it, in seconds.
     link_bytes_per_s : float
         Capacity of the network link of the machine, in bytes per second;
         infinite if unknown.
@@ -54,5 +57,6 @@
     seed: tuple[addresses.NodeAddress, ...]
     key_retention_s: float
     drain_timeout_s: float
+    leaving_s: float
     link_bytes_per_s: float
     log_level: str
--- a/medlarquay/daemon/setting_list.py
+++ b/medlarquay/daemon/setting_list.py
@@ -88,6 +88,12 @@
         summary='longest time for a graceful stop',
         default='30',
     ),
+    setting.Setting(
+        name='leaving-s',
+        parse=functools.partial(parsers.seconds, low=0, high=_MAX_DRAIN_S),
+        summary='time for which a leaving backend server gets queued requests',
+        default='2',
+    ),
     setting.Setting(
         name='link-mbps',
         parse=functools.partial(parsers.link_rate, low=_MIN_LINK_MBPS),
--- a/medlarquay/events/__init__.py
+++ b/medlarquay/events/__init__.py
@@ -24,6 +24,7 @@
 from medlarquay.events.lifecycle_changed import LifecycleChanged
 from medlarquay.events.link_closed import LinkClosed
 from medlarquay.events.local_backend_kept import LocalBackendKept
+from medlarquay.events.local_backend_removed import LocalBackendRemoved
 from medlarquay.events.offer_call import OfferCall
 from medlarquay.events.open_link import OpenLink
 from medlarquay.events.parent_aged import ParentAged
@@ -74,6 +75,7 @@
     'PeerSilent',
     'PeerGreeted',
     'LocalBackendKept',
+    'LocalBackendRemoved',
     'OfferCall',
     'OpenLink',
     'CallExpired',
--- a/medlarquay/platform/node_parts.py
+++ b/medlarquay/platform/node_parts.py
@@ -20,6 +20,8 @@
 _KEY_RETENTION_S = 1
 # Answers that were written need this time to leave before SIGKILL.
 _STOP_MARGIN_S = 0.5
+# The bound counts arrivals at the backend server; a request is sent before.
+_LEAVING_MARGIN_S = 0.1
 # A backend server stops work at the time limit that it receives; its answer
 # needs a little longer.
 _HUNG_MARGIN_S = 0.5
@@ -49,6 +51,7 @@
         seed=(),
         key_retention_s=_KEY_RETENTION_S,
         drain_timeout_s=max(0, own_settings.drain_timeout_s - _STOP_MARGIN_S),
+        leaving_s=max(0, own_settings.leaving_s - _LEAVING_MARGIN_S),
         link_bytes_per_s=own_settings.link_bytes_per_s,
         log_level='info',
     )
--- a/medlarquay/platform/platform_settings.py
+++ b/medlarquay/platform/platform_settings.py
@@ -30,6 +30,9 @@
         Service of the backend server beside the node.
     drain_timeout_s : float
         Time from SIGTERM to SIGKILL, in seconds.
+    leaving_s : float
+        Time for which a backend server that reported to leave may still be
+        sent requests, in seconds.
     link_bytes_per_s : float
         Capacity of the machine's link, in bytes per second; infinite if the
         file states none.
@@ -50,5 +53,6 @@
     admin_port: int
     service: ids.ServiceName
     drain_timeout_s: float
+    leaving_s: float
     link_bytes_per_s: float
     fleet_burst: int | None = None
--- a/medlarquay/platform/settings_file.py
+++ b/medlarquay/platform/settings_file.py
@@ -17,6 +17,7 @@
 _MAX_COUNT = 999_999_999
 # Used when the file states no time between SIGTERM and SIGKILL.
 _DEFAULT_DRAIN_TIMEOUT_S = 6.0
+_DEFAULT_LEAVING_S = 2.0
 _MS_PER_SECOND = 1000
 
 
@@ -71,6 +72,9 @@
         drain_timeout_s=reader.parse_or_default(
             'bounds.grace', _parse_seconds, _DEFAULT_DRAIN_TIMEOUT_S
         ),
+        leaving_s=reader.parse_or_default(
+            'bounds.drain', _parse_seconds, _DEFAULT_LEAVING_S
+        ),
         link_bytes_per_s=reader.parse_or_default(
             'limits.link_mbps', _parse_link_rate, math.inf
         ),
--- a/medlarquay/platform/tests/test_settings_file.py
+++ b/medlarquay/platform/tests/test_settings_file.py
@@ -103,6 +103,7 @@
         ('limits.link_mbps', '-3', 'limits.link_mbps'),
         ('bounds', 'grace=soon', 'bounds.grace'),
         ('bounds', 'grace=true', 'bounds.grace'),
+        ('bounds', 'drain=soon', 'bounds.drain'),
         ('bounds', 'budget_extra=-1', 'bounds.budget_extra'),
         ('bounds', 'budget_extra=inf', 'bounds.budget_extra'),
         ('bounds', 'budget_extra=false', 'bounds.budget_extra'),
--- a/medlarquay/tasks/local_backend.py
+++ b/medlarquay/tasks/local_backend.py
@@ -9,6 +9,7 @@
 
 # A backend server that ignores deadlines may run a request for this long.
 _HUNG_AFTER_S = 600
+_LEAVING_S = 2
 
 
 @dataclasses.dataclass(slots=True, kw_only=True)
@@ -22,6 +23,9 @@
     hung_s : float
         Time after the deadline of a non-idempotent request at which it is
         considered hung: it is aborted and its slot is freed, seconds.
+    leaving_s : float
+        Time from the report that it leaves for which it is still sent requests
+        that were accepted before, seconds.
     exclusive : bool
         Whether only this node sends it requests.
     link_bytes_per_s : float
@@ -34,6 +38,7 @@
         default_factory=transport.HeaderNames,
     )
     hung_s: float = _HUNG_AFTER_S
+    leaving_s: float = _LEAVING_S
     exclusive: bool = False
     link_bytes_per_s: float = math.inf
     state: states.BackendState = states.BackendState.UP
--- a/medlarquay/tasks/local_listing.py
+++ b/medlarquay/tasks/local_listing.py
@@ -29,8 +29,11 @@
         Name in the greeting of this node.
     router : Task
         Receives ``LocalBackendKept``.
-    source : ListingCheck
-        Answers whether an instance is listed.
+    owner : Task
+        Receives ``LocalBackendRemoved``.
+    source : ListingCheck or None
+        Answers whether an instance is listed; None if only those that left
+        are ever missing from the list.
     reactor : IReactorTime
         Schedules the checks.
     clock : callable
@@ -42,13 +45,15 @@
         *,
         node: ids.InstanceId,
         router: task.Task,
-        source: listing_check.ListingCheck,
+        owner: task.Task,
+        source: listing_check.ListingCheck | None,
         reactor: interfaces.IReactorTime,
         clock: Callable[[], float],
     ) -> None:
         super().__init__(name='listing')
         self._node = node
         self._router = router
+        self._owner = owner
         self._source = source
         self._clock = clock
         self._alarm = alarm.Alarm(reactor=reactor, clock=clock, target=self)
@@ -79,12 +84,20 @@
 
     def check(self) -> None:
         """Ask the source about the entry, if it is missing."""
-        if self._record is not None and self._state in _MISSING:
-            defer.ensureDeferred(self._check(self._record))
+        if self._record is None or self._state not in _MISSING:
+            return
+        if self._source is None:
+            self._report_removed(self._record)
+        else:
+            defer.ensureDeferred(self._check(self._record, self._source))
 
-    async def _check(self, record: replica.InstanceRecord) -> None:
+    async def _check(
+        self,
+        record: replica.InstanceRecord,
+        source: listing_check.ListingCheck,
+    ) -> None:
         try:
-            is_listed = await self._source.is_listed(record.instance)
+            is_listed = await source.is_listed(record.instance)
         except Exception as failure:
             # Any failure leaves the question open.
             self._log.info('the source cannot be asked: {}', failure)
@@ -94,11 +107,15 @@
         if self._state not in _MISSING or self._record is not record:
             return
         if answered:
-            self._enter(states.ListingState.ABSENT)
+            self._report_removed(record)
         else:
             self._enter(states.ListingState.CUT_OFF)
             self._alarm.wake_at(self._clock() + _CHECK_INTERVAL_S)
 
+    def _report_removed(self, record: replica.InstanceRecord) -> None:
+        self._enter(states.ListingState.ABSENT)
+        self._owner.post(events.LocalBackendRemoved(instance=record.instance))
+
     def _enter(self, state: states.ListingState) -> None:
         was_kept = self._state is states.ListingState.CUT_OFF
         is_kept = state is states.ListingState.CUT_OFF
--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -24,6 +24,7 @@
     owner_jobs,
     task,
 )
+from medlarquay.tasks import departure as departures
 
 __all__ = ('OwnerBase', 'CallResult')
 
@@ -81,6 +82,7 @@
         self.jobs = owner_jobs.OwnerJobs()
         self.local_backend = local_backend.LocalBackend()
         self.draining = False
+        self._departure = departures.Departure()
         self._answer_by = math.inf
         self._stopping = False
         self._links = links
@@ -98,6 +100,11 @@
         """Time when unfinished jobs are ended; infinity before a stop."""
         return self._answer_by
 
+    @property
+    def departure(self) -> departures.Departure:
+        """What is known of the departure of the backend server."""
+        return self._departure
+
     @property
     def intake(self) -> body_intake.BodyIntake:
         """Large bodies that other nodes offer to send."""
@@ -181,14 +188,9 @@
                 ),
             )
 
-    def apply_instance_state(self, state: states.InstanceState) -> None:
-        """Drain while the instance list says leaving, and resume after.
-
-        Once a stop was requested, the owner does not resume.
-        """
-        if state is states.InstanceState.LEAVING:
-            self.drain()
-        elif self.draining and not self._stopping:
+    def resume(self) -> None:
+        """Accept requests again, unless a stop was requested."""
+        if self.draining and not self._stopping:
             # A new backend server was started on the machine of this node.
             self.draining = False
             self._drain_reported = False
--- a/medlarquay/tasks/owner_deadlines.py
+++ b/medlarquay/tasks/owner_deadlines.py
@@ -14,6 +14,7 @@
     'abort',
     'check_deadlines',
     'end_all_jobs',
+    'refuse_held',
     'schedule_next_tick',
     'withdraw',
 )
@@ -79,6 +80,16 @@
     owner_starts.apply_admission_event(freed, owner)
 
 
+def refuse_held(owner: owner_base.OwnerBase) -> None:
+    """Refuse held suspects once the backend server is sent no more requests.
+
+    The queued requests are refused by admission.
+    """
+    if owner.departure.closes_at <= owner.now():
+        for job in tuple(owner.jobs.held):
+            withdraw(job, owner, states.RefusalReason.DRAINING)
+
+
 def end_all_jobs(owner: owner_base.OwnerBase) -> None:
     """End all remaining jobs of a stopping owner.
 
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -217,9 +217,22 @@
     message: events.FreshnessConfirmed,
     owner: owner_base.OwnerBase,
 ) -> None:
+    # After a pause of the process the time is unknown; the last one known still
+    # bounds that of a departure.
+    owner.departure.list_confirmed_at = max(
+        owner.departure.list_confirmed_at, message.list_confirmed_at
+    )
     owner_results.apply_ledger_event(message, owner)
 
 
+@handle.register
+def _removed(
+    message: events.LocalBackendRemoved,
+    owner: owner_base.OwnerBase,
+) -> None:
+    owner_snapshot.apply_removed(message, owner)
+
+
 @handle.register
 def _drain_requested(
     message: events.DrainRequested,
@@ -239,6 +252,7 @@
         # The end of one job can end others, which are skipped here.
         if owner.jobs.find(job.exchange) is job:
             owner_deadlines.check_deadlines(job, owner, now)
+    owner_deadlines.refuse_held(owner)
     if now >= owner.answer_by:
         owner_deadlines.end_all_jobs(owner)
     owner_offers.advance_offers(owner)
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -2,6 +2,7 @@
 
 from medlarquay import (
     admission,
+    events,
     ledger,
     pacing,
     quarantine,
@@ -14,12 +15,13 @@
     local_record,
     owner_base,
     owner_deadlines,
+    owner_leaving,
     owner_offers,
     owner_results,
     owner_starts,
 )
 
-__all__ = ('apply_snapshot',)
+__all__ = ('apply_removed', 'apply_snapshot')
 
 _MS_PER_SECOND = 1000
 
@@ -30,7 +32,9 @@
 ) -> None:
     """Apply limits and peers of a snapshot, and its endpoints in the ledger."""
     record = local_record.find_local_record(snapshot, owner.hello.instance)
-    if record is not None:
+    if record is None:
+        _note_unlisted(owner)
+    else:
         _apply_local_record(record, snapshot, owner)
     local = owner.local_instance
     if local is None:
@@ -42,6 +46,26 @@
     owner_results.apply_ledger_event(replaced, owner)
 
 
+def apply_removed(
+    message: events.LocalBackendRemoved,
+    owner: owner_base.OwnerBase,
+) -> None:
+    """Drain because the source no longer lists the backend server."""
+    local = owner.local_instance
+    if local is None or local.instance != message.instance:
+        return
+    if owner.departure.unlisted_since is not None:
+        owner_leaving.leave(owner.departure.unlisted_since, owner)
+
+
+def _note_unlisted(owner: owner_base.OwnerBase) -> None:
+    # Whether the backend server has left, or its heartbeats did not reach the
+    # source, only the source can tell.
+    departure = owner.departure
+    if departure.unlisted_since is None:
+        departure.unlisted_since = departure.list_confirmed_at
+
+
 def _is_other_service(
     record: replica.InstanceRecord,
     owner: owner_base.OwnerBase,
@@ -112,4 +136,4 @@
         owner_starts.apply_admission_event(admission.BackendStarted(), owner)
     if owner.quarantine.service != record.service:
         owner.quarantine = quarantine.Quarantine(service=record.service)
-    owner.apply_instance_state(record.state)
+    owner_leaving.apply_listed(record, owner)
--- a/medlarquay/tasks/tests/owner_bench.py
+++ b/medlarquay/tasks/tests/owner_bench.py
@@ -98,28 +98,12 @@
         The backend server beside the owner may be another run than before,
         also of another service.
         """
-        document = settings.parse_document(
-            team=TEAM,
-            content=json.dumps({
-                'services': {SERVICE: {}, service: {}},
-                'routes': [],
-            }).encode(),
-        )
-        records = [
-            self._record(run, state, service=service),
-            self._record(
-                PEER_INSTANCE,
-                states.InstanceState.LIVE,
-                node=PEER_INSTANCE,
-            ),
-        ]
-        snapshot = snapshots.build_snapshot(
-            documents=[document],
-            instances=records,
-            tree_revision=ids.Revision(1),
-            list_revision=ids.Revision(1),
-        )
-        self.owner.post(events.SnapshotReplaced(snapshot=snapshot))
+        own = self._record(run, state, service=service)
+        self._replace((own,), service)
+
+    def unlist(self) -> None:
+        """Post a snapshot without the owner's instance."""
+        self._replace((), SERVICE)
 
     def call(
         self,
@@ -229,6 +213,31 @@
             reply.message.call_id: _describe(reply.message) for reply in replies
         }
 
+    def _replace(
+        self,
+        own: tuple[replica.InstanceRecord, ...],
+        service: ids.ServiceName,
+    ) -> None:
+        document = settings.parse_document(
+            team=TEAM,
+            content=json.dumps({
+                'services': {SERVICE: {}, service: {}},
+                'routes': [],
+            }).encode(),
+        )
+        peer = self._record(
+            PEER_INSTANCE,
+            states.InstanceState.LIVE,
+            node=PEER_INSTANCE,
+        )
+        snapshot = snapshots.build_snapshot(
+            documents=[document],
+            instances=[*own, peer],
+            tree_revision=ids.Revision(1),
+            list_revision=ids.Revision(1),
+        )
+        self.owner.post(events.SnapshotReplaced(snapshot=snapshot))
+
     def _record(
         self,
         instance: ids.InstanceId,
--- a/medlarquay/tasks/tests/test_local_listing.py
+++ b/medlarquay/tasks/tests/test_local_listing.py
@@ -68,12 +68,14 @@
     def __init__(self) -> None:
         self.clock = task.Clock()
         self.router = owner_bench.Recorder(name='router')
+        self.owner = owner_bench.Recorder(name='owner')
         self.reachable = True
         self.listed = False
         self.checks = 0
         self.listing = local_listing.LocalListing(
             node=_NODE,
             router=self.router,
+            owner=self.owner,
             source=self,
             reactor=self.clock,
             clock=self.clock.seconds,
@@ -124,6 +126,7 @@
     checks = bench.checks
     bench.wait(10)
     assert bench.checks == checks
+    assert not bench.owner.received
 
 
 def test_backend_server_that_left_is_not_used() -> None:
@@ -134,6 +137,8 @@
     bench.wait(10)
     assert not bench.kept()
     assert bench.checks == 1
+    removed = events.LocalBackendRemoved(instance=_RUN)
+    assert bench.owner.received == [removed]
 
 
 def test_backend_server_that_left_behind_a_partition_is_given_up() -> None:
