Tell the suspects of a service to its restarted owners

Cause: suspects are reported when a crash happens, and an owner that starts afterwards never hears of them. The class: state that is told once to those who are there.

Change: a starting owner opens links to the four nearest owners of its service; an owner that is greeted by another one of its service reports the crashes of its suspects again. No new message; nodes of earlier code answer nothing.

Evidence: test_restarted_owner_learns_the_suspects_of_its_peers (new message flow, cannot be run before).

--- a/medlarquay/quarantine/__init__.py
+++ b/medlarquay/quarantine/__init__.py
@@ -10,6 +10,7 @@
     StartRequested,
     Stopped,
 )
+from medlarquay.quarantine.known_reports import known_reports
 from medlarquay.quarantine.permit import Permit
 from medlarquay.quarantine.quarantine import Quarantine
 from medlarquay.quarantine.refuse import Refuse
@@ -27,4 +28,5 @@
     'Stopped',
     'decide',
     'fingerprint_of',
+    'known_reports',
 )
--- a/medlarquay/tasks/owner.py
+++ b/medlarquay/tasks/owner.py
@@ -1,8 +1,13 @@
 """Task that decides which requests the local backend server runs."""
 
 from medlarquay.tasks import owner_base, owner_handle
+from medlarquay.tasks import owner_quarantine as _owner_quarantine
 
-__all__ = ('Owner',)
+__all__ = (
+    'Owner',
+    # Registers handlers when it is imported.
+    '_owner_quarantine',
+)
 
 
 class Owner(owner_base.OwnerBase):
--- a/medlarquay/tasks/owner_base.py
+++ b/medlarquay/tasks/owner_base.py
@@ -179,7 +179,7 @@
         if self.local_instance is None:
             return
         for peer in self.local_instance.peers:
-            self._links.post(
+            self.post_to_links(
                 events.SendNotice(
                     instance=peer.node_name,
                     host=peer.host,
@@ -188,6 +188,12 @@
                 ),
             )
 
+    def post_to_links(
+        self, message: events.SendNotice | events.OpenLink
+    ) -> None:
+        """Post a message to the call links task."""
+        self._links.post(message)
+
     def resume(self) -> None:
         """Accept requests again, unless a stop was requested."""
         if self.draining and not self._stopping:
--- a/medlarquay/tasks/owner_handle.py
+++ b/medlarquay/tasks/owner_handle.py
@@ -7,7 +7,6 @@
     events,
     ids,
     ledger,
-    messages,
     quarantine,
     states,
 )
@@ -153,23 +152,6 @@
     owner_starts.readmit_held(owner)
 
 
-@handle.register
-def _crash_suspected(
-    message: messages.CrashSuspected,
-    owner: owner_base.OwnerBase,
-) -> None:
-    _apply_quarantine_event(message, owner)
-
-
-@handle.register
-def _suspicion_cleared(
-    message: messages.SuspicionCleared,
-    owner: owner_base.OwnerBase,
-) -> None:
-    _apply_quarantine_event(message, owner)
-    owner_starts.readmit_held(owner)
-
-
 @handle.register
 def _cancel_call(
     message: events.CancelCall, owner: owner_base.OwnerBase
--- a/medlarquay/tasks/owner_leaving.py
+++ b/medlarquay/tasks/owner_leaving.py
@@ -10,7 +10,7 @@
     owner_starts,
 )
 
-__all__ = ('apply_listed', 'leave')
+__all__ = ('apply_listed', 'leave', 'refuse_waiting')
 
 
 def apply_listed(
@@ -49,6 +49,22 @@
     owner_deadlines.refuse_held(owner)
 
 
+def refuse_waiting(owner: owner_base.OwnerBase) -> None:
+    """Refuse all unsent jobs.
+
+    They were accepted for another service, which must not run them.
+    """
+    reason = states.RefusalReason.NO_BACKEND
+    owner_starts.apply_admission_event(
+        admission.QueuesEmptied(reason=reason), owner
+    )
+    owner_offers.refuse_offers(reason, owner)
+    # Suspects that the quarantine holds are not queued.
+    for job in owner.jobs:
+        if not job.sent:
+            owner_deadlines.withdraw(job, owner, reason)
+
+
 def _close_at(closes_at: float, owner: owner_base.OwnerBase) -> None:
     owner.departure.closes_at = closes_at
     owner_starts.apply_admission_event(
--- a/medlarquay/tasks/owner_snapshot.py
+++ b/medlarquay/tasks/owner_snapshot.py
@@ -8,15 +8,13 @@
     quarantine,
     replica,
     snapshots,
-    states,
 )
 from medlarquay.tasks import (
     local_instance,
     local_record,
     owner_base,
-    owner_deadlines,
+    owner_greeting,
     owner_leaving,
-    owner_offers,
     owner_results,
     owner_starts,
 )
@@ -79,22 +77,6 @@
     )
 
 
-def _refuse_waiting(owner: owner_base.OwnerBase) -> None:
-    """Refuse all unsent jobs.
-
-    They were accepted for another service, which must not run them.
-    """
-    reason = states.RefusalReason.NO_BACKEND
-    owner_starts.apply_admission_event(
-        admission.QueuesEmptied(reason=reason), owner
-    )
-    owner_offers.refuse_offers(reason, owner)
-    # Suspects that the quarantine holds are not queued.
-    for job in owner.jobs:
-        if not job.sent:
-            owner_deadlines.withdraw(job, owner, reason)
-
-
 def _apply_local_record(
     record: replica.InstanceRecord,
     snapshot: snapshots.Snapshot,
@@ -102,7 +84,7 @@
 ) -> None:
     service = snapshot.services[record.team, record.service]
     if _is_other_service(record, owner):
-        _refuse_waiting(owner)
+        owner_leaving.refuse_waiting(owner)
     is_new_run = (
         owner.local_instance is None
         or owner.local_instance.instance != record.instance
@@ -136,4 +118,5 @@
         owner_starts.apply_admission_event(admission.BackendStarted(), owner)
     if owner.quarantine.service != record.service:
         owner.quarantine = quarantine.Quarantine(service=record.service)
+        owner_greeting.greet_peers(owner)
     owner_leaving.apply_listed(record, owner)
--- a/medlarquay/tasks/peer_links_base.py
+++ b/medlarquay/tasks/peer_links_base.py
@@ -459,3 +459,10 @@
     number: ids.LinkId,
 ) -> None:
     links.ingresses[number] = message.instance
+    _post(
+        links.owner,
+        events.PeerGreeted(
+            instance=message.instance,
+            incarnation=message.incarnation,
+        ),
+    )
--- a/medlarquay/tasks/tests/test_owner.py
+++ b/medlarquay/tasks/tests/test_owner.py
@@ -12,6 +12,13 @@
 _SHED = ((b'medlarquay-shed', b'1'),)
 
 
+def _greeting(instance: ids.InstanceId) -> events.PeerGreeted:
+    return events.PeerGreeted(
+        instance=instance,
+        incarnation=ids.Incarnation('later'),
+    )
+
+
 @pytest.mark.parametrize(
     'name',
     ['approval_sent_again', 'pause_with_queued_work', 'backend_killed'],
@@ -171,6 +178,39 @@
     assert {outcomes[number] for number in (1, 2, 3)} == {'run 200'}
 
 
+def test_restarted_owner_learns_the_suspects_of_its_peers() -> None:
+    """Guards against a quarantine that a restart of its owners forgets.
+
+    Nodes that were restarted in turn sent a crashing request on again.
+    """
+    bench = owner_bench.OwnerBench()
+    for number in (1, 2):
+        bench.call(number, target='/poison')
+        bench.crash(number)
+        bench.recover()
+    bench.links.received.clear()
+    bench.owner.post(_greeting(owner_bench.PEER_INSTANCE))
+    told = bench.links.of_type(events.SendNotice)
+    assert {notice.instance for notice in told} == {owner_bench.PEER_INSTANCE}
+    restarted = owner_bench.OwnerBench()
+    opened = restarted.links.of_type(events.OpenLink)
+    assert [link.instance for link in opened] == [owner_bench.PEER_INSTANCE]
+    for notice in told:
+        restarted.owner.post(notice.message)
+    restarted.call(1, target='/poison')
+    assert restarted.outcomes() == {1: 'not-run quarantined'}
+
+
+def test_suspects_are_told_to_owners_of_the_service_only() -> None:
+    """Guards against notices to each node that opens a link."""
+    bench = owner_bench.OwnerBench()
+    bench.call(1, target='/poison')
+    bench.crash(1)
+    bench.links.received.clear()
+    bench.owner.post(_greeting(ids.InstanceId('stranger')))
+    assert not bench.links.of_type(events.SendNotice)
+
+
 def test_key_is_valid_from_any_caller() -> None:
     """Guards against a repeated keyed request that is told a conflict.
 
