Count the attempt at a silent owner before a retry is decided

Cause: the retry after silence was decided first and counted afterwards. The owner may have sent the request to its backend server, which goes on running it.

Evidence: test_silent_owners_count_as_attempts fails before with one and with two attempts (a further call is sent).

--- a/medlarquay/tasks/router_attempts.py
+++ b/medlarquay/tasks/router_attempts.py
@@ -1,5 +1,7 @@
 """Attempts and retries of calls."""
 
+import dataclasses
+
 from medlarquay import ingress, messages, replica, routing, states
 from medlarquay.tasks import router_answers, router_base
 
@@ -77,7 +79,9 @@
     if not isinstance(failure, messages.CallRefused):
         call.may_have_run = True
     other = _choose_other(call, router)
-    decision = _decide_retry(call, failure, other, router)
+    decision = _decide_retry(
+        call, failure, other, router, sent_attempts=call.sent_attempts
+    )
     if isinstance(decision, routing.RetryDenied):
         router.reporter.record_retry_decision(call, decision.denial)
         router_answers.send_failure(failure, call, router)
@@ -101,14 +105,18 @@
         reason=states.RefusalReason.OWNER_LOST,
     )
     other = _choose_other(call, router)
-    decision = _decide_retry(call, failure, other, router)
+    # The silent owner may have sent the call to its backend server.
+    sent_attempts = call.sent_attempts + 1
+    decision = _decide_retry(
+        call, failure, other, router, sent_attempts=sent_attempts
+    )
     granted = isinstance(decision, routing.RetryGranted)
     if not granted or not isinstance(other, routing.OwnerChosen):
         return
     router.calls.finish(call.call_id)
     router.observe(routing.CallWithdrawn(instance=call.instance))
     router.sender.cancel(call.node, call.call_id)
-    call.sent_attempts += 1
+    call.sent_attempts = sent_attempts
     call.may_have_run = True
     router.reporter.record_retry_decision(call, states.RetryReason.OWNER_SILENT)
     _send(call, other.backend, router)
@@ -130,11 +138,16 @@
     failure: _Failure,
     other: _Choice,
     router: router_base.RouterBase,
+    *,
+    sent_attempts: int,
 ) -> routing.RetryGranted | routing.RetryDenied:
     now = router.clock()
     return routing.decide_retry(
         failure,
-        _retry_context(call, other, now, router),
+        dataclasses.replace(
+            _retry_context(call, other, now, router),
+            sent_attempts=sent_attempts,
+        ),
         router.routing_state.budgets.for_service(call.service),
         now,
     )
@@ -163,6 +176,5 @@
         ),
         other_backend=isinstance(other, routing.OwnerChosen),
         newer_snapshot=router.table.generation > call.generation,
-        sent_attempts=call.sent_attempts,
         max_sent_attempts=call.route.parameters.attempts,
     )
--- a/medlarquay/tasks/tests/ingress_bench.py
+++ b/medlarquay/tasks/tests/ingress_bench.py
@@ -81,8 +81,10 @@
         self,
         *backends: replica.InstanceRecord,
         timeout_ms: int = 2000,
+        attempts: int = 3,
     ) -> None:
         self.timeout_ms = timeout_ms
+        self.attempts = attempts
         self.clock = twisted_task.Clock()
         self.links = Recorder()
         self.owner = Recorder()
@@ -134,6 +136,7 @@
                     service=_SERVICE,
                     rank=states.Rank.NORMAL,
                     timeout_ms=self.timeout_ms,
+                    attempts=self.attempts,
                     idempotent_methods=('GET',),
                 ),
             ),
--- a/medlarquay/tasks/tests/test_router.py
+++ b/medlarquay/tasks/tests/test_router.py
@@ -648,6 +648,28 @@
     assert bench.counters.counts[dropped] == 1
 
 
+@pytest.mark.parametrize('attempts', [1, 2])
+def test_silent_owners_count_as_attempts(attempts: int) -> None:
+    """Guards against one backend server more than the route allows.
+
+    Each silent owner may have sent the call to its backend server, which goes
+    on running it.
+    """
+    bench = ingress_bench.IngressBench(
+        *(ingress_bench.backend(f'a{number}') for number in range(1, 5)),
+        attempts=attempts,
+    )
+    bench.request(1, b'GET')
+    for _ in range(attempts - 1):
+        call = ingress_bench.single(bench.take_calls())
+        _report_silent(bench, call.instance)
+    last = ingress_bench.single(bench.take_calls())
+    _report_silent(bench, last.instance)
+    assert not bench.links.take()
+    bench.answer(last.request.call_id)
+    assert bench.answer_fields()['outcome'] == 'run'
+
+
 def test_post_at_silent_owner_waits(
     bench: ingress_bench.IngressBench,
 ) -> None:
