--- a/medlarquay/platform/testing/platform_world.py
+++ b/medlarquay/platform/testing/platform_world.py
@@ -48,6 +48,9 @@
             self._store.fault = store_fault.StoreFault(words[1])
         elif words[0] == 'forget':
             self._store.drop_history()
+        elif words[0] == 'unroute':
+            self._routes.pop(words[1])
+            self.publish()
         elif words[0] == 'delete':
             self._store.delete(words[1])
         else:
--- a/medlarquay/platform/tests/test_whole_path.py
+++ b/medlarquay/platform/tests/test_whole_path.py
@@ -122,6 +122,45 @@
         mesh.wait_ready(0)
 
 
+def test_nodes_restart_while_the_newest_version_is_rejected(
+    tmp_path: pathlib.Path,
+) -> None:
+    """Guards against a restarted node that answers 404 to everything.
+
+    One that is restarted alone learns the accepted version from the others.
+    Once all were killed nobody knows it, and they wait for a valid one.
+    """
+    with small_platform.SmallPlatform(nodes=3, directory=tmp_path) as mesh:
+        mesh.send_command('route no-slash portal')
+        rejected = 'rejected a record'
+        for number in range(3):
+            _wait_until(
+                functools.partial(_is_logged, mesh, number, rejected),
+                expected=True,
+            )
+        for number in range(3):
+            mesh.signal(number, signal.SIGKILL)
+            mesh.wait_end(number, 5)
+            mesh.start(number)
+            mesh.wait_ready(number)
+            assert _request_status(mesh, number, '/portal/') == 200
+        for number in range(3):
+            mesh.signal(number, signal.SIGKILL)
+            mesh.wait_end(number, 5)
+        for number in range(3):
+            mesh.start(number)
+        for number in range(3):
+            _wait_until(
+                functools.partial(_request_status, mesh, number, '/portal/'),
+                503,
+            )
+            assert not mesh.ready(number)
+        mesh.send_command('unroute no-slash')
+        for number in range(3):
+            mesh.wait_ready(number)
+            assert _request_status(mesh, number, '/portal/') == 200
+
+
 def test_sigterm_does_not_abort_requests_in_flight(
     tmp_path: pathlib.Path,
 ) -> None:
