--- a/bench/large_configuration.py
+++ b/bench/large_configuration.py
@@ -50,7 +50,7 @@
         )
         _apply(node, builder, document, revision, label)
         if label == 'whole':
-            _print('value_bytes', len(value))
+            _print('published_bytes', len(value))
             _print('document_bytes', len(document))
         rows[len(rows) // 2][_TIMEOUT_COLUMN] = '1300ms'
     usage = resource.getrusage(resource.RUSAGE_SELF)
